--- /dev/null
+++ b/umberdrum/admin/_desk.py
@@ -0,0 +1,76 @@
+"""Requests to the admin address."""
+
+from typing import Protocol
+
+import prometheus_client
+
+from umberdrum import controlhttp, errors
+from umberdrum.admin import _reports
+
+
+class DaemonView(Protocol):
+    """What the admin address shows and orders of its daemon."""
+
+    def is_ready(self) -> bool:
+        """Return whether callers may be sent to this daemon."""
+
+    def build_status(self) -> _reports.StatusReport:
+        """Return the state of the daemon."""
+
+    def explain(self, service: str, method: str, path: str) -> _reports.ExplainReport:
+        """Return how a call would be routed now."""
+
+    def order_drain(self, is_ordered: bool) -> None:
+        """Drain the upstream beside this daemon, or lift that order."""
+
+
+class AdminDesk:
+    """Answers operators and monitoring on the admin address."""
+
+    def __init__(
+        self, view: DaemonView, registry: prometheus_client.CollectorRegistry
+    ) -> None:
+        self._view = view
+        self._registry = registry
+
+    async def handle(
+        self, request: controlhttp.ControlRequest
+    ) -> controlhttp.ControlAnswer:
+        """Answer one request."""
+        if request.method == "GET":
+            return self._show(request)
+        if request.method == "POST" and request.path == "/v1/drain":
+            self._view.order_drain(True)
+            return controlhttp.answer_json({"drain_ordered": True})
+        if request.method == "DELETE" and request.path == "/v1/drain":
+            self._view.order_drain(False)
+            return controlhttp.answer_json({"drain_ordered": False})
+        return _report_unknown(request)
+
+    def _show(self, request: controlhttp.ControlRequest) -> controlhttp.ControlAnswer:
+        if request.path == "/healthz":
+            return controlhttp.answer_text("ok\n")
+        if request.path == "/readyz":
+            if self._view.is_ready():
+                return controlhttp.answer_text("ready\n")
+            return controlhttp.answer_text("not ready\n", 503)
+        if request.path == "/metrics":
+            text = prometheus_client.generate_latest(self._registry).decode()
+            return controlhttp.answer_text(text)
+        if request.path == "/v1/status":
+            return controlhttp.answer_json(dict(self._view.build_status()))
+        if request.path == "/v1/explain":
+            report = self._view.explain(
+                request.query.get("service", ""),
+                request.query.get("method", "GET"),
+                request.query.get("path", "/"),
+            )
+            return controlhttp.answer_json(dict(report))
+        return _report_unknown(request)
+
+
+def _report_unknown(
+    request: controlhttp.ControlRequest,
+) -> controlhttp.ControlAnswer:
+    detail = f"no such resource: {request.method} {request.path[:100]}"
+    return controlhttp.answer_failure(errors.fail(errors.ErrorKind.NOT_FOUND, detail))
--- /dev/null
+++ b/umberdrum/announcements/_desk.py
@@ -0,0 +1,115 @@
+"""Desk that takes announcements and notices when they cease."""
+
+import trio
+
+from umberdrum import callpath, controlhttp, errors, logs
+from umberdrum.announcements import _document, _listener
+
+CHECK_INTERVAL_SECONDS = 0.25
+UPSTREAM_PATH = "/v1/upstream"
+
+
+class AnnouncementDesk:
+    """Takes the announcements of the one upstream beside this daemon.
+
+    The upstream repeats its announcement with ``PUT /v1/upstream``; when it has been
+    silent for the timeout it counts as gone. ``DELETE`` says that it is gone at once
+    and ``GET`` shows the last announcement. A drain that an operator asked for
+    outweighs what the upstream announces until it is lifted.
+    """
+
+    def __init__(
+        self,
+        listener: _listener.EndpointListener,
+        timeout_seconds: float,
+        log: logs.EventLog,
+    ) -> None:
+        self._listener = listener
+        self._timeout_seconds = timeout_seconds
+        self._log = log
+        self._last: callpath.UpstreamAnnouncement | None = None
+        self._last_at = 0.0
+        self.is_drain_ordered = False
+
+    @property
+    def announcement(self) -> callpath.UpstreamAnnouncement | None:
+        """Last announcement, None while the upstream is gone."""
+        return self._last
+
+    async def handle(
+        self, request: controlhttp.ControlRequest
+    ) -> controlhttp.ControlAnswer:
+        """Answer one request of the upstream."""
+        if request.path != UPSTREAM_PATH:
+            detail = f"expected {UPSTREAM_PATH}, found {request.path[:100]}"
+            return controlhttp.answer_failure(
+                errors.fail(errors.ErrorKind.NOT_FOUND, detail)
+            )
+        if request.method == "PUT":
+            return self._take(request.body)
+        if request.method == "DELETE":
+            self._drop("withdrawn")
+            return self._show()
+        if request.method == "GET":
+            return self._show()
+        return controlhttp.answer_text("expected GET, PUT or DELETE\n", 405)
+
+    def order_drain(self, is_ordered: bool) -> None:
+        """Drain the upstream on an operator's order, or lift such an order."""
+        self.is_drain_ordered = is_ordered
+        self._log.write("drain_ordered", ordered=is_ordered)
+        if self._last is not None:
+            self._tell_listener(self._last)
+
+    async def watch_timeout(self) -> None:
+        """Notice for ever when announcements cease."""
+        while True:
+            await trio.sleep(CHECK_INTERVAL_SECONDS)
+            silence = trio.current_time() - self._last_at
+            if self._last is not None and silence > self._timeout_seconds:
+                self._drop("timeout")
+
+    def _take(self, body: bytes) -> controlhttp.ControlAnswer:
+        parsed = _document.parse_announcement(body)
+        if parsed.is_error():
+            return controlhttp.answer_failure(parsed.error)
+        announcement = parsed.ok
+        self._last_at = trio.current_time()
+        if announcement != self._last:
+            self._log.write(
+                "announcement",
+                service=announcement.service,
+                address=str(announcement.address),
+                slots=announcement.n_slots,
+                state=announcement.state.value,
+            )
+            self._last = announcement
+            self._tell_listener(announcement)
+        return self._show()
+
+    def _drop(self, reason: str) -> None:
+        if self._last is None:
+            return
+        self._log.write("announcement_ended", reason=reason)
+        self._last = None
+        self._listener.take_absence()
+
+    def _tell_listener(self, announcement: callpath.UpstreamAnnouncement) -> None:
+        if self.is_drain_ordered:
+            announcement = announcement._replace(state=callpath.EndpointState.DRAINING)
+        self._listener.take_announcement(announcement)
+
+    def _show(self) -> controlhttp.ControlAnswer:
+        if self._last is None:
+            return controlhttp.answer_json({"state": "absent"})
+        return controlhttp.answer_json(
+            {
+                "service": self._last.service,
+                "address": str(self._last.address),
+                "slots": self._last.n_slots,
+                "state": self._last.state.value,
+                "load_path": self._last.load_path,
+                "timeout_ms": int(self._timeout_seconds * 1000),
+                "drain_ordered": self.is_drain_ordered,
+            }
+        )
--- /dev/null
+++ b/umberdrum/callpath/__init__.py
@@ -0,0 +1,66 @@
+"""Way of a call from its caller to an upstream and of the answer back."""
+
+from umberdrum.callpath._call import (
+    AnswerHead,
+    AnswerSink,
+    BodyLostError,
+    Call,
+    CallReport,
+    RequestBody,
+    SinkLostError,
+    WholeBody,
+)
+from umberdrum.callpath._caller import CallerLimits, CallerServer
+from umberdrum.callpath._directory import EndpointDirectory
+from umberdrum.callpath._endpoint import (
+    EndpointService,
+    EndpointState,
+    UpstreamAnnouncement,
+)
+from umberdrum.callpath._entry import EntryOutcome, EntryService, IncomingRequest
+from umberdrum.callpath._headers import (
+    CallFields,
+    filter_request_headers,
+    filter_response_headers,
+    read_call_fields,
+)
+from umberdrum.callpath._liveness import LivenessWatch
+from umberdrum.callpath._paths import normalize_path
+from umberdrum.callpath._peer_leg import CountingSink, PeerLeg
+from umberdrum.callpath._peer_server import PeerServer
+from umberdrum.callpath._statistics import CallStatistics, TargetReport
+from umberdrum.callpath._sync import Synchronizer
+from umberdrum.callpath._upstream import UpstreamPool
+
+__all__ = [
+    "AnswerHead",
+    "AnswerSink",
+    "BodyLostError",
+    "Call",
+    "CallFields",
+    "CallReport",
+    "CallStatistics",
+    "CallerLimits",
+    "CallerServer",
+    "CountingSink",
+    "EndpointDirectory",
+    "EndpointService",
+    "EndpointState",
+    "EntryOutcome",
+    "EntryService",
+    "IncomingRequest",
+    "LivenessWatch",
+    "PeerLeg",
+    "PeerServer",
+    "RequestBody",
+    "SinkLostError",
+    "Synchronizer",
+    "TargetReport",
+    "UpstreamAnnouncement",
+    "UpstreamPool",
+    "WholeBody",
+    "filter_request_headers",
+    "filter_response_headers",
+    "normalize_path",
+    "read_call_fields",
+]
--- /dev/null
+++ b/umberdrum/callpath/_caller.py
@@ -0,0 +1,328 @@
+"""Callers' connections: HTTP/1.1 on the outer side of an entry daemon."""
+
+from typing import NamedTuple
+
+import h11
+import trio
+
+from umberdrum import errors, sockets
+from umberdrum.callpath import _call, _entry, _headers, _liveness
+
+MAX_BUFFERED_BODY_BYTES = 65_536
+OUTPUT_BUFFER_BYTES = 65_536
+LINGER_SECONDS = 1.0
+MAX_LINGER_BYTES = 1 << 20
+MS_PER_SECOND = 1000.0
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what a caller may send and how slowly; times in seconds."""
+
+    max_head_bytes: int
+    head_timeout: float
+    body_idle_timeout: float
+    idle_timeout: float
+
+
+class CallerServer:
+    """Serves callers' connections, each in one task.
+
+    It reads a request's head and up to 64 KiB of its body before a routing decision, so
+    that a slow sender holds no slot and a short request can be sent again. It decides
+    nothing about routing; the entry service does.
+    """
+
+    def __init__(
+        self,
+        entry: _entry.EntryService,
+        watch: _liveness.LivenessWatch,
+        limits: CallerLimits,
+        daemon_id: str,
+    ) -> None:
+        self._entry = entry
+        self._watch = watch
+        self._limits = limits
+        self._daemon_id = daemon_id
+        self.is_closing = False
+        self._idle_connections: set[sockets.Connection] = set()
+        self._n_serving = 0
+        self._idle_event = trio.Event()
+
+    async def serve(self, connection: sockets.Connection) -> None:
+        """Serve the requests of one connection until it ends."""
+        exchange = _CallerExchange(connection, self._limits, self._daemon_id)
+        while not self.is_closing:
+            self._idle_connections.add(connection)
+            try:
+                is_first = await exchange.wait_for_first_byte()
+            finally:
+                self._idle_connections.discard(connection)
+            if not is_first:
+                return
+            self._n_serving += 1
+            try:
+                if not await self._serve_request(exchange):
+                    return
+            finally:
+                self._n_serving -= 1
+                self._idle_event.set()
+
+    async def wait_until_idle(self) -> None:
+        """Return once no request is being served."""
+        while self._n_serving:
+            self._idle_event = trio.Event()
+            await self._idle_event.wait()
+
+    def start_closing(self) -> None:
+        """Close idle connections now and the others after their present exchange."""
+        self.is_closing = True
+        for connection in list(self._idle_connections):
+            connection.close()
+
+    async def _serve_request(self, exchange: "_CallerExchange") -> bool:
+        """Serve one request; True when another may follow on the connection."""
+        try:
+            request = await exchange.receive_request()
+            if request is None:
+                return False
+            body = await exchange.receive_first_body_part()
+        except _call.BodyLostError as fault:
+            await exchange.refuse(fault.failure, "")
+            return False
+        connection = exchange.connection
+        sink = CallerSink(exchange, self.is_closing)
+        with trio.CancelScope() as scope, self._watch.watch(connection, scope):
+            outcome = await self._entry.handle(request, body, sink)
+        if scope.cancelled_caught:
+            return False
+        if outcome.result.is_error():
+            if outcome.is_started:
+                # The answer was cut; only closing tells the caller so.
+                return False
+            await exchange.refuse(outcome.result.error, outcome.request_id)
+        return exchange.start_next() and not self.is_closing
+
+
+class _CallerExchange:
+    """HTTP state of one caller's connection."""
+
+    def __init__(
+        self, connection: sockets.Connection, limits: CallerLimits, daemon_id: str
+    ) -> None:
+        self.connection = connection
+        self._limits = limits
+        self._daemon_id = daemon_id
+        self._is_head_request = False
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
+        )
+
+    async def wait_for_first_byte(self) -> bool:
+        """Return whether the caller began another request in time."""
+        if self.http.trailing_data[0]:
+            return True
+        with trio.move_on_after(self._limits.idle_timeout):
+            data = await self.connection.receive()
+            self.http.receive_data(data)
+            return bool(data)
+        return False
+
+    async def receive_request(self) -> _entry.IncomingRequest | None:
+        """Return the next request, or None when the caller has closed.
+
+        Raises ``BodyLostError`` for a head that is malformed, too large or too slow.
+        """
+        received_at = trio.current_time()
+        event: object = self._take_event()
+        if event is h11.NEED_DATA:
+            with trio.move_on_after(self._limits.head_timeout):
+                event = await self._receive_event()
+        if event is h11.NEED_DATA:
+            raise _lose_body(
+                errors.ErrorKind.CALLER_TOO_SLOW,
+                f"no whole head within {self._limits.head_timeout:g} s",
+            )
+        if not isinstance(event, h11.Request):
+            return None
+        self._is_head_request = event.method == b"HEAD"
+        headers = list(event.headers)
+        fields = _headers.read_call_fields(headers)
+        if fields.is_error():
+            raise _call.BodyLostError(fields.error)
+        if event.method == b"CONNECT":
+            raise _lose_body(
+                errors.ErrorKind.MALFORMED_REQUEST, "expected no CONNECT request"
+            )
+        return _entry.IncomingRequest(
+            bytes(event.method), bytes(event.target), headers, fields.ok, received_at
+        )
+
+    async def receive_first_body_part(self) -> _call.RequestBody:
+        """Return the body, whole if it is short; raises ``BodyLostError``."""
+        parts: list[bytes] = []
+        n_bytes = 0
+        while n_bytes < MAX_BUFFERED_BODY_BYTES:
+            data = await self.receive_body()
+            if not data:
+                return _call.WholeBody(b"".join(parts))
+            parts.append(data)
+            n_bytes += len(data)
+        return CallerBody(self, b"".join(parts))
+
+    async def receive_body(self) -> bytes:
+        """Return the next body bytes, none at the end; raises ``BodyLostError``."""
+        event = self._take_event()
+        if event is h11.NEED_DATA:
+            await self._send_continue()
+            with trio.move_on_after(self._limits.body_idle_timeout):
+                event = await self._receive_event()
+        if event is h11.NEED_DATA:
+            raise _lose_body(
+                errors.ErrorKind.CALLER_TOO_SLOW,
+                f"no body bytes within {self._limits.body_idle_timeout:g} s",
+            )
+        if isinstance(event, h11.Data):
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise _lose_body(errors.ErrorKind.CALLER_GONE, "closed before the body ended")
+
+    async def refuse(self, failure: errors.Failure, request_id: str) -> None:
+        """Send the answer for ``failure``; close afterwards if the body is unread."""
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        problem = errors.render_problem(failure, self._daemon_id, request_id)
+        headers = list(problem.headers)
+        if self.http.their_state is not h11.DONE:
+            headers.append((b"connection", b"close"))
+        response = h11.Response(status_code=problem.status, headers=headers)
+        data = self.http.send(response) or b""
+        if self.http.their_state is h11.ERROR or not self._is_head_request:
+            data += self.http.send(h11.Data(data=problem.body)) or b""
+        data += self.http.send(h11.EndOfMessage()) or b""
+        await self.connection.send(data)
+        if self.http.their_state is not h11.DONE:
+            await self._linger()
+
+    def start_next(self) -> bool:
+        """Make ready for another request; False when the connection must close."""
+        if self.http.our_state is not h11.DONE or self.http.their_state is not h11.DONE:
+            return False
+        self.http.start_next_cycle()
+        return True
+
+    async def _linger(self) -> None:
+        """Read on for a moment, so that unread bytes don't destroy the answer."""
+        self.connection.finish_sending()
+        n_bytes = 0
+        with trio.move_on_after(LINGER_SECONDS):
+            while n_bytes < MAX_LINGER_BYTES:
+                data = await self.connection.receive()
+                if not data:
+                    return
+                n_bytes += len(data)
+
+    async def _send_continue(self) -> None:
+        if not self.http.they_are_waiting_for_100_continue:
+            return
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        await self.connection.send(self.http.send(interim) or b"")
+
+    def _take_event(self) -> object:
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as fault:
+            kind = errors.ErrorKind.MALFORMED_REQUEST
+            if fault.error_status_hint == 431:
+                kind = errors.ErrorKind.HEAD_TOO_LARGE
+            raise _lose_body(kind, str(fault)) from None
+
+    async def _receive_event(self) -> object:
+        while True:
+            data = await self.connection.receive()
+            self.http.receive_data(data)
+            event = self._take_event()
+            if event is not h11.NEED_DATA:
+                return event
+
+
+class CallerBody:
+    """Request body that is still arriving from the caller."""
+
+    def __init__(self, exchange: _CallerExchange, initial: bytes) -> None:
+        self._exchange = exchange
+        self._initial = initial
+
+    @property
+    def initial(self) -> bytes:
+        """Bytes that were read before the routing decision."""
+        return self._initial
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole body was read: it was not."""
+        return False
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; raises ``BodyLostError``."""
+        try:
+            return await self._exchange.receive_body()
+        except sockets.ConnectionLostError as fault:
+            raise _lose_body(errors.ErrorKind.CALLER_GONE, str(fault)) from None
+
+
+class CallerSink:
+    """Writes the answer to the caller; a small answer goes out in one send."""
+
+    def __init__(self, exchange: _CallerExchange, must_close: bool) -> None:
+        self._exchange = exchange
+        self._must_close = must_close
+        self._parts: list[bytes] = []
+        self._n_pending = 0
+
+    async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
+        """Render the head; it goes out with the next flush."""
+        headers = head.headers
+        if self._must_close:
+            headers = [*headers, (b"connection", b"close")]
+        response = h11.Response(
+            status_code=head.status, headers=headers, reason=head.reason
+        )
+        self._render(response)
+
+    async def write(self, data: bytes) -> None:
+        """Render body bytes; they go out once enough are pending."""
+        self._render(h11.Data(data=data))
+        if self._n_pending >= OUTPUT_BUFFER_BYTES:
+            await self.flush()
+            await trio.lowlevel.checkpoint()
+
+    async def flush(self) -> None:
+        """Send what is pending."""
+        if not self._parts:
+            return
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._n_pending = 0
+        try:
+            await self._exchange.connection.send(data)
+        except sockets.ConnectionLostError as fault:
+            raise _call.SinkLostError(str(fault)) from None
+
+    async def finish(self) -> None:
+        """Send the rest; the answer is whole."""
+        self._render(h11.EndOfMessage())
+        await self.flush()
+
+    def _render(self, event: "h11.Event") -> None:
+        try:
+            data = self._exchange.http.send(event)
+        except h11.LocalProtocolError as fault:
+            raise _call.SinkLostError(str(fault)) from None
+        if data:
+            self._parts.append(data)
+            self._n_pending += len(data)
+
+
+def _lose_body(kind: errors.ErrorKind, detail: str) -> _call.BodyLostError:
+    return _call.BodyLostError(errors.fail(kind, detail))
--- /dev/null
+++ b/umberdrum/callpath/_endpoint.py
@@ -0,0 +1,371 @@
+"""Endpoint service: admits calls to the upstream beside this daemon and runs them."""
+
+import enum
+from typing import NamedTuple
+
+import expression
+import trio
+
+from umberdrum import (
+    admission,
+    errors,
+    logs,
+    measuring,
+    outcomes,
+    routing,
+    settings,
+    sockets,
+)
+from umberdrum.callpath import _call, _recording, _upstream
+
+MS_PER_SECOND = 1000.0
+LOAD_REPORT_BYTES = 12
+
+CallResult = expression.Result[_call.CallReport, errors.Failure]
+
+
+class EndpointState(enum.Enum):
+    """State of the endpoint as a whole."""
+
+    ABSENT = "absent"
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+
+
+class UpstreamAnnouncement(NamedTuple):
+    """What an upstream says of itself to the daemon beside it.
+
+    ``load_path`` is the path of its load endpoint, empty when it has none.
+    """
+
+    service: str
+    address: settings.Address
+    n_slots: int
+    state: EndpointState
+    load_path: str
+
+
+class _DetachedCall:
+    """Non-idempotent call that goes on when nobody waits for its answer any more."""
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.result: CallResult | None = None
+
+
+class EndpointService:
+    """Runs calls at the upstream beside this daemon.
+
+    It is the only way to that upstream, so its counts are exact and its refusals are
+    truthful. A non-idempotent call that has begun runs to its end even when its caller
+    or the link is gone, and its outcome is recorded. It never routes and never retries
+    a request whose bytes may have reached the upstream.
+    """
+
+    def __init__(
+        self,
+        gate: admission.AdmissionGate,
+        record: outcomes.OutcomeRecord,
+        pool: _upstream.UpstreamPool,
+        budget: measuring.MeasuringBudget,
+        log: logs.EventLog,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.gate = gate
+        self.record = record
+        self.pool = pool
+        self._budget = budget
+        self._log = log
+        self._nursery = nursery
+        self.state = EndpointState.ABSENT
+        self.n_in_progress = 0
+        self._idle_event = trio.Event()
+
+    def set_state(self, state: EndpointState) -> None:
+        """Change the state; a draining endpoint refuses what is still queued."""
+        if state is self.state:
+            return
+        self.state = state
+        if state in (EndpointState.DRAINING, EndpointState.ABSENT):
+            self.gate.refuse_all(self._refuse_leaving())
+
+    async def run(
+        self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
+    ) -> CallResult:
+        """Run ``call`` at the upstream and write the answer to ``sink``.
+
+        The result is a report once the whole answer was written, else the failure with
+        what is known of the execution.
+        """
+        if self.state is not EndpointState.SERVING:
+            return expression.Error(self._refuse_leaving())
+        self.n_in_progress += 1
+        try:
+            if call.is_idempotent:
+                return await self._run_repeatable(call, body, sink)
+            return await self._run_recorded(call, body, sink)
+        finally:
+            self.n_in_progress -= 1
+            if self.n_in_progress == 0:
+                self._idle_event.set()
+
+    async def wait_until_idle(self) -> None:
+        """Return once no call is in progress."""
+        while self.n_in_progress:
+            self._idle_event = trio.Event()
+            await self._idle_event.wait()
+
+    def build_load_report(self, now: float) -> routing.LoadReport | None:
+        """Return the present load if the measuring budget allows to send it."""
+        use = measuring.MeasuringUse.REPORT_ON_ANSWER
+        if not self._budget.spend(use, LOAD_REPORT_BYTES, now):
+            return None
+        limit = self.gate.slot_limit.get_limit()
+        return routing.LoadReport(self.gate.n_running, self.gate.n_queued, limit)
+
+    async def _run_repeatable(
+        self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
+    ) -> CallResult:
+        """Run an idempotent call; it is cancelled at the upstream at its deadline."""
+        with trio.move_on_at(call.deadline):
+            return await self._run_admitted(call, body, sink)
+        detail = f"request {call.request_id} was cancelled at its deadline"
+        return expression.Error(
+            errors.fail(
+                errors.ErrorKind.DEADLINE_EXCEEDED,
+                detail,
+                errors.Execution.MAY_HAVE_RUN,
+            )
+        )
+
+    async def _run_admitted(
+        self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
+    ) -> CallResult:
+        queued_at = trio.current_time()
+        acquired = await self.gate.acquire(_describe(call))
+        if acquired.is_error():
+            return expression.Error(acquired.error)
+        ticket = acquired.ok
+        queue_seconds = ticket.began_at - queued_at
+        return await self._run_with_ticket(call, body, sink, ticket, queue_seconds)
+
+    async def _run_recorded(
+        self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
+    ) -> CallResult:
+        """Run a non-idempotent call under its request id."""
+        queued_at = trio.current_time()
+        admitted = self.record.admit(call.request_id, queued_at)
+        if admitted.is_error():
+            return expression.Error(admitted.error)
+        ticket: admission.SlotTicket | None = None
+        try:
+            acquired = await self.gate.acquire(_describe(call))
+            if acquired.is_ok():
+                ticket = acquired.ok
+        finally:
+            if ticket is None:
+                now = trio.current_time()
+                self.record.fail(call.request_id, errors.Execution.NOT_RUN, now)
+        if ticket is None:
+            return expression.Error(acquired.error)
+        begun = self.record.begin(call.request_id, ticket.began_at)
+        if begun.is_error():
+            self.gate.release(ticket, is_observed=False)
+            return expression.Error(begun.error)
+        recording = _recording.RecordingSink(sink)
+        detached = _DetachedCall()
+        queue_seconds = ticket.began_at - queued_at
+        self._nursery.start_soon(
+            self._run_detached, call, body, recording, ticket, queue_seconds, detached
+        )
+        return await self._await_detached(call, recording, detached)
+
+    async def _await_detached(
+        self,
+        call: _call.Call,
+        recording: _recording.RecordingSink,
+        detached: _DetachedCall,
+    ) -> CallResult:
+        try:
+            with trio.move_on_at(call.deadline):
+                await detached.done.wait()
+        finally:
+            if not detached.done.is_set():
+                recording.detach()
+        if detached.result is not None:
+            return detached.result
+        detail = f"request {call.request_id} was begun and goes on at the upstream"
+        return expression.Error(
+            errors.fail(
+                errors.ErrorKind.DEADLINE_EXCEEDED,
+                detail,
+                errors.Execution.MAY_HAVE_RUN,
+            )
+        )
+
+    async def _run_detached(
+        self,
+        call: _call.Call,
+        body: _call.RequestBody,
+        recording: _recording.RecordingSink,
+        ticket: admission.SlotTicket,
+        queue_seconds: float,
+        detached: _DetachedCall,
+    ) -> None:
+        self.n_in_progress += 1
+        try:
+            result = await self._run_with_ticket(
+                call, body, recording, ticket, queue_seconds
+            )
+            now = trio.current_time()
+            if result.is_ok():
+                self.record.finish(call.request_id, recording.get_answer(), now)
+            else:
+                self.record.fail(call.request_id, result.error.execution, now)
+            detached.result = result
+        finally:
+            self.n_in_progress -= 1
+            if self.n_in_progress == 0:
+                self._idle_event.set()
+            detached.done.set()
+
+    async def _run_with_ticket(
+        self,
+        call: _call.Call,
+        body: _call.RequestBody,
+        sink: _call.AnswerSink,
+        ticket: admission.SlotTicket,
+        queue_seconds: float,
+    ) -> CallResult:
+        is_observed = False
+        try:
+            result = await self._exchange(call, body, sink, ticket, queue_seconds)
+            is_observed = result.is_ok()
+            return result
+        finally:
+            self.gate.release(ticket, is_observed)
+
+    async def _exchange(
+        self,
+        call: _call.Call,
+        body: _call.RequestBody,
+        sink: _call.AnswerSink,
+        ticket: admission.SlotTicket,
+        queue_seconds: float,
+    ) -> CallResult:
+        """Exchange one request and answer with the upstream."""
+        try:
+            upstream = await self.pool.acquire()
+        except _upstream.UpstreamFailureError as fault:
+            return expression.Error(fault.failure)
+        is_clean = False
+        try:
+            result = await self._relay(
+                call, body, sink, ticket, queue_seconds, upstream
+            )
+            is_clean = True
+            return result
+        except _upstream.UpstreamFailureError as fault:
+            return expression.Error(fault.failure)
+        except sockets.ConnectionLostError as fault:
+            execution = errors.Execution.NOT_RUN
+            if upstream.has_sent:
+                execution = errors.Execution.MAY_HAVE_RUN
+            return expression.Error(
+                errors.fail(errors.ErrorKind.UPSTREAM_BROKE_OFF, str(fault), execution)
+            )
+        except _call.BodyLostError as fault:
+            failure = fault.failure
+            return expression.Error(
+                failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
+            )
+        except _call.SinkLostError as fault:
+            return expression.Error(
+                errors.fail(
+                    errors.ErrorKind.CALLER_GONE, str(fault), errors.Execution.RAN
+                )
+            )
+        finally:
+            self.pool.release(upstream, is_clean)
+
+    async def _relay(
+        self,
+        call: _call.Call,
+        body: _call.RequestBody,
+        sink: _call.AnswerSink,
+        ticket: admission.SlotTicket,
+        queue_seconds: float,
+        upstream: _upstream.UpstreamConnection,
+    ) -> CallResult:
+        sent_at = trio.current_time()
+        remaining_ms = int((call.deadline - sent_at) * MS_PER_SECOND)
+        if remaining_ms <= 0:
+            detail = "the deadline passed before the request was sent to the upstream"
+            return expression.Error(
+                errors.fail(errors.ErrorKind.DEADLINE_EXCEEDED, detail)
+            )
+        if body.is_complete:
+            await upstream.send_request(call, body, remaining_ms)
+            head = await upstream.receive_head()
+        else:
+            await upstream.send_request(call, body, remaining_ms)
+            head = await _StreamedSending(body, upstream).run()
+        now = trio.current_time()
+        report = _call.CallReport(
+            head.status, now - sent_at, queue_seconds, self.build_load_report(now)
+        )
+        await sink.start(head, report)
+        await upstream.relay_body(sink)
+        await sink.finish()
+        return expression.Ok(report)
+
+    def _refuse_leaving(self) -> errors.Failure:
+        return errors.fail(
+            errors.ErrorKind.ENDPOINT_LEAVING, f"the endpoint is {self.state.value}"
+        )
+
+
+class _StreamedSending:
+    """Sends the rest of a body while the head of the answer is awaited."""
+
+    def __init__(
+        self, body: _call.RequestBody, upstream: _upstream.UpstreamConnection
+    ) -> None:
+        self._body = body
+        self._upstream = upstream
+        self._fault: Exception | None = None
+        self._head: _call.AnswerHead | None = None
+
+    async def run(self) -> _call.AnswerHead:
+        """Return the head of the answer; one that comes early ends the sending."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._send, nursery.cancel_scope)
+            try:
+                self._head = await self._upstream.receive_head()
+            except _upstream.UpstreamFailureError as fault:
+                self._fault = self._fault or fault
+            nursery.cancel_scope.cancel()
+        if self._head is not None:
+            return self._head
+        if self._fault is not None:
+            raise self._fault
+        raise _call.BodyLostError(
+            errors.fail(errors.ErrorKind.INTERNAL, "the exchange was cancelled")
+        )
+
+    async def _send(self, scope: trio.CancelScope) -> None:
+        try:
+            await self._upstream.send_rest_of_body(self._body)
+        except _call.BodyLostError as fault:
+            self._fault = fault
+            scope.cancel()
+        except sockets.ConnectionLostError:
+            # The answer, or its absence, is noticed by the receiving side.
+            return
+
+
+def _describe(call: _call.Call) -> admission.AdmissionRequest:
+    return admission.AdmissionRequest(
+        call.class_name, call.target_latency_ms, call.max_queue_ms, call.deadline
+    )
--- /dev/null
+++ b/umberdrum/callpath/_entry.py
@@ -0,0 +1,376 @@
+"""Entry service: finds the class of a call, routes its attempts and retries them."""
+
+import secrets
+from typing import NamedTuple
+
+import expression
+import trio
+
+from umberdrum import classes, errors, logs, retries, routing
+from umberdrum.callpath import (
+    _call,
+    _directory,
+    _endpoint,
+    _headers,
+    _hedging,
+    _paths,
+    _peer_leg,
+    _statistics,
+)
+
+MS_PER_SECOND = 1000.0
+REQUEST_ID_BYTES = 16
+FREE_RETRY_KINDS = frozenset(
+    (errors.ErrorKind.ENDPOINT_LEAVING, errors.ErrorKind.STALE_INCARNATION)
+)
+ENDPOINT_FAULT_KINDS = frozenset(
+    (
+        errors.ErrorKind.LINK_BROKE,
+        errors.ErrorKind.UPSTREAM_UNREACHABLE,
+        errors.ErrorKind.UPSTREAM_BROKE_OFF,
+        errors.ErrorKind.UPSTREAM_INVALID_ANSWER,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+    )
+)
+MIN_SERVER_ERROR = 500
+
+
+class IncomingRequest(NamedTuple):
+    """Head of a caller's request, with names of fields in lower case."""
+
+    method: bytes
+    target: bytes
+    headers: _headers.HeaderFields
+    fields: _headers.CallFields
+    received_at: float
+
+
+class EntryOutcome(NamedTuple):
+    """End of a call at its entry daemon."""
+
+    result: _endpoint.CallResult
+    is_started: bool
+    request_id: str
+
+
+class EntryService:
+    """Takes callers' requests to endpoints and settles what becomes of them.
+
+    It makes every routing decision and every retry, within the allowance that came with
+    the call and the retry budget of the service. It never sends a non-idempotent
+    request again unless the earlier attempt is proven not run.
+    """
+
+    def __init__(
+        self,
+        directory: _directory.EndpointDirectory,
+        router: routing.Router,
+        endpoint: _endpoint.EndpointService,
+        peer_leg: _peer_leg.PeerLeg,
+        statistics: _statistics.CallStatistics,
+        log: logs.EventLog,
+        nursery: trio.Nursery,
+    ) -> None:
+        self.catalog = classes.Catalog()
+        self.router = router
+        self.statistics = statistics
+        self._directory = directory
+        self._endpoint = endpoint
+        self._peer_leg = peer_leg
+        self._log = log
+        self._budgets: dict[str, retries.RetryBudget] = {}
+        self.hedger = _hedging.Hedger(nursery)
+
+    async def handle(
+        self,
+        request: IncomingRequest,
+        body: _call.RequestBody,
+        sink: _call.AnswerSink,
+    ) -> EntryOutcome:
+        """Answer one request, or say why it is not answered."""
+        fields = request.fields
+        request_id = fields.request_id or secrets.token_hex(REQUEST_ID_BYTES)
+        path = _paths.normalize_path(request.target)
+        method = request.method.decode("ascii")
+        row = self.catalog.match(fields.service, method, path)
+        if row is None:
+            failure = self._explain_no_class(fields.service, method, path)
+            self.statistics.count_unmatched(failure.kind)
+            return EntryOutcome(expression.Error(failure), False, request_id)
+        call = _build_call(request, request_id, row.request_class, row.policy)
+        counting = _peer_leg.CountingSink(sink)
+        journey = _Journey(self, row, call, body, counting)
+        result = await journey.run()
+        self.statistics.record(
+            row.request_class, trio.current_time() - request.received_at, result
+        )
+        return EntryOutcome(result, counting.is_started, request_id)
+
+    def get_budget(self, service: str) -> retries.RetryBudget:
+        """Return the retry budget towards ``service``."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            budget = self._budgets[service] = retries.RetryBudget()
+        return budget
+
+    def choose(
+        self, service: str, class_name: str, excluded: frozenset[str]
+    ) -> routing.RoutingDecision | None:
+        """Return the endpoint for the next attempt of a call of the class."""
+        candidates = self._directory.list_candidates(service)
+        return self.router.choose(class_name, candidates, excluded, trio.current_time())
+
+    async def attempt(
+        self,
+        call: _call.Call,
+        decision: routing.RoutingDecision,
+        body: _call.RequestBody,
+        sink: _peer_leg.CountingSink,
+        attempt_index: int,
+    ) -> _endpoint.CallResult:
+        """Make one attempt at the chosen endpoint and let the router learn from it."""
+        candidate = decision.candidate
+        began_at = trio.current_time()
+        handle = self.router.begin(candidate.key, call.class_name, began_at)
+        result: _endpoint.CallResult | None = None
+        try:
+            with trio.move_on_at(call.deadline + _peer_leg.DEADLINE_GRACE_SECONDS):
+                result = await self._send(call, candidate, body, sink)
+            if result is None:
+                result = expression.Error(_report_deadline(call))
+        finally:
+            now = trio.current_time()
+            seen = _observe(result, now - began_at)
+            self.router.end(handle, seen, now)
+            self._log_attempt(call, decision, attempt_index, result, now - began_at)
+        if result.is_error() and result.error.kind is errors.ErrorKind.LINK_BROKE:
+            self._directory.note_unreachable(candidate.key)
+        return result
+
+    async def _send(
+        self,
+        call: _call.Call,
+        candidate: routing.Candidate,
+        body: _call.RequestBody,
+        sink: _peer_leg.CountingSink,
+    ) -> _endpoint.CallResult:
+        if candidate.is_local:
+            return await self._endpoint.run(call, body, sink)
+        peer = self._directory.get_peer(candidate.key)
+        return await self._peer_leg.run(call, peer, body, sink)
+
+    def _log_attempt(
+        self,
+        call: _call.Call,
+        decision: routing.RoutingDecision,
+        attempt_index: int,
+        result: "_endpoint.CallResult | None",
+        seconds: float,
+    ) -> None:
+        self._log.write(
+            "route",
+            request=call.request_id,
+            cls=call.class_name,
+            endpoint=decision.candidate.key,
+            zone=decision.candidate.availability_zone,
+            policy=decision.policy,
+            expected_ms=decision.expected_ms,
+            considered=decision.n_considered,
+            attempt=attempt_index,
+            result=_describe_result(result),
+            ms=seconds * MS_PER_SECOND,
+        )
+
+    def _explain_no_class(self, service: str, method: str, path: str) -> errors.Failure:
+        if not self.catalog.has_service(service):
+            detail = f"no class names the service {service!r}"
+            return errors.fail(errors.ErrorKind.UNKNOWN_SERVICE, detail)
+        detail = f"no class of {service!r} matches {method} {path[:200]}"
+        return errors.fail(errors.ErrorKind.UNKNOWN_CLASS, detail)
+
+
+class _Journey:
+    """One call at its entry daemon: its attempts, one after the other or hedged."""
+
+    def __init__(
+        self,
+        entry: EntryService,
+        row: classes.CatalogRow,
+        call: _call.Call,
+        body: _call.RequestBody,
+        sink: _peer_leg.CountingSink,
+    ) -> None:
+        self._entry = entry
+        self._row = row
+        self._call = call
+        self._body = body
+        self._sink = sink
+        self._service = row.request_class.service
+        self._budget = entry.get_budget(self._service)
+        n_extra = min(call.n_extra_attempts, row.policy.max_attempts - 1)
+        self._allowance = retries.AttemptAllowance(n_extra)
+        self._tried: set[str] = set()
+        self._n_attempts = 0
+
+    async def run(self) -> _endpoint.CallResult:
+        """Return the end of the call: a report, or the failure that is final."""
+        self._budget.record_call()
+        last: _endpoint.CallResult | None = None
+        while True:
+            decision = self._choose()
+            if decision is None:
+                return last or expression.Error(self._explain_no_endpoint())
+            result = await self._make_attempt(decision)
+            if result.is_ok():
+                return result
+            if not self._may_go_on(result.error):
+                return result
+            last = result
+
+    def _choose(self) -> routing.RoutingDecision | None:
+        excluded = frozenset(self._tried)
+        return self._entry.choose(self._service, self._call.class_name, excluded)
+
+    async def _make_attempt(
+        self, decision: routing.RoutingDecision
+    ) -> _endpoint.CallResult:
+        """Make one attempt; a slow answer to an idempotent call brings in a second."""
+        index = self._n_attempts
+        self._n_attempts += 1
+        self._tried.add(decision.candidate.key)
+        call = self._call._replace(n_extra_attempts=self._allowance.hand_on(index))
+        may_hedge = (
+            self._row.policy.hedge_after_ms > 0
+            and self._body.is_complete
+            and self._allowance.allows(self._n_attempts)
+        )
+        if not may_hedge:
+            return await self._entry.attempt(
+                call, decision, self._body, self._sink, index
+            )
+        race = _hedging.Race(self._sink, self._start_hedge)
+        due_at = trio.current_time() + self._get_hedge_delay()
+        self._entry.hedger.schedule(race, due_at)
+        first = race.enter()
+        with first.scope:
+            result = await self._entry.attempt(
+                call, decision, self._body, first.sink, index
+            )
+            race.leave(first, result)
+        return await race.wait_for_result(first)
+
+    def _get_hedge_delay(self) -> float:
+        return self._row.policy.hedge_after_ms / MS_PER_SECOND
+
+    async def _start_hedge(self, race: _hedging.Race) -> None:
+        """Make a second attempt beside one that is slow, if the budget allows."""
+        index = self._n_attempts
+        if not self._allowance.allows(index):
+            return
+        decision = self._choose()
+        if decision is None or decision.candidate.is_suspected:
+            return
+        if not self._budget.take():
+            return
+        self._n_attempts += 1
+        self._tried.add(decision.candidate.key)
+        self._entry.statistics.count_hedge(self._call.class_name)
+        call = self._call._replace(n_extra_attempts=self._allowance.hand_on(index))
+        runner = race.enter()
+        with runner.scope:
+            result = await self._entry.attempt(
+                call, decision, self._body, runner.sink, index
+            )
+            race.leave(runner, result)
+        if runner.scope.cancelled_caught:
+            race.leave(runner, None)
+
+    def _may_go_on(self, failure: errors.Failure) -> bool:
+        """Return whether another attempt is safe, allowed and paid for."""
+        if self._sink.is_started or not self._body.is_complete:
+            return False
+        if not retries.may_retry(failure, self._call.is_idempotent):
+            return False
+        if trio.current_time() >= self._call.deadline:
+            return False
+        if failure.kind in FREE_RETRY_KINDS:
+            return True
+        if not self._allowance.allows(self._n_attempts):
+            return False
+        if not self._budget.take():
+            return False
+        self._entry.statistics.count_retry(self._call.class_name)
+        return True
+
+    def _explain_no_endpoint(self) -> errors.Failure:
+        detail = f"no endpoint announces the service {self._service!r}"
+        return errors.Failure(
+            errors.ErrorKind.NO_ENDPOINT, errors.Execution.NOT_RUN, detail, 1000
+        )
+
+
+def _build_call(
+    request: IncomingRequest,
+    request_id: str,
+    request_class: classes.RequestClass,
+    policy: classes.CallPolicy,
+) -> _call.Call:
+    fields = request.fields
+    deadline_ms = policy.deadline_ms
+    if fields.deadline_ms > 0:
+        deadline_ms = min(fields.deadline_ms, classes.MAX_DEADLINE_MS)
+    n_extra = retries.DEFAULT_EXTRA_ATTEMPTS
+    if fields.n_extra_attempts >= 0:
+        n_extra = min(fields.n_extra_attempts, retries.MAX_EXTRA_ATTEMPTS)
+    return _call.Call(
+        request_id=request_id,
+        class_name=request_class.name,
+        method=request.method,
+        target=request.target,
+        headers=_headers.filter_request_headers(request.headers),
+        deadline=request.received_at + deadline_ms / MS_PER_SECOND,
+        n_extra_attempts=n_extra,
+        is_idempotent=request_class.is_idempotent,
+        target_latency_ms=request_class.target.latency_ms,
+        max_queue_ms=policy.max_queue_ms,
+        content_length=fields.content_length,
+    )
+
+
+def _observe(
+    result: "_endpoint.CallResult | None", total_seconds: float
+) -> routing.Observation:
+    """Return what an attempt tells of its endpoint; None stands for a cancelled one."""
+    if result is None:
+        return routing.Observation(total_seconds, 0.0, False, False, True, None)
+    if result.is_ok():
+        report = result.ok
+        is_error = report.status >= MIN_SERVER_ERROR
+        return routing.Observation(
+            total_seconds - report.queue_seconds,
+            report.upstream_seconds,
+            is_error,
+            False,
+            False,
+            report.load,
+        )
+    kind = result.error.kind
+    is_error = kind in ENDPOINT_FAULT_KINDS
+    is_refused = not is_error
+    return routing.Observation(total_seconds, 0.0, is_error, is_refused, False, None)
+
+
+def _describe_result(result: "_endpoint.CallResult | None") -> str:
+    if result is None:
+        return "cancelled"
+    if result.is_ok():
+        return str(result.ok.status)
+    return f"{result.error.kind.token}/{result.error.execution.token}"
+
+
+def _report_deadline(call: _call.Call) -> errors.Failure:
+    return errors.fail(
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+        f"request {call.request_id} was not answered by its deadline",
+        errors.Execution.MAY_HAVE_RUN,
+    )
--- /dev/null
+++ b/umberdrum/callpath/_frames.py
@@ -0,0 +1,163 @@
+"""Conversion between values of the call path and heads of peer frames."""
+
+from typing import TypeVar
+
+from google.protobuf import message as protobuf_message
+
+from umberdrum import errors, outcomes, peerlink, routing, wire
+from umberdrum.callpath import _call
+
+_Message = TypeVar("_Message", bound=protobuf_message.Message)
+
+MS_PER_SECOND = 1000.0
+US_PER_SECOND = 1_000_000.0
+
+
+def encode_call(
+    call: _call.Call, process_id: int, is_complete: bool, now: float
+) -> bytes:
+    """Return the head of a call frame for the daemon with ``process_id``."""
+    remaining_ms = max(1, int((call.deadline - now) * MS_PER_SECOND))
+    has_length = call.content_length is not None
+    return wire.messages.CallHead(
+        request_id=call.request_id,
+        target_process_id=process_id,
+        class_name=call.class_name,
+        method=call.method,
+        target=call.target,
+        headers=_encode_headers(call.headers),
+        deadline_ms=remaining_ms,
+        attempts_left=call.n_extra_attempts,
+        is_idempotent=call.is_idempotent,
+        is_body_complete=is_complete,
+        target_latency_ms=call.target_latency_ms,
+        max_queue_ms=call.max_queue_ms,
+        content_length=call.content_length or 0,
+        has_content_length=has_length,
+    ).SerializeToString()
+
+
+def decode_call(head: wire.messages.CallHead, now: float) -> _call.Call:
+    """Return the call that a frame describes; its deadline counts from ``now``."""
+    return _call.Call(
+        request_id=head.request_id,
+        class_name=head.class_name,
+        method=head.method,
+        target=head.target,
+        headers=[(field.name, field.value) for field in head.headers],
+        deadline=now + head.deadline_ms / MS_PER_SECOND,
+        n_extra_attempts=head.attempts_left,
+        is_idempotent=head.is_idempotent,
+        target_latency_ms=max(1, head.target_latency_ms),
+        max_queue_ms=head.max_queue_ms,
+        content_length=head.content_length if head.has_content_length else None,
+    )
+
+
+def encode_answer(
+    request_id: str,
+    head: _call.AnswerHead,
+    report: _call.CallReport,
+    is_complete: bool,
+) -> bytes:
+    """Return the head of a response frame."""
+    message = wire.messages.ResponseHead(
+        status=head.status,
+        reason=head.reason,
+        headers=_encode_headers(head.headers),
+        is_body_complete=is_complete,
+        upstream_time_us=int(report.upstream_seconds * US_PER_SECOND),
+        queue_time_us=int(report.queue_seconds * US_PER_SECOND),
+        request_id=request_id,
+    )
+    if report.load is not None:
+        message.load.n_running = report.load.n_running
+        message.load.n_queued = report.load.n_queued
+        message.load.slot_limit = report.load.slot_limit
+    return message.SerializeToString()
+
+
+def decode_answer_head(message: wire.messages.ResponseHead) -> _call.AnswerHead:
+    """Return the head of an upstream's answer."""
+    headers = [(field.name, field.value) for field in message.headers]
+    return _call.AnswerHead(message.status, message.reason, headers)
+
+
+def decode_report(message: wire.messages.ResponseHead) -> _call.CallReport:
+    """Return what the endpoint's daemon measured of a call."""
+    load = None
+    if message.HasField("load"):
+        load = _decode_load(message.load)
+    return _call.CallReport(
+        message.status,
+        message.upstream_time_us / US_PER_SECOND,
+        message.queue_time_us / US_PER_SECOND,
+        load,
+    )
+
+
+def encode_refusal(
+    request_id: str, failure: errors.Failure, load: routing.LoadReport | None
+) -> bytes:
+    """Return the head of a refusal or abort frame."""
+    message = wire.messages.Refusal(
+        kind=failure.kind,
+        execution=failure.execution,
+        detail=failure.detail,
+        retry_after_ms=failure.retry_after_ms,
+        request_id=request_id,
+    )
+    if load is not None:
+        message.load.n_running = load.n_running
+        message.load.n_queued = load.n_queued
+        message.load.slot_limit = load.slot_limit
+    return message.SerializeToString()
+
+
+def decode_refusal(message: wire.messages.Refusal) -> errors.Failure:
+    """Return the failure of a refusal; kinds of newer daemons read as internal."""
+    try:
+        kind = errors.ErrorKind(message.kind)
+    except ValueError:
+        kind = errors.ErrorKind.INTERNAL
+    try:
+        execution = errors.Execution(message.execution)
+    except ValueError:
+        execution = errors.Execution.MAY_HAVE_RUN
+    return errors.Failure(kind, execution, message.detail, message.retry_after_ms)
+
+
+def decode_refusal_load(message: wire.messages.Refusal) -> routing.LoadReport | None:
+    """Return the load that came with a refusal."""
+    if not message.HasField("load"):
+        return None
+    return _decode_load(message.load)
+
+
+def encode_outcome(request_id: str, report: outcomes.OutcomeReport) -> bytes:
+    """Return the head of an outcome frame."""
+    return wire.messages.Outcome(
+        execution=report.execution,
+        is_running=report.is_running,
+        has_answer=report.answer is not None,
+        request_id=request_id,
+    ).SerializeToString()
+
+
+def parse_head(message_type: type[_Message], frame: peerlink.Frame) -> _Message:
+    """Return the decoded head of ``frame``; raises ``FrameError``."""
+    try:
+        return message_type.FromString(frame.head)
+    except protobuf_message.DecodeError as fault:
+        raise peerlink.FrameError(f"{frame.kind.name}: {fault}") from None
+
+
+def _encode_headers(
+    headers: list[tuple[bytes, bytes]],
+) -> list[wire.messages.Header]:
+    header_type = wire.messages.Header
+    return [header_type(name=name, value=value) for name, value in headers]
+
+
+def _decode_load(load: wire.messages.LoadReport) -> routing.LoadReport:
+    return routing.LoadReport(load.n_running, load.n_queued, load.slot_limit)
--- /dev/null
+++ b/umberdrum/callpath/_peer_leg.py
@@ -0,0 +1,345 @@
+"""Attempt of a call over a peer link, and settling of one that went silent."""
+
+import expression
+import trio
+
+from umberdrum import errors, peerlink, sockets, wire
+from umberdrum.callpath import _call, _frames
+
+SILENCE_SECONDS = 0.3
+DEADLINE_GRACE_SECONDS = 0.1
+QUERY_WAIT_MS = 1000
+SETTLE_PAUSE_SECONDS = 0.05
+MAX_REFUSED_CONNECTS = 3
+US_PER_SECOND = 1_000_000.0
+MS_PER_SECOND = 1000.0
+BODY_FRAME_BYTES = 1 << 16
+
+LegResult = expression.Result[_call.CallReport, errors.Failure]
+
+
+class _SilentLinkError(Exception):
+    """Nothing came over a link for longer than its peer ever keeps silent."""
+
+
+class PeerLeg:
+    """Sends calls to endpoint daemons over peer links.
+
+    An attempt whose link breaks or goes silent has an open outcome. For a
+    non-idempotent call the leg asks the same process over a new link, which also bars a
+    late start; it never sends the request a second time.
+    """
+
+    def __init__(self, pool: peerlink.PeerLinkPool) -> None:
+        self._pool = pool
+        self.n_silent_links = 0
+        self.n_settled = 0
+
+    async def run(
+        self,
+        call: _call.Call,
+        peer: peerlink.PeerAddress,
+        body: _call.RequestBody,
+        sink: "CountingSink",
+    ) -> LegResult:
+        """Run ``call`` at the endpoint of ``peer`` and write its answer to ``sink``."""
+        try:
+            link = await self._pool.acquire(peer)
+        except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError) as fault:
+            return _fail_link(str(fault), errors.Execution.NOT_RUN)
+        is_clean = False
+        try:
+            result = await self._exchange(call, link, body, sink)
+            is_clean = True
+        except (sockets.ConnectionLostError, peerlink.FrameError) as fault:
+            result = _fail_link(str(fault), errors.Execution.MAY_HAVE_RUN)
+        except _SilentLinkError as fault:
+            self.n_silent_links += 1
+            self._pool.discard(peer)
+            result = _fail_link(str(fault), errors.Execution.MAY_HAVE_RUN)
+        except _call.BodyLostError as fault:
+            failure = fault.failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
+            return expression.Error(failure)
+        except _call.SinkLostError as fault:
+            return expression.Error(
+                errors.fail(
+                    errors.ErrorKind.CALLER_GONE, str(fault), errors.Execution.RAN
+                )
+            )
+        finally:
+            if is_clean and not link.channel.connection.is_closed:
+                self._pool.release(link)
+            else:
+                link.close()
+        if is_clean or call.is_idempotent or sink.is_started:
+            return result
+        self.n_settled += 1
+        return await self._settle(call, link, sink)
+
+    async def _exchange(
+        self,
+        call: _call.Call,
+        link: peerlink.PeerLink,
+        body: _call.RequestBody,
+        sink: "CountingSink",
+    ) -> LegResult:
+        """Send the request and relay the answer; the link is clean on return."""
+        now = trio.current_time()
+        head = _frames.encode_call(call, link.peer.process_id, body.is_complete, now)
+        await link.channel.send(peerlink.FrameKind.CALL, head, body.initial)
+        if body.is_complete:
+            return await self._relay_answer(call, link, sink)
+        return await self._exchange_streamed(call, link, body, sink)
+
+    async def _exchange_streamed(
+        self,
+        call: _call.Call,
+        link: peerlink.PeerLink,
+        body: _call.RequestBody,
+        sink: "CountingSink",
+    ) -> LegResult:
+        """Send the rest of the body while the answer is awaited."""
+        frame = await self._receive(link, call)
+        if frame.kind is peerlink.FrameKind.REFUSAL:
+            return _read_refusal(frame, call)
+        if frame.kind is not peerlink.FrameKind.ADMITTED:
+            raise peerlink.FrameError(f"expected admission, found {frame.kind.name}")
+        sending = _BodySending(link, body)
+        result: LegResult | None = None
+        fault: Exception | None = None
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(sending.run, nursery.cancel_scope)
+            try:
+                result = await self._relay_answer(call, link, sink)
+            except (
+                sockets.ConnectionLostError,
+                peerlink.FrameError,
+                _SilentLinkError,
+                _call.SinkLostError,
+            ) as raised:
+                fault = raised
+            nursery.cancel_scope.cancel()
+        if sending.fault is not None:
+            raise sending.fault
+        if fault is not None:
+            raise fault
+        if result is None:
+            raise sockets.ConnectionLostError("the exchange was cancelled")
+        if not sending.is_done:
+            # The endpoint answered before it took the whole body.
+            link.close()
+        return result
+
+    async def _relay_answer(
+        self, call: _call.Call, link: peerlink.PeerLink, sink: "CountingSink"
+    ) -> LegResult:
+        frame = await self._receive(link, call)
+        if frame.kind is peerlink.FrameKind.ADMITTED:
+            frame = await self._receive(link, call)
+        if frame.kind is peerlink.FrameKind.REFUSAL:
+            return _read_refusal(frame, call)
+        if frame.kind is not peerlink.FrameKind.RESPONSE:
+            raise peerlink.FrameError(f"expected an answer, found {frame.kind.name}")
+        return await self._relay_response(call, link, frame, sink)
+
+    async def _relay_response(
+        self,
+        call: _call.Call,
+        link: peerlink.PeerLink,
+        frame: peerlink.Frame,
+        sink: "CountingSink",
+    ) -> LegResult:
+        message = _frames.parse_head(wire.messages.ResponseHead, frame)
+        if message.request_id != call.request_id:
+            raise peerlink.FrameError(
+                f"expected the answer to {call.request_id}, found {message.request_id}"
+            )
+        report = _frames.decode_report(message)
+        await sink.start(_frames.decode_answer_head(message), report)
+        if frame.body:
+            await sink.write(frame.body)
+        if not message.is_body_complete:
+            failure = await self._relay_body(call, link, sink)
+            if failure is not None:
+                return expression.Error(failure)
+        await sink.finish()
+        return expression.Ok(report)
+
+    async def _relay_body(
+        self, call: _call.Call, link: peerlink.PeerLink, sink: "CountingSink"
+    ) -> errors.Failure | None:
+        """Write the body frames that follow a response head to ``sink``."""
+        await sink.flush()
+        while True:
+            frame = await self._receive(link, call)
+            if frame.kind is peerlink.FrameKind.ABORT:
+                message = _frames.parse_head(wire.messages.Refusal, frame)
+                return _frames.decode_refusal(message)
+            if frame.body:
+                await sink.write(frame.body)
+            if frame.kind is peerlink.FrameKind.BODY_END:
+                return None
+            if frame.kind is not peerlink.FrameKind.BODY:
+                raise peerlink.FrameError(f"expected a body, found {frame.kind.name}")
+            await sink.flush()
+
+    async def _receive(
+        self, link: peerlink.PeerLink, call: _call.Call
+    ) -> peerlink.Frame:
+        """Return the next frame that is no keepalive; raise when the link is silent."""
+        while True:
+            frame = await link.channel.receive_within(SILENCE_SECONDS)
+            if frame is None:
+                raise _SilentLinkError(
+                    f"nothing came from {link.peer.address} for {SILENCE_SECONDS:g} s"
+                )
+            if frame.kind is not peerlink.FrameKind.KEEPALIVE:
+                return frame
+
+    async def _settle(
+        self, call: _call.Call, silent: peerlink.PeerLink, sink: "CountingSink"
+    ) -> LegResult:
+        """Find out over new links what became of ``call``, up to its deadline."""
+        n_refused = 0
+        give_up_at = call.deadline + DEADLINE_GRACE_SECONDS
+        with trio.move_on_at(give_up_at):
+            while n_refused < MAX_REFUSED_CONNECTS:
+                try:
+                    result = await self._ask_once(call, silent, sink)
+                except peerlink.PeerNotAuthenticError as fault:
+                    return _give_up_settling(str(fault))
+                except (
+                    sockets.ConnectionLostError,
+                    peerlink.FrameError,
+                    _SilentLinkError,
+                ):
+                    n_refused += 1
+                    result = None
+                if result is not None:
+                    return result
+                if sink.is_started:
+                    break
+                await trio.sleep(SETTLE_PAUSE_SECONDS)
+        return _give_up_settling(f"{silent.peer.address} can't be asked")
+
+    async def _ask_once(
+        self, call: _call.Call, silent: peerlink.PeerLink, sink: "CountingSink"
+    ) -> LegResult | None:
+        """Ask once; None means that the request is still in progress."""
+        link = await self._pool.open(silent.peer)
+        is_clean = False
+        try:
+            result = await self._query(call, silent, link, sink)
+            is_clean = True
+            return result
+        finally:
+            if is_clean:
+                self._pool.release(link)
+            else:
+                link.close()
+
+    async def _query(
+        self,
+        call: _call.Call,
+        silent: peerlink.PeerLink,
+        link: peerlink.PeerLink,
+        sink: "CountingSink",
+    ) -> LegResult | None:
+        query = wire.messages.OutcomeQuery(
+            request_id=call.request_id,
+            target_process_id=silent.peer.process_id,
+            silent_connection_id=silent.connection_id,
+            wait_ms=QUERY_WAIT_MS,
+        )
+        kind = peerlink.FrameKind.OUTCOME_QUERY
+        await link.channel.send(kind, query.SerializeToString())
+        frame = await self._receive(link, call)
+        if frame.kind is not peerlink.FrameKind.OUTCOME:
+            raise peerlink.FrameError(f"expected an outcome, found {frame.kind.name}")
+        outcome = _frames.parse_head(wire.messages.Outcome, frame)
+        if outcome.request_id != call.request_id:
+            raise peerlink.FrameError("the outcome is that of another request")
+        if outcome.has_answer:
+            frame = await self._receive(link, call)
+            return await self._relay_response(call, link, frame, sink)
+        if outcome.is_running:
+            return None
+        execution = errors.Execution(outcome.execution)
+        return _fail_link("settled by an outcome query", execution)
+
+
+class CountingSink:
+    """Sink that knows whether an answer was started, around the sink of a caller."""
+
+    def __init__(self, sink: _call.AnswerSink) -> None:
+        self._sink = sink
+        self.is_started = False
+        self.started_at = 0.0
+        self.report: _call.CallReport | None = None
+
+    async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
+        """Note the start and pass the head on."""
+        self.is_started = True
+        self.started_at = trio.current_time()
+        self.report = report
+        await self._sink.start(head, report)
+
+    async def write(self, data: bytes) -> None:
+        """Pass body bytes on."""
+        await self._sink.write(data)
+
+    async def flush(self) -> None:
+        """Pass the flush on."""
+        await self._sink.flush()
+
+    async def finish(self) -> None:
+        """Pass the end on."""
+        await self._sink.finish()
+
+
+class _BodySending:
+    """Sends a request body in frames, in a task of its own."""
+
+    def __init__(self, link: peerlink.PeerLink, body: _call.RequestBody) -> None:
+        self._link = link
+        self._body = body
+        self.fault: Exception | None = None
+        self.is_done = False
+
+    async def run(self, scope: trio.CancelScope) -> None:
+        """Send until the body ends; a lost body breaks the exchange off."""
+        channel = self._link.channel
+        try:
+            while True:
+                data = await self._body.receive()
+                if not data:
+                    break
+                await channel.send(peerlink.FrameKind.BODY, b"", data)
+                await trio.lowlevel.checkpoint()
+            await channel.send(peerlink.FrameKind.BODY_END)
+            self.is_done = True
+        except _call.BodyLostError as fault:
+            self.fault = fault
+            scope.cancel()
+        except sockets.ConnectionLostError:
+            # The receiving side of the exchange notices the loss too.
+            return
+
+
+def _read_refusal(frame: peerlink.Frame, call: _call.Call) -> LegResult:
+    message = _frames.parse_head(wire.messages.Refusal, frame)
+    if message.request_id != call.request_id:
+        raise peerlink.FrameError("the refusal is that of another request")
+    return expression.Error(_frames.decode_refusal(message))
+
+
+def _fail_link(detail: str, execution: errors.Execution) -> LegResult:
+    return expression.Error(errors.fail(errors.ErrorKind.LINK_BROKE, detail, execution))
+
+
+def _give_up_settling(detail: str) -> LegResult:
+    return expression.Error(
+        errors.fail(
+            errors.ErrorKind.OUTCOME_UNKNOWN, detail, errors.Execution.MAY_HAVE_RUN
+        )
+    )
--- /dev/null
+++ b/umberdrum/callpath/_statistics.py
@@ -0,0 +1,192 @@
+"""Counts of calls: metrics for scraping and the window in which targets are judged."""
+
+import collections
+import math
+from typing import NamedTuple
+
+import prometheus_client
+import trio
+
+from umberdrum import classes, errors
+from umberdrum.callpath import _endpoint
+
+WINDOW_SECONDS = 60
+MS_PER_SECOND = 1000.0
+LATENCY_BUCKETS_SECONDS = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+BUCKET_RATIO = 1.1
+MIN_BUCKET_MS = 0.1
+
+
+class TargetReport(NamedTuple):
+    """How a class did in the last minute at one entry daemon.
+
+    ``share_within`` is the share of calls in percent that were answered within the
+    target; ``achieved_ms`` is the latency at the target's percentile.
+    """
+
+    n_calls: int
+    n_failed: int
+    share_within: float
+    achieved_ms: float
+    is_held: bool
+
+
+class _Second:
+    """Calls of one class that ended in one second."""
+
+    __slots__ = ("buckets", "n_calls", "n_failed", "n_within", "second")
+
+    def __init__(self, second: int) -> None:
+        self.second = second
+        self.n_calls = 0
+        self.n_failed = 0
+        self.n_within = 0
+        self.buckets: collections.Counter[int] = collections.Counter()
+
+
+class CallStatistics:
+    """Latencies and ends of the calls that entered at this daemon."""
+
+    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+        self._windows: dict[str, collections.deque[_Second]] = {}
+        self._n_calls = prometheus_client.Counter(
+            "umberdrum_calls",
+            "Calls by class and end",
+            ["cls", "end"],
+            registry=registry,
+        )
+        self._latency = prometheus_client.Histogram(
+            "umberdrum_call_seconds",
+            "Time from request head to whole answer",
+            ["cls"],
+            buckets=LATENCY_BUCKETS_SECONDS,
+            registry=registry,
+        )
+        self._n_retries = prometheus_client.Counter(
+            "umberdrum_retries", "Attempts after a failure", ["cls"], registry=registry
+        )
+        self._n_hedges = prometheus_client.Counter(
+            "umberdrum_hedges",
+            "Second attempts beside a slow one",
+            ["cls"],
+            registry=registry,
+        )
+        self._call_children: dict[tuple[str, str], prometheus_client.Counter] = {}
+        self._latency_children: dict[str, prometheus_client.Histogram] = {}
+
+    def count_unmatched(self, kind: errors.ErrorKind) -> None:
+        """Count a request that belongs to no class."""
+        self._get_counter("-", kind.token).inc()
+
+    def count_retry(self, class_name: str) -> None:
+        """Count an attempt that follows a failure."""
+        self._n_retries.labels(class_name).inc()
+
+    def count_hedge(self, class_name: str) -> None:
+        """Count a second attempt beside a slow one."""
+        self._n_hedges.labels(class_name).inc()
+
+    def record(
+        self,
+        request_class: classes.RequestClass,
+        seconds: float,
+        result: _endpoint.CallResult,
+    ) -> None:
+        """Record the end of one call."""
+        end = "answered" if result.is_ok() else result.error.kind.token
+        name = request_class.name
+        self._get_counter(name, end).inc()
+        latency = self._latency_children.get(name)
+        if latency is None:
+            latency = self._latency_children[name] = self._latency.labels(name)
+        latency.observe(seconds)
+        self._record_in_window(request_class, seconds, result.is_ok())
+
+    def report(self, request_class: classes.RequestClass, now: float) -> TargetReport:
+        """Return how the class did in the last minute."""
+        n_calls = 0
+        n_failed = 0
+        n_within = 0
+        buckets: collections.Counter[int] = collections.Counter()
+        for row in self._windows.get(request_class.name, ()):
+            if row.second < int(now) - WINDOW_SECONDS:
+                continue
+            n_calls += row.n_calls
+            n_failed += row.n_failed
+            n_within += row.n_within
+            buckets.update(row.buckets)
+        percentile = request_class.target.percentile
+        if not n_calls:
+            return TargetReport(0, 0, 100.0, 0.0, True)
+        share_within = 100.0 * n_within / n_calls
+        achieved_ms = _find_percentile(buckets, n_calls, percentile)
+        is_held = share_within >= percentile
+        return TargetReport(n_calls, n_failed, share_within, achieved_ms, is_held)
+
+    def _record_in_window(
+        self, request_class: classes.RequestClass, seconds: float, is_answered: bool
+    ) -> None:
+        second = int(trio.current_time())
+        window = self._windows.setdefault(request_class.name, collections.deque())
+        if not window or window[-1].second != second:
+            window.append(_Second(second))
+            while window[0].second < second - WINDOW_SECONDS:
+                window.popleft()
+        row = window[-1]
+        row.n_calls += 1
+        ms = seconds * MS_PER_SECOND
+        if not is_answered:
+            row.n_failed += 1
+            ms = math.inf
+        elif ms <= request_class.target.latency_ms:
+            row.n_within += 1
+        row.buckets[_get_bucket(ms)] += 1
+
+    def _get_counter(self, name: str, end: str) -> prometheus_client.Counter:
+        counter = self._call_children.get((name, end))
+        if counter is None:
+            counter = self._n_calls.labels(name, end)
+            self._call_children[(name, end)] = counter
+        return counter
+
+
+_INFINITE_BUCKET = 1 << 30
+
+
+def _get_bucket(ms: float) -> int:
+    if ms == math.inf:
+        return _INFINITE_BUCKET
+    return max(
+        0, math.ceil(math.log(max(ms, MIN_BUCKET_MS) / MIN_BUCKET_MS, BUCKET_RATIO))
+    )
+
+
+def _find_percentile(
+    buckets: collections.Counter[int], n_calls: int, percentile: float
+) -> float:
+    """Return the upper edge, in ms, of the bucket that holds the percentile."""
+    n_needed = math.ceil(n_calls * percentile / 100.0)
+    n_seen = 0
+    for bucket in sorted(buckets):
+        n_seen += buckets[bucket]
+        if n_seen < n_needed:
+            continue
+        if bucket == _INFINITE_BUCKET:
+            return math.inf
+        return float(MIN_BUCKET_MS * BUCKET_RATIO**bucket)
+    return math.inf
--- /dev/null
+++ b/umberdrum/callpath/_upstream.py
@@ -0,0 +1,231 @@
+"""Connections from an endpoint daemon to its upstream, one exchange at a time."""
+
+import collections
+
+import h11
+import trio
+
+from umberdrum import errors, settings, sockets
+from umberdrum.callpath import _call, _headers
+
+CONNECT_TIMEOUT_SECONDS = 1.0
+MAX_IDLE_SECONDS = 30.0
+MAX_HEAD_BYTES = 65_536
+
+
+class UpstreamFailureError(Exception):
+    """An exchange with the upstream failed; carries the ``errors.Failure``."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        super().__init__(failure.detail)
+        self.failure = failure
+
+
+class UpstreamConnection:
+    """One HTTP/1.1 connection to the upstream.
+
+    ``has_sent`` turns true with the first byte of a request: up to then the upstream
+    has run nothing of it.
+    """
+
+    def __init__(self, connection: sockets.Connection) -> None:
+        self._connection = connection
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self.has_sent = False
+        self.is_reused = False
+        self.idle_since = 0.0
+
+    def close(self) -> None:
+        """Close the connection, which cancels a request in progress."""
+        self._connection.close()
+
+    def is_lost(self) -> bool:
+        """Return whether the upstream has closed or sent something unasked."""
+        return self._connection.has_data()
+
+    def start_next_exchange(self) -> bool:
+        """Make ready for another request; False when the connection can't be reused."""
+        if (
+            self._http.our_state is not h11.DONE
+            or self._http.their_state is not h11.DONE
+        ):
+            return False
+        self._http.start_next_cycle()
+        self.has_sent = False
+        self.is_reused = True
+        return True
+
+    async def send_request(
+        self, call: _call.Call, body: _call.RequestBody, remaining_ms: int
+    ) -> None:
+        """Send the head and what is at hand of the body, the end too if that is all."""
+        headers = call.headers + _headers.build_own_headers(
+            call.request_id, remaining_ms, call.n_extra_attempts
+        )
+        if call.content_length is None and not body.is_complete:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif body.is_complete and body.initial and call.content_length is None:
+            headers.append((b"content-length", b"%d" % len(body.initial)))
+        request = h11.Request(method=call.method, target=call.target, headers=headers)
+        data = self._http.send(request) or b""
+        if body.initial:
+            data += self._http.send(h11.Data(data=body.initial)) or b""
+        if body.is_complete:
+            data += self._http.send(h11.EndOfMessage()) or b""
+        self.has_sent = True
+        await self._connection.send(data)
+
+    async def send_rest_of_body(self, body: _call.RequestBody) -> None:
+        """Send the body bytes after the initial ones, then the end of the request."""
+        while True:
+            data = await body.receive()
+            if not data:
+                break
+            await self._connection.send(self._http.send(h11.Data(data=data)) or b"")
+            await trio.lowlevel.checkpoint()
+        await self._connection.send(self._http.send(h11.EndOfMessage()) or b"")
+
+    async def receive_head(self) -> _call.AnswerHead:
+        """Return the head of the final answer; interim answers are passed over."""
+        while True:
+            event = await self._receive_event()
+            if isinstance(event, h11.InformationalResponse):
+                if event.status_code == 101:
+                    raise _invalid_answer("expected no protocol switch, found 101")
+                continue
+            if isinstance(event, h11.Response):
+                fields = _headers.filter_response_headers(list(event.headers))
+                return _call.AnswerHead(event.status_code, bytes(event.reason), fields)
+            raise _broke_off("closed before the head of its answer")
+
+    async def relay_body(self, sink: _call.AnswerSink) -> None:
+        """Write the body of the answer to ``sink`` as it arrives, then finish it."""
+        while True:
+            event = self._take_event()
+            if event is h11.NEED_DATA:
+                await sink.flush()
+                await self._receive_more()
+                continue
+            if isinstance(event, h11.Data):
+                await sink.write(bytes(event.data))
+                continue
+            if isinstance(event, h11.EndOfMessage):
+                return
+            raise _broke_off("closed before its answer was whole")
+
+    async def _receive_event(self) -> object:
+        while True:
+            event = self._take_event()
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive_more()
+
+    def _take_event(self) -> object:
+        try:
+            return self._http.next_event()
+        except h11.RemoteProtocolError as fault:
+            if self._http.their_state is h11.ERROR and "closed" in str(fault):
+                raise _broke_off(str(fault)) from None
+            raise _invalid_answer(str(fault)) from None
+
+    async def _receive_more(self) -> None:
+        try:
+            data = await self._connection.receive()
+        except sockets.ConnectionLostError as fault:
+            raise _broke_off(str(fault)) from None
+        self._http.receive_data(data)
+
+
+class UpstreamPool:
+    """Idle connections to the one upstream of an endpoint daemon.
+
+    The slots of the admission gate bound the connections in use, so the pool opens one
+    whenever none is idle. Idle connections are checked before reuse.
+    """
+
+    def __init__(self) -> None:
+        self._idle: collections.deque[UpstreamConnection] = collections.deque()
+        self._address: settings.Address | None = None
+        self.n_open = 0
+
+    @property
+    def address(self) -> settings.Address | None:
+        """Address of the upstream, None before one has announced itself."""
+        return self._address
+
+    def set_address(self, address: settings.Address) -> None:
+        """Use ``address`` from now on and close idle connections to another one."""
+        if address == self._address:
+            return
+        self._address = address
+        while self._idle:
+            self._discard(self._idle.pop())
+
+    async def acquire(self) -> UpstreamConnection:
+        """Return an idle connection or a new one; raises ``UpstreamFailureError``."""
+        while self._idle:
+            upstream = self._idle.pop()
+            if not upstream.is_lost():
+                return upstream
+            self._discard(upstream)
+        return await self.open()
+
+    async def open(self) -> UpstreamConnection:
+        """Return a new connection; raises ``UpstreamFailureError``."""
+        if self._address is None:
+            detail = "no upstream has announced itself"
+            raise UpstreamFailureError(
+                errors.fail(errors.ErrorKind.UPSTREAM_UNREACHABLE, detail)
+            )
+        try:
+            connection = await sockets.connect(self._address, CONNECT_TIMEOUT_SECONDS)
+        except sockets.ConnectionLostError as fault:
+            raise UpstreamFailureError(
+                errors.fail(errors.ErrorKind.UPSTREAM_UNREACHABLE, str(fault))
+            ) from None
+        self.n_open += 1
+        return UpstreamConnection(connection)
+
+    def release(self, upstream: UpstreamConnection, is_clean: bool) -> None:
+        """Keep the connection if its exchange ended cleanly, else close it."""
+        if is_clean and upstream.start_next_exchange():
+            upstream.idle_since = trio.current_time()
+            self._idle.append(upstream)
+            return
+        self._discard(upstream)
+
+    def close_idle(self, now: float) -> None:
+        """Close connections that were idle for longer than ``MAX_IDLE_SECONDS``."""
+        while self._idle and now - self._idle[0].idle_since > MAX_IDLE_SECONDS:
+            self._discard(self._idle.popleft())
+
+    def close_all(self) -> None:
+        """Close every idle connection."""
+        while self._idle:
+            self._discard(self._idle.pop())
+
+    def _discard(self, upstream: UpstreamConnection) -> None:
+        upstream.close()
+        self.n_open -= 1
+
+
+def _broke_off(detail: str) -> UpstreamFailureError:
+    return UpstreamFailureError(
+        errors.fail(
+            errors.ErrorKind.UPSTREAM_BROKE_OFF,
+            f"upstream {detail}",
+            errors.Execution.MAY_HAVE_RUN,
+        )
+    )
+
+
+def _invalid_answer(detail: str) -> UpstreamFailureError:
+    return UpstreamFailureError(
+        errors.fail(
+            errors.ErrorKind.UPSTREAM_INVALID_ANSWER,
+            f"upstream: {detail}",
+            errors.Execution.MAY_HAVE_RUN,
+        )
+    )
--- /dev/null
+++ b/umberdrum/classes/__init__.py
@@ -0,0 +1,20 @@
+"""Classes of work: what operators create, and everything that follows from a target."""
+
+from umberdrum.classes._catalog import Catalog, CatalogEntry, CatalogRow
+from umberdrum.classes._document import decode_document, encode_document
+from umberdrum.classes._policy import MAX_DEADLINE_MS, CallPolicy, derive_policy
+from umberdrum.classes._request_class import RequestClass, Target, check_class
+
+__all__ = [
+    "MAX_DEADLINE_MS",
+    "CallPolicy",
+    "Catalog",
+    "CatalogEntry",
+    "CatalogRow",
+    "RequestClass",
+    "Target",
+    "check_class",
+    "decode_document",
+    "derive_policy",
+    "encode_document",
+]
--- /dev/null
+++ b/umberdrum/classes/_catalog.py
@@ -0,0 +1,116 @@
+"""Catalog of classes: an immutable value that only ever moves forward."""
+
+import hashlib
+import struct
+from typing import NamedTuple
+
+from umberdrum.classes import _document, _policy, _request_class
+
+_REVISION = struct.Struct(">Q?")
+
+
+class CatalogEntry(NamedTuple):
+    """One class at one revision of the store; a deleted class keeps its entry.
+
+    ``document`` is the stored form, empty for a deleted class.
+    """
+
+    name: str
+    revision: int
+    document: bytes
+    is_deleted: bool
+
+
+class CatalogRow(NamedTuple):
+    """Class with its policy, in the order in which requests are matched."""
+
+    request_class: _request_class.RequestClass
+    policy: _policy.CallPolicy
+
+
+class Catalog:
+    """Classes known to one daemon, each at the highest revision seen.
+
+    Merging keeps, for each class, the entry with the higher revision, so that merging
+    is commutative, associative and idempotent and no class ever goes back. The catalog
+    never decides what is accepted: only a commit in the store does.
+    """
+
+    def __init__(self, entries: dict[str, CatalogEntry] | None = None) -> None:
+        self._entries = dict(entries or {})
+        self._rows = self._build_rows()
+        self.digest = self._compute_digest()
+
+    @property
+    def entries(self) -> list[CatalogEntry]:
+        """Entries of all classes, deleted ones included, in the order of names."""
+        return [self._entries[name] for name in sorted(self._entries)]
+
+    @property
+    def revision(self) -> int:
+        """Highest revision among the entries; 0 for an empty catalog."""
+        return max((entry.revision for entry in self._entries.values()), default=0)
+
+    def get_entry(self, name: str) -> CatalogEntry | None:
+        """Return the entry of class ``name``, deleted or not."""
+        return self._entries.get(name)
+
+    def list_classes(self) -> list[_request_class.RequestClass]:
+        """Return the classes in force in the order of names."""
+        by_name = {row.request_class.name: row.request_class for row in self._rows}
+        return [by_name[name] for name in sorted(by_name)]
+
+    def merge(self, news: list[CatalogEntry]) -> "Catalog":
+        """Return a catalog that also holds ``news`` where their revision is higher."""
+        accepted = [entry for entry in news if self.is_news(entry)]
+        if not accepted:
+            return self
+        entries = dict(self._entries)
+        for entry in accepted:
+            held = entries.get(entry.name)
+            if held is not None and held.revision >= entry.revision:
+                continue
+            entries[entry.name] = entry
+        return Catalog(entries)
+
+    def is_news(self, entry: CatalogEntry) -> bool:
+        """Return whether ``entry`` is newer than what the catalog holds."""
+        held = self._entries.get(entry.name)
+        return held is None or entry.revision > held.revision
+
+    def has_service(self, service: str) -> bool:
+        """Return whether any class in force names ``service``."""
+        return any(row.request_class.service == service for row in self._rows)
+
+    def match(self, service: str, method: str, path: str) -> CatalogRow | None:
+        """Return the class with the longest matching path prefix, with its policy."""
+        for row in self._rows:
+            if row.request_class.matches(service, method, path):
+                return row
+        return None
+
+    def _build_rows(self) -> list[CatalogRow]:
+        rows: list[CatalogRow] = []
+        for entry in self.entries:
+            if entry.is_deleted:
+                continue
+            decoded = _document.decode_document(entry.document)
+            if decoded.is_error():
+                continue
+            request_class = decoded.ok
+            rows.append(CatalogRow(request_class, _policy.derive_policy(request_class)))
+        rows.sort(key=_order_for_matching)
+        return rows
+
+    def _compute_digest(self) -> int:
+        hasher = hashlib.blake2b(digest_size=8)
+        for entry in self.entries:
+            hasher.update(entry.name.encode() + b"\0")
+            hasher.update(_REVISION.pack(entry.revision, entry.is_deleted))
+        return int.from_bytes(hasher.digest(), "big")
+
+
+def _order_for_matching(row: CatalogRow) -> tuple[int, int, str]:
+    request_class = row.request_class
+    has_any_method = 0 if request_class.methods else 1
+    return (-len(request_class.path_prefix), has_any_method, request_class.name)
--- /dev/null
+++ b/umberdrum/classes/_document.py
@@ -0,0 +1,72 @@
+"""Stored form of a class: one JSON document for each key of the store."""
+
+import json
+from typing import TypedDict
+
+import expression
+
+from umberdrum import errors
+from umberdrum.classes import _request_class
+
+FORMAT_VERSION = 1
+MAX_DOCUMENT_BYTES = 4096
+
+
+class ClassDocument(TypedDict):
+    """Fields of the stored JSON document; unknown fields are ignored by readers."""
+
+    format: int
+    name: str
+    service: str
+    methods: list[str]
+    path: str
+    idempotent: bool
+    latency_ms: int
+    percentile: float
+    change_id: str
+
+
+def encode_document(request_class: _request_class.RequestClass) -> bytes:
+    """Return the stored form of the class."""
+    document: ClassDocument = {
+        "format": FORMAT_VERSION,
+        "name": request_class.name,
+        "service": request_class.service,
+        "methods": list(request_class.methods),
+        "path": request_class.path_prefix,
+        "idempotent": request_class.is_idempotent,
+        "latency_ms": request_class.target.latency_ms,
+        "percentile": request_class.target.percentile,
+        "change_id": request_class.change_id,
+    }
+    return json.dumps(document, separators=(",", ":")).encode()
+
+
+def decode_document(
+    raw: bytes,
+) -> expression.Result[_request_class.RequestClass, errors.Failure]:
+    """Return the checked class that ``raw`` holds, or the fault that was found."""
+    if len(raw) > MAX_DOCUMENT_BYTES:
+        return _report(f"expected at most {MAX_DOCUMENT_BYTES} bytes, found {len(raw)}")
+    try:
+        document: ClassDocument = json.loads(raw)
+        request_class = _request_class.RequestClass(
+            name=str(document["name"]),
+            service=str(document["service"]),
+            methods=tuple(str(method) for method in document["methods"]),
+            path_prefix=str(document["path"]),
+            is_idempotent=document["idempotent"] is True,
+            target=_request_class.Target(
+                int(document["latency_ms"]), float(document["percentile"])
+            ),
+            change_id=str(document["change_id"]),
+        )
+    except (ValueError, KeyError, TypeError, RecursionError) as fault:
+        return _report(f"expected a class document, found a fault at {fault!r}")
+    return _request_class.check_class(request_class)
+
+
+def _report(
+    detail: str,
+) -> expression.Result[_request_class.RequestClass, errors.Failure]:
+    return expression.Error(errors.fail(errors.ErrorKind.INVALID_CLASS, detail))
--- /dev/null
+++ b/umberdrum/commandline/_daemon_commands.py
@@ -0,0 +1,144 @@
+"""Commands that ask daemons on their admin addresses."""
+
+import argparse
+import urllib.parse
+from typing import TypedDict, cast
+
+import expression
+
+from umberdrum import admin, errors, jsonclient, settings
+from umberdrum.commandline import _options, _render
+
+TIMEOUT_SECONDS = 3.0
+OutputResult = expression.Result[str, errors.Failure]
+
+
+class StatusOutput(TypedDict):
+    """Status over all daemons that were asked."""
+
+    classes: list[admin.ClassReport]
+    endpoints: list[admin.EndpointReport]
+    daemons: list[str]
+    unreachable: list[str]
+    holds: bool
+
+
+async def run_daemon_command(
+    arguments: argparse.Namespace, options: _options.ToolOptions
+) -> OutputResult:
+    """Run ``status``, ``drain`` or ``explain`` and return its output."""
+    if not options.admin_addresses:
+        detail = "expected --admin or [tool] admin, found neither"
+        return expression.Error(errors.fail(errors.ErrorKind.INVALID_SETTINGS, detail))
+    if arguments.command == "status":
+        return await _show_status(arguments, options)
+    if arguments.command == "drain":
+        return await _drain(arguments, options)
+    return await _explain(arguments, options)
+
+
+async def _show_status(
+    arguments: argparse.Namespace, options: _options.ToolOptions
+) -> OutputResult:
+    reports: list[admin.StatusReport] = []
+    unreachable: list[str] = []
+    for address in options.admin_addresses:
+        answer = await _request("GET", address, "/v1/status")
+        if answer.is_error():
+            unreachable.append(str(address))
+            continue
+        reports.append(cast(admin.StatusReport, answer.ok))
+    if not reports:
+        detail = "no daemon answers at " + ", ".join(unreachable)
+        return expression.Error(
+            errors.fail(errors.ErrorKind.DAEMON_UNAVAILABLE, detail)
+        )
+    output = _merge_reports(reports, unreachable)
+    arguments.is_target_missed = not output["holds"]
+    if options.is_json:
+        return expression.Ok(_render.render_json(output))
+    return expression.Ok(_render_status(output))
+
+
+async def _drain(
+    arguments: argparse.Namespace, options: _options.ToolOptions
+) -> OutputResult:
+    if len(options.admin_addresses) != 1:
+        detail = f"expected one admin address, found {len(options.admin_addresses)}"
+        return expression.Error(errors.fail(errors.ErrorKind.INVALID_SETTINGS, detail))
+    method = "DELETE" if arguments.lift else "POST"
+    answer = await _request(method, options.admin_addresses[0], "/v1/drain")
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if options.is_json:
+        return expression.Ok(_render.render_json(answer.ok))
+    verb = "lifted" if arguments.lift else "ordered"
+    return expression.Ok(f"drain {verb} at {options.admin_addresses[0]}\n")
+
+
+async def _explain(
+    arguments: argparse.Namespace, options: _options.ToolOptions
+) -> OutputResult:
+    query = urllib.parse.urlencode(
+        {
+            "service": arguments.service,
+            "method": arguments.method,
+            "path": arguments.path,
+        }
+    )
+    path = f"/v1/explain?{query}"
+    answer = await _request("GET", options.admin_addresses[0], path)
+    if answer.is_error():
+        return expression.Error(answer.error)
+    if options.is_json:
+        return expression.Ok(_render.render_json(answer.ok))
+    report = cast(admin.ExplainReport, answer.ok)
+    head = {key: value for key, value in report.items() if key != "candidates"}
+    text = _render.render_fields(head) + "\n"
+    return expression.Ok(text + _render.render_table(report["candidates"]))
+
+
+async def _request(
+    method: str, address: settings.Address, path: str
+) -> jsonclient.JsonResult:
+    kind = errors.ErrorKind.DAEMON_UNAVAILABLE
+    client = jsonclient.JsonClient(
+        (address,), TIMEOUT_SECONDS, jsonclient.FailureKinds(kind, kind)
+    )
+    try:
+        return await client.request(method, path, {}, is_write=False)
+    finally:
+        client.close()
+
+
+def _merge_reports(
+    reports: list[admin.StatusReport], unreachable: list[str]
+) -> StatusOutput:
+    """Join what several daemons report: the worst of a class, each endpoint once."""
+    worst: dict[str, admin.ClassReport] = {}
+    endpoints: dict[str, admin.EndpointReport] = {}
+    for report in reports:
+        for row in report["classes"]:
+            held = worst.get(row["name"])
+            if held is None or row["share_within"] < held["share_within"]:
+                worst[row["name"]] = row
+        for endpoint in report["endpoints"]:
+            is_own = endpoint["endpoint"] == report["daemon"]
+            if is_own or endpoint["endpoint"] not in endpoints:
+                endpoints[endpoint["endpoint"]] = endpoint
+    class_rows = [worst[name] for name in sorted(worst)]
+    return {
+        "classes": class_rows,
+        "endpoints": [endpoints[name] for name in sorted(endpoints)],
+        "daemons": [report["daemon"] for report in reports],
+        "unreachable": unreachable,
+        "holds": all(row["holds"] for row in class_rows),
+    }
+
+
+def _render_status(output: StatusOutput) -> str:
+    text = _render.render_table(output["classes"])
+    text += "\n" + _render.render_table(output["endpoints"])
+    if output["unreachable"]:
+        text += "\nno answer from " + ", ".join(output["unreachable"]) + "\n"
+    return text
--- /dev/null
+++ b/umberdrum/commandline/_parser.py
@@ -0,0 +1,96 @@
+"""Arguments of the tool."""
+
+import argparse
+
+import umberdrum
+
+EXAMPLES = """examples:
+  umberdrum --store 10.0.0.5:2379 class create lookups --service cards \\
+      --path /cards --method GET --idempotent --target-ms 50 --percentile 99
+  umberdrum --store 10.0.0.5:2379 class set lookups --target-ms 40
+  umberdrum --store 10.0.0.5:2379 class list --json
+  umberdrum --admin 10.0.1.7:9901,10.0.2.7:9901 status
+  umberdrum --admin 10.0.1.7:9901 drain
+  umberdrum --admin 10.0.1.7:9901 explain cards GET /cards/17
+
+exit codes: 0 done, 1 failed, 2 invalid input, 3 another operator changed the class,
+4 not found, 5 store does not answer and nothing was changed, 6 unknown whether the
+change took effect, 7 daemon does not answer, 8 a target is missed (status --check)
+"""
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the whole command line."""
+    parser = argparse.ArgumentParser(
+        prog="umberdrum",
+        description="Operators' tool of the umberdrum load balancer.",
+        epilog=EXAMPLES,
+        formatter_class=argparse.RawDescriptionHelpFormatter,
+    )
+    parser.add_argument(
+        "--version", action="version", version=f"umberdrum {umberdrum.__version__}"
+    )
+    _add_common(parser, is_top=True)
+    commands = parser.add_subparsers(dest="command", required=True, metavar="command")
+    _add_class_commands(commands)
+    status = commands.add_parser("status", help="show classes and endpoints")
+    status.add_argument(
+        "--check", action="store_true", help="exit with 8 when a target is missed"
+    )
+    _add_common(status)
+    drain = commands.add_parser("drain", help="drain the upstream beside a daemon")
+    drain.add_argument("--lift", action="store_true", help="lift the order to drain")
+    _add_common(drain)
+    explain = commands.add_parser("explain", help="show how a call would be routed")
+    explain.add_argument("service")
+    explain.add_argument("method")
+    explain.add_argument("path")
+    _add_common(explain)
+    return parser
+
+
+def _add_common(parser: argparse.ArgumentParser, is_top: bool = False) -> None:
+    """Add the options that stand before or after the command."""
+    default = None if is_top else argparse.SUPPRESS
+    json_default = False if is_top else argparse.SUPPRESS
+    group = parser.add_argument_group("where and how")
+    group.add_argument("--settings", default=default, help="INI file with [tool]")
+    group.add_argument("--store", default=default, help="addresses of the store")
+    group.add_argument("--admin", default=default, help="admin addresses of daemons")
+    group.add_argument("--prefix", default=default, help="key prefix in the store")
+    group.add_argument(
+        "--json", action="store_true", default=json_default, help="print JSON"
+    )
+
+
+def _add_class_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    group = commands.add_parser("class", help="create, change and list classes")
+    actions = group.add_subparsers(dest="action", required=True, metavar="action")
+    create = actions.add_parser("create", help="create a class")
+    create.add_argument("name")
+    create.add_argument("--service", required=True)
+    create.add_argument("--path", default="/", help="path prefix (default /)")
+    create.add_argument("--method", action="append", default=[], help="may be repeated")
+    kind = create.add_mutually_exclusive_group(required=True)
+    kind.add_argument("--idempotent", action="store_true")
+    kind.add_argument("--not-idempotent", action="store_true")
+    create.add_argument("--target-ms", type=int, required=True)
+    create.add_argument("--percentile", type=float, default=99.0)
+    _add_common(create)
+    change = actions.add_parser("set", help="change the target of a class")
+    change.add_argument("name")
+    change.add_argument("--target-ms", type=int)
+    change.add_argument("--percentile", type=float)
+    change.add_argument("--expect-revision", type=int, default=0)
+    _add_common(change)
+    listing = actions.add_parser("list", help="list all classes")
+    _add_common(listing)
+    show = actions.add_parser("show", help="show one class")
+    show.add_argument("name")
+    _add_common(show)
+    delete = actions.add_parser("delete", help="delete a class")
+    delete.add_argument("name")
+    delete.add_argument("--expect-revision", type=int, default=0)
+    _add_common(delete)
--- /dev/null
+++ b/umberdrum/commandline/main.py
@@ -0,0 +1,45 @@
+"""Program ``umberdrum``: the operators' tool."""
+
+import sys
+from collections.abc import Sequence
+
+import trio
+
+from umberdrum import errors
+from umberdrum.commandline import (
+    _class_commands,
+    _daemon_commands,
+    _exit_codes,
+    _options,
+    _parser,
+)
+
+
+def run_program(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    parsed = _parser.build_parser().parse_args(arguments)
+    parsed.is_target_missed = False
+    options = _options.read_options(parsed)
+    if options.is_error():
+        return _report(options.error)
+    if parsed.command == "class":
+        result = trio.run(_class_commands.run_class_command, parsed, options.ok)
+    else:
+        result = trio.run(_daemon_commands.run_daemon_command, parsed, options.ok)
+    if result.is_error():
+        return _report(result.error)
+    sys.stdout.write(result.ok)
+    if parsed.command == "status" and parsed.check and parsed.is_target_missed:
+        return _exit_codes.ExitCode.TARGET_MISSED
+    return _exit_codes.ExitCode.OK
+
+
+def _report(failure: errors.Failure) -> int:
+    title = errors.ANSWERS[failure.kind].title
+    sys.stderr.write(f"umberdrum: {title}: {failure.detail}\n")
+    failed = _exit_codes.ExitCode.FAILED
+    return _exit_codes.EXIT_CODES.get(failure.kind, failed)
+
+
+if __name__ == "__main__":
+    sys.exit(run_program())
--- /dev/null
+++ b/umberdrum/configuration/__init__.py
@@ -0,0 +1,18 @@
+"""Operators' configuration: kept in the store, spread by a few contacts."""
+
+from umberdrum.configuration._contacts import ContactKeeper, ContactKeys
+from umberdrum.configuration._repository import (
+    ClassChange,
+    ClassRepository,
+    StoredClass,
+)
+from umberdrum.configuration._watcher import ConfigurationWatcher
+
+__all__ = [
+    "ClassChange",
+    "ClassRepository",
+    "ConfigurationWatcher",
+    "ContactKeeper",
+    "ContactKeys",
+    "StoredClass",
+]
--- /dev/null
+++ b/umberdrum/configuration/_watcher.py
@@ -0,0 +1,100 @@
+"""Watch of the classes in the store, run by contacts only."""
+
+import random
+
+import trio
+
+from umberdrum import classes, gossip, logs, store
+
+MIN_BACKOFF_SECONDS = 0.5
+MAX_BACKOFF_SECONDS = 30.0
+
+
+class ConfigurationWatcher:
+    """Follows the classes in the store and hands them to the shared state.
+
+    It lists the prefix, then watches from the next revision; after a compaction or a
+    lost watch it lists again. The catalog itself refuses anything older than it holds,
+    so re-ordered or repeated changes do no harm.
+    """
+
+    def __init__(
+        self,
+        target_store: store.Store,
+        prefix: str,
+        state: gossip.SharedState,
+        rng: random.Random,
+        log: logs.EventLog,
+    ) -> None:
+        self._store = target_store
+        self._prefix = prefix + "/classes/"
+        self._state = state
+        self._rng = rng
+        self._log = log
+        self.is_following = False
+
+    async def run(self) -> None:
+        """Follow the store until cancelled, with back-off while it does not answer."""
+        backoff = MIN_BACKOFF_SECONDS
+        try:
+            while True:
+                revision = await self._load()
+                if revision:
+                    backoff = MIN_BACKOFF_SECONDS
+                    await self._follow(revision + 1)
+                self.is_following = False
+                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
+                backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
+        finally:
+            self.is_following = False
+
+    async def _load(self) -> int:
+        """Take all classes; return the revision of the listing, 0 if it failed."""
+        listed = await self._store.list_prefix(self._prefix)
+        if listed.is_error():
+            self._log.warn("store_read", reason=listed.error.detail)
+            return 0
+        listing = listed.ok
+        entries: list[classes.CatalogEntry] = []
+        present: set[str] = set()
+        for item in listing.items:
+            name = item.key.removeprefix(self._prefix)
+            present.add(name)
+            entries.append(
+                classes.CatalogEntry(name, item.mod_revision, item.value, False)
+            )
+        for held in self._state.catalog.entries:
+            if held.is_deleted or held.name in present:
+                continue
+            if held.revision <= listing.revision:
+                entries.append(
+                    classes.CatalogEntry(held.name, listing.revision, b"", True)
+                )
+        self._state.take_entries(entries)
+        return listing.revision
+
+    async def _follow(self, from_revision: int) -> None:
+        """Take changes until the watch ends."""
+        async with self._store.watch(self._prefix, from_revision) as watch:
+            self.is_following = True
+            while True:
+                received = await watch.receive()
+                if received.is_error():
+                    self._log.warn("store_watch", reason=received.error.detail)
+                    return
+                batch = received.ok
+                if batch.compacted_revision:
+                    self._log.write("store_compacted", at=batch.compacted_revision)
+                    return
+                self._take_batch(batch)
+
+    def _take_batch(self, batch: store.WatchBatch) -> None:
+        entries: list[classes.CatalogEntry] = []
+        for event in batch.events:
+            item = event.item
+            name = item.key.removeprefix(self._prefix)
+            value = b"" if event.is_deleted else item.value
+            entries.append(
+                classes.CatalogEntry(name, item.mod_revision, value, event.is_deleted)
+            )
+        self._state.take_entries(entries)
--- /dev/null
+++ b/umberdrum/controlhttp/_server.py
@@ -0,0 +1,133 @@
+"""Requests with short bodies, answered one after the other on a connection."""
+
+import json
+import urllib.parse
+from collections.abc import Awaitable, Callable, Mapping
+from typing import NamedTuple
+
+import h11
+import trio
+
+from umberdrum import errors, sockets
+
+MAX_BODY_BYTES = 65_536
+MAX_HEAD_BYTES = 16_384
+REQUEST_TIMEOUT_SECONDS = 10.0
+IDLE_TIMEOUT_SECONDS = 120.0
+
+
+class ControlRequest(NamedTuple):
+    """One request; ``query`` holds the last value of each parameter."""
+
+    method: str
+    path: str
+    query: dict[str, str]
+    body: bytes
+
+
+class ControlAnswer(NamedTuple):
+    """One answer with its whole body."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+ControlHandler = Callable[[ControlRequest], Awaitable[ControlAnswer]]
+
+
+def answer_json(value: Mapping[str, object], status: int = 200) -> ControlAnswer:
+    """Return ``value`` as a JSON answer."""
+    body = json.dumps(value, indent=2).encode() + b"\n"
+    return ControlAnswer(status, "application/json", body)
+
+
+def answer_text(text: str, status: int = 200) -> ControlAnswer:
+    """Return a plain text answer."""
+    return ControlAnswer(status, "text/plain; charset=utf-8", text.encode())
+
+
+def answer_failure(failure: errors.Failure) -> ControlAnswer:
+    """Return the problem body (RFC 9457) of ``failure``."""
+    problem = errors.render_problem(failure, "umberdrum", "")
+    return ControlAnswer(problem.status, "application/problem+json", problem.body)
+
+
+async def serve_control(
+    connection: sockets.Connection, handler: ControlHandler
+) -> None:
+    """Serve the requests of one connection until it ends or breaks a rule."""
+    http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
+    while True:
+        answer: ControlAnswer | None = None
+        try:
+            with trio.move_on_after(IDLE_TIMEOUT_SECONDS):
+                request = await _receive_request(connection, http)
+                if request is None:
+                    return
+                answer = await handler(request)
+        except h11.RemoteProtocolError as fault:
+            answer = answer_failure(
+                errors.fail(errors.ErrorKind.MALFORMED_REQUEST, str(fault))
+            )
+        if answer is None:
+            return
+        await _send_answer(connection, http, answer)
+        if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+            return
+        http.start_next_cycle()
+
+
+async def _receive_request(
+    connection: sockets.Connection, http: h11.Connection
+) -> ControlRequest | None:
+    """Return the next request, or None when the other side has closed."""
+    head = await _receive_event(connection, http)
+    if not isinstance(head, h11.Request):
+        return None
+    parts: list[bytes] = []
+    n_bytes = 0
+    with trio.fail_after(REQUEST_TIMEOUT_SECONDS):
+        while True:
+            event = await _receive_event(connection, http)
+            if not isinstance(event, h11.Data):
+                break
+            parts.append(bytes(event.data))
+            n_bytes += len(event.data)
+            if n_bytes > MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError(
+                    f"expected a body of at most {MAX_BODY_BYTES} bytes"
+                )
+    path, _, query = bytes(head.target).decode("latin-1").partition("?")
+    values = dict(urllib.parse.parse_qsl(query))
+    method = bytes(head.method).decode("ascii")
+    return ControlRequest(method, path, values, b"".join(parts))
+
+
+async def _receive_event(
+    connection: sockets.Connection, http: h11.Connection
+) -> object:
+    while True:
+        event = http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        if http.they_are_waiting_for_100_continue:
+            interim = h11.InformationalResponse(status_code=100, headers=[])
+            await connection.send(http.send(interim) or b"")
+        http.receive_data(await connection.receive())
+
+
+async def _send_answer(
+    connection: sockets.Connection, http: h11.Connection, answer: ControlAnswer
+) -> None:
+    if http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        return
+    headers = [
+        ("content-type", answer.content_type),
+        ("content-length", str(len(answer.body))),
+    ]
+    response = h11.Response(status_code=answer.status, headers=headers)
+    data = http.send(response) or b""
+    data += http.send(h11.Data(data=answer.body)) or b""
+    data += http.send(h11.EndOfMessage()) or b""
+    await connection.send(data)
--- /dev/null
+++ b/umberdrum/daemon/__init__.py
@@ -0,0 +1,5 @@
+"""The daemon beside each upstream: parts put together, started and stopped."""
+
+from umberdrum.daemon._daemon import Daemon
+
+__all__ = ["Daemon"]
--- /dev/null
+++ b/umberdrum/daemon/_view.py
@@ -0,0 +1,207 @@
+"""What the admin address shows of the daemon."""
+
+import math
+
+import trio
+
+from umberdrum import (
+    admin,
+    announcements,
+    callpath,
+    classes,
+    gossip,
+    measuring,
+    membership,
+    settings,
+    store,
+)
+
+MS_PER_SECOND = 1000.0
+
+
+class DaemonReporter:
+    """Builds the documents of the admin address from the daemon's parts."""
+
+    def __init__(
+        self,
+        own_settings: settings.Settings,
+        state: gossip.SharedState,
+        exchange: gossip.GossipExchange,
+        entry: callpath.EntryService,
+        endpoint: callpath.EndpointService,
+        directory: membership.MembershipDirectory,
+        desk: announcements.AnnouncementDesk,
+        budget: measuring.MeasuringBudget,
+        counter: store.StoreCallCounter,
+    ) -> None:
+        self._settings = own_settings
+        self._state = state
+        self._exchange = exchange
+        self._entry = entry
+        self._endpoint = endpoint
+        self._directory = directory
+        self._desk = desk
+        self._budget = budget
+        self._counter = counter
+        self.is_stopping = False
+
+    def is_ready(self) -> bool:
+        """Return whether this daemon knows classes and is not stopping."""
+        return bool(self._state.catalog.list_classes()) and not self.is_stopping
+
+    def order_drain(self, is_ordered: bool) -> None:
+        """Drain the upstream beside this daemon, or lift that order."""
+        self._desk.order_drain(is_ordered)
+
+    def build_status(self) -> admin.StatusReport:
+        """Return the state of the daemon and what it knows of the others."""
+        now = trio.current_time()
+        own = self._state.table.own
+        reports = [self._report_class(row, now) for row in self._list_classes()]
+        records = sorted(self._state.table.records)
+        return {
+            "daemon": own.endpoint_id,
+            "zone": own.availability_zone,
+            "region": own.region,
+            "ready": self.is_ready(),
+            "catalog_revision": self._state.catalog.revision,
+            "classes": reports,
+            "endpoints": [self._report_endpoint(record) for record in records],
+            "measuring_bytes_per_second": self._budget.bytes_per_second,
+            "measuring_bytes_last_second": self._budget.get_window_bytes(now),
+            "n_store_calls": self._counter.total,
+            "n_control_bytes": (
+                self._exchange.n_bytes_sent + self._exchange.n_bytes_received
+            ),
+        }
+
+    def explain(self, service: str, method: str, path: str) -> admin.ExplainReport:
+        """Return how a call would be routed now, and why."""
+        now = trio.current_time()
+        normal_path = callpath.normalize_path(path.encode("utf-8", "replace"))
+        row = self._state.catalog.match(service, method, normal_path)
+        report: admin.ExplainReport = {
+            "service": service,
+            "method": method,
+            "path": normal_path,
+            "cls": "",
+            "is_idempotent": False,
+            "deadline_ms": 0,
+            "hedge_after_ms": 0,
+            "chosen": "",
+            "expected_ms": 0.0,
+            "policy": self._settings.routing_policy,
+            "candidates": [],
+            "reason": "",
+        }
+        if row is None:
+            report["reason"] = "no class matches the request"
+            return report
+        report["cls"] = row.request_class.name
+        report["is_idempotent"] = row.request_class.is_idempotent
+        report["deadline_ms"] = row.policy.deadline_ms
+        report["hedge_after_ms"] = row.policy.hedge_after_ms
+        decision = self._entry.choose(service, row.request_class.name, frozenset())
+        for candidate in self._directory.list_candidates(service):
+            report["candidates"].append(
+                {
+                    "endpoint": candidate.key,
+                    "zone": candidate.availability_zone,
+                    "is_suspected": candidate.is_suspected,
+                    **self._report_view(candidate.key, now),
+                }
+            )
+        if decision is None:
+            report["reason"] = f"no endpoint announces the service {service!r}"
+            return report
+        report["chosen"] = decision.candidate.key
+        report["expected_ms"] = decision.expected_ms
+        report["reason"] = (
+            f"best of {decision.n_considered} considered by {decision.policy}"
+        )
+        return report
+
+    def _list_classes(self) -> list[classes.RequestClass]:
+        return self._state.catalog.list_classes()
+
+    def _report_class(
+        self, request_class: classes.RequestClass, now: float
+    ) -> admin.ClassReport:
+        target = request_class.target
+        report = self._entry.statistics.report(request_class, now)
+        entry = self._state.catalog.get_entry(request_class.name)
+        achieved_ms = report.achieved_ms
+        return {
+            "name": request_class.name,
+            "service": request_class.service,
+            "revision": entry.revision if entry else 0,
+            "target_ms": target.latency_ms,
+            "percentile": target.percentile,
+            "n_calls": report.n_calls,
+            "n_failed": report.n_failed,
+            "share_within": round(report.share_within, 3),
+            "achieved_ms": None if math.isinf(achieved_ms) else round(achieved_ms, 2),
+            "holds": report.is_held,
+            "reason": self._explain_miss(request_class, report),
+        }
+
+    def _explain_miss(
+        self, request_class: classes.RequestClass, report: callpath.TargetReport
+    ) -> str:
+        """Return why a class misses its target, as far as this daemon can see."""
+        if report.is_held:
+            return ""
+        candidates = self._directory.list_candidates(request_class.service)
+        if not candidates:
+            return "no endpoint announces the service"
+        if report.n_failed > report.n_calls * (
+            1 - request_class.target.percentile / 100
+        ):
+            return f"{report.n_failed} of {report.n_calls} calls failed or were refused"
+        return "answers are slower than the target"
+
+    def _report_endpoint(
+        self, record: membership.EndpointRecord
+    ) -> admin.EndpointReport:
+        n_running: int | None = None
+        n_queued: int | None = None
+        if record.endpoint_id == self._state.table.own.endpoint_id:
+            n_running = self._endpoint.gate.n_running
+            n_queued = self._endpoint.gate.n_queued
+        else:
+            view = self._entry.router.get_view(record.key)
+            if view is not None and view.report is not None:
+                n_running = view.report.n_running
+                n_queued = view.report.n_queued
+        return {
+            "endpoint": record.endpoint_id,
+            "service": record.service,
+            "zone": record.availability_zone,
+            "region": record.region,
+            "state": "left" if record.is_final else record.state.name.lower(),
+            "slots": record.n_slots,
+            "incarnation": record.incarnation,
+            "is_suspected": record.is_suspected,
+            "is_contact": record.is_contact,
+            "n_running": n_running,
+            "n_queued": n_queued,
+        }
+
+    def _report_view(self, key: str, now: float) -> "admin.CandidateLoad":
+        view = self._entry.router.get_view(key)
+        if view is None:
+            return {
+                "n_outstanding": 0,
+                "n_reported": None,
+                "slowness": 1.0,
+                "network_ms": 0.0,
+            }
+        n_reported = None
+        if view.report is not None:
+            n_reported = view.report.n_running + view.report.n_queued
+        return {
+            "n_outstanding": view.n_outstanding,
+            "n_reported": n_reported,
+            "slowness": round(view.get_slowness(now), 3),
+            "network_ms": round(view.network_seconds * MS_PER_SECOND, 3),
+        }
--- /dev/null
+++ b/umberdrum/errors/_kinds.py
@@ -0,0 +1,174 @@
+"""Error kinds and the table from kind to answer."""
+
+import enum
+from typing import NamedTuple
+
+
+class Execution(enum.IntEnum):
+    """What is known about whether a request was run by an upstream.
+
+    ``NOT_RUN`` is a promise: it is stated only when no upstream has received any byte
+    of the request and none will. The numbers are part of the peer protocol.
+    """
+
+    NOT_RUN = 1
+    MAY_HAVE_RUN = 2
+    RAN = 3
+
+    @property
+    def token(self) -> str:
+        """Name of the value in headers, problem bodies and log lines."""
+        return self.name.lower().replace("_", "-")
+
+
+class ErrorKind(enum.IntEnum):
+    """Every way in which a call or an operator's command can fail.
+
+    The numbers are part of the peer protocol and are never reused.
+    """
+
+    MALFORMED_REQUEST = 1
+    HEAD_TOO_LARGE = 2
+    CALLER_TOO_SLOW = 3
+    UNKNOWN_SERVICE = 4
+    UNKNOWN_CLASS = 5
+    NO_ENDPOINT = 6
+    OVERLOADED = 7
+    DEADLINE_UNREACHABLE = 8
+    DEADLINE_EXCEEDED = 9
+    ENDPOINT_LEAVING = 10
+    STALE_INCARNATION = 11
+    UPSTREAM_UNREACHABLE = 12
+    UPSTREAM_BROKE_OFF = 13
+    UPSTREAM_INVALID_ANSWER = 14
+    LINK_BROKE = 15
+    OUTCOME_UNKNOWN = 16
+    DUPLICATE_REQUEST = 17
+    REQUEST_BARRED = 18
+    RECORD_FULL = 19
+    ATTEMPTS_EXHAUSTED = 20
+    INTERNAL = 21
+    PEER_NOT_AUTHENTIC = 22
+    STORE_UNAVAILABLE = 23
+    STORE_CONFLICT = 24
+    STORE_OUTCOME_UNKNOWN = 25
+    INVALID_CLASS = 26
+    INVALID_SETTINGS = 27
+    NOT_FOUND = 28
+    INVALID_ANNOUNCEMENT = 29
+    CALLER_GONE = 30
+    DAEMON_UNAVAILABLE = 31
+
+    @property
+    def token(self) -> str:
+        """Name of the kind in headers, problem bodies and log lines."""
+        return self.name.lower().replace("_", "-")
+
+
+class Answer(NamedTuple):
+    """What a caller is told for one error kind.
+
+    ``proxy_error`` is the error type of RFC 9209 for the Proxy-Status field.
+    """
+
+    status: int
+    title: str
+    proxy_error: str
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.MALFORMED_REQUEST: Answer(
+        400, "The request is not valid HTTP/1.1", "http_request_error"
+    ),
+    ErrorKind.HEAD_TOO_LARGE: Answer(
+        431, "The request head is too large", "http_request_error"
+    ),
+    ErrorKind.CALLER_TOO_SLOW: Answer(
+        408, "The caller sent the request too slowly", "http_request_error"
+    ),
+    ErrorKind.UNKNOWN_SERVICE: Answer(
+        404, "No class names this service", "destination_not_found"
+    ),
+    ErrorKind.UNKNOWN_CLASS: Answer(
+        404, "No class of the service matches the request", "destination_not_found"
+    ),
+    ErrorKind.NO_ENDPOINT: Answer(
+        503, "No endpoint serves this service now", "destination_unavailable"
+    ),
+    ErrorKind.OVERLOADED: Answer(
+        503, "Every slot and queue place is taken", "connection_limit_reached"
+    ),
+    ErrorKind.DEADLINE_UNREACHABLE: Answer(
+        503, "The deadline can't be met at the present load", "connection_limit_reached"
+    ),
+    ErrorKind.DEADLINE_EXCEEDED: Answer(
+        504, "The deadline passed before an answer arrived", "http_response_timeout"
+    ),
+    ErrorKind.ENDPOINT_LEAVING: Answer(
+        503, "The endpoint is leaving", "destination_unavailable"
+    ),
+    ErrorKind.STALE_INCARNATION: Answer(
+        503, "The endpoint was replaced by a newer one", "destination_unavailable"
+    ),
+    ErrorKind.UPSTREAM_UNREACHABLE: Answer(
+        502, "The upstream accepted no connection", "connection_refused"
+    ),
+    ErrorKind.UPSTREAM_BROKE_OFF: Answer(
+        502, "The upstream closed before its answer was whole", "connection_terminated"
+    ),
+    ErrorKind.UPSTREAM_INVALID_ANSWER: Answer(
+        502, "The upstream's answer is not valid HTTP/1.1", "http_protocol_error"
+    ),
+    ErrorKind.LINK_BROKE: Answer(
+        502, "The link between two daemons broke", "connection_terminated"
+    ),
+    ErrorKind.OUTCOME_UNKNOWN: Answer(
+        504, "Whether the request was run can't be found out", "connection_timeout"
+    ),
+    ErrorKind.DUPLICATE_REQUEST: Answer(
+        409, "A request with this id was already begun", "http_request_denied"
+    ),
+    ErrorKind.REQUEST_BARRED: Answer(
+        503, "The request was barred before it began", "http_request_denied"
+    ),
+    ErrorKind.RECORD_FULL: Answer(
+        503, "The record of request ids has no place left", "connection_limit_reached"
+    ),
+    ErrorKind.ATTEMPTS_EXHAUSTED: Answer(
+        503, "The attempts that the call may use are spent", "destination_unavailable"
+    ),
+    ErrorKind.INTERNAL: Answer(500, "The daemon failed", "proxy_internal_error"),
+    ErrorKind.PEER_NOT_AUTHENTIC: Answer(
+        403, "The peer does not hold the cluster key", "http_request_denied"
+    ),
+    ErrorKind.STORE_UNAVAILABLE: Answer(
+        503, "The platform's store does not answer", "destination_unavailable"
+    ),
+    ErrorKind.STORE_CONFLICT: Answer(
+        409, "The key was changed by another writer", "http_request_denied"
+    ),
+    ErrorKind.STORE_OUTCOME_UNKNOWN: Answer(
+        504, "Whether the change was stored is unknown", "connection_timeout"
+    ),
+    ErrorKind.INVALID_CLASS: Answer(
+        400, "The class is not valid", "http_request_error"
+    ),
+    ErrorKind.INVALID_SETTINGS: Answer(
+        400, "The settings are not valid", "http_request_error"
+    ),
+    ErrorKind.NOT_FOUND: Answer(404, "Not found", "destination_not_found"),
+    ErrorKind.INVALID_ANNOUNCEMENT: Answer(
+        400, "The announcement is not valid", "http_request_error"
+    ),
+    ErrorKind.DAEMON_UNAVAILABLE: Answer(
+        503, "The daemon does not answer", "destination_unavailable"
+    ),
+    ErrorKind.CALLER_GONE: Answer(
+        408, "The caller went away before its answer", "connection_terminated"
+    ),
+}
+
+
+def is_proven_not_run(execution: Execution) -> bool:
+    """Return whether a request may be sent to another endpoint without doubling it."""
+    return execution is Execution.NOT_RUN
--- /dev/null
+++ b/umberdrum/errors/_problem.py
@@ -0,0 +1,54 @@
+"""Problem bodies (RFC 9457) and Proxy-Status fields (RFC 9209) for refusals."""
+
+import json
+import math
+from typing import NamedTuple
+
+from umberdrum.errors import _failure, _kinds
+
+KIND_HEADER = b"umberdrum-error"
+EXECUTION_HEADER = b"umberdrum-execution"
+MS_PER_SECOND = 1000
+
+
+class ProblemAnswer(NamedTuple):
+    """Status, header fields and body of a refusal."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+def render_problem(
+    failure: _failure.Failure, daemon_id: str, request_id: str
+) -> ProblemAnswer:
+    """Return the HTTP answer that tells the caller of ``failure``.
+
+    The status comes from the table of kinds. The body is ``application/problem+json``.
+    """
+    answer = _kinds.ANSWERS[failure.kind]
+    body = json.dumps(
+        {
+            "type": f"urn:umberdrum:error:{failure.kind.token}",
+            "title": answer.title,
+            "status": answer.status,
+            "detail": failure.detail,
+            "kind": failure.kind.token,
+            "execution": failure.execution.token,
+            "request_id": request_id,
+        }
+    ).encode()
+    proxy_status = f'"{daemon_id}"; error={answer.proxy_error}'
+    headers = [
+        (b"content-type", b"application/problem+json"),
+        (b"content-length", str(len(body)).encode()),
+        (KIND_HEADER, failure.kind.token.encode()),
+        (EXECUTION_HEADER, failure.execution.token.encode()),
+        (b"proxy-status", proxy_status.encode()),
+    ]
+    if request_id:
+        headers.append((b"umberdrum-request-id", request_id.encode()))
+    if failure.retry_after_ms:
+        n_seconds = math.ceil(failure.retry_after_ms / MS_PER_SECOND)
+        headers.append((b"retry-after", str(n_seconds).encode()))
+    return ProblemAnswer(answer.status, headers, body)
--- /dev/null
+++ b/umberdrum/gossip/_exchange.py
@@ -0,0 +1,351 @@
+"""Periodic exchange of datagrams with a few peers, and detection of dead ones."""
+
+import math
+import random
+import socket
+from typing import NamedTuple
+
+import trio
+
+from umberdrum import logs, membership, peerlink, settings, wire
+from umberdrum.gossip import _budget, _datagram, _state, _synchronizer
+
+PERIOD_SECONDS = 0.3
+ANSWER_TIMEOUT_SECONDS = 0.4
+CONFIRM_TIMEOUT_SECONDS = 1.0
+N_HELPERS = 2
+SYNC_MIN_INTERVAL_SECONDS = 5.0
+SYNC_MAX_INTERVAL_SECONDS = 60.0
+MISMATCHES_BEFORE_SYNC = 4
+SAME_ZONE_SHARE = 0.6
+SAME_REGION_SHARE = 0.3
+SUSPECTED_PROBE_SHARE = 0.1
+BASE_MESSAGE_BYTES = 160
+FORGET_INTERVAL_SECONDS = 5.0
+
+
+class _Probe(NamedTuple):
+    """Question whose answer is awaited; ``requester`` asked for it, if any did."""
+
+    endpoint_id: str
+    process_id: int
+    sent_at: float
+    is_confirming: bool
+    requester: settings.Address | None
+
+
+class GossipExchange:
+    """Gossip of one daemon: one question and its answer a period, to one peer.
+
+    Questions and answers carry news and digests. A peer that does not answer is asked
+    again through two others; when that brings nothing either it is suspected. Where
+    digests differ for a while, a full synchronisation over a peer link mends it.
+
+    It compares no times of different machines.
+    """
+
+    def __init__(
+        self,
+        state: _state.SharedState,
+        synchronizer: _synchronizer.PeerSynchronizer,
+        codec: _datagram.DatagramCodec,
+        listen: settings.Address,
+        rng: random.Random,
+        log: logs.EventLog,
+    ) -> None:
+        self._state = state
+        self._synchronizer = synchronizer
+        self._codec = codec
+        self._listen = listen
+        self._rng = rng
+        self._log = log
+        self._socket: trio.socket.SocketType | None = None
+        self._sequence = 0
+        self._probes: dict[int, _Probe] = {}
+        self._urgent: set[str] = set()
+        self._n_mismatches = 0
+        self._last_mismatch_id = ""
+        self._next_sync_at = 0.0
+        self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
+        self._budget = _budget.ControlBudget(0.0)
+        self._wake = trio.Event()
+        self.n_bytes_sent = 0
+        self.n_bytes_received = 0
+
+    async def bind(self) -> None:
+        """Bind the UDP socket; raises ``OSError``."""
+        family = socket.AF_INET6 if ":" in self._listen.host else socket.AF_INET
+        sock = trio.socket.socket(family, socket.SOCK_DGRAM)
+        await sock.bind((self._listen.host, self._listen.port))
+        self._socket = sock
+
+    async def run(self) -> None:
+        """Exchange datagrams for ever."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._receive_forever)
+            nursery.start_soon(self._forget_forever)
+            while True:
+                self._wake = trio.Event()
+                with trio.move_on_after(self._draw_period()):
+                    await self._wake.wait()
+                await self._run_period(nursery)
+
+    def request_probe(self, endpoint_id: str) -> None:
+        """Ask the named daemon soon, because a call to it failed."""
+        if len(self._urgent) < N_HELPERS * 4:
+            self._urgent.add(endpoint_id)
+            self._wake.set()
+
+    async def introduce(self, address: settings.Address) -> None:
+        """Send the own record and news to a daemon that is not known yet."""
+        await self._ask(address, 0, None, None)
+
+    async def push_news(self, n_peers: int) -> None:
+        """Send news to a few peers at once, for a change that must not wait."""
+        members = self._list_members()
+        for record in self._rng.sample(members, min(n_peers, len(members))):
+            await self._ask(record.address, record.process_id, record, None)
+
+    async def _run_period(self, nursery: trio.Nursery) -> None:
+        now = trio.current_time()
+        await self._judge_probes(now)
+        while self._urgent:
+            record = self._state.table.get(self._urgent.pop())
+            if record is not None and record.is_live:
+                await self._ask(record.address, record.process_id, record, None)
+        record = self._choose_peer()
+        if record is not None:
+            await self._ask(record.address, record.process_id, record, None)
+        if self._should_sync(now):
+            nursery.start_soon(self._sync)
+
+    def _draw_period(self) -> float:
+        jitter = self._rng.uniform(0.8, 1.2)
+        if self._budget.get_available(trio.current_time()) < 0:
+            return PERIOD_SECONDS * 2 * jitter
+        return PERIOD_SECONDS * jitter
+
+    def _list_members(self) -> list[membership.EndpointRecord]:
+        own_id = self._state.table.own.endpoint_id
+        records = self._state.table.records
+        return [row for row in records if row.is_live and row.endpoint_id != own_id]
+
+    def _choose_peer(self) -> membership.EndpointRecord | None:
+        """Draw a peer: mostly of the own zone, some of the region, few of others."""
+        own = self._state.table.own
+        if self._rng.random() < SUSPECTED_PROBE_SHARE:
+            suspected = [
+                row
+                for row in self._state.table.records
+                if row.is_suspected and not row.is_final
+            ]
+            if suspected:
+                return self._rng.choice(suspected)
+        members = self._list_members()
+        if not members:
+            return None
+        same_zone: list[membership.EndpointRecord] = []
+        same_region: list[membership.EndpointRecord] = []
+        others: list[membership.EndpointRecord] = []
+        for row in members:
+            if row.region != own.region:
+                others.append(row)
+            elif row.availability_zone != own.availability_zone:
+                same_region.append(row)
+            else:
+                same_zone.append(row)
+        draw = self._rng.random()
+        if same_zone and draw < SAME_ZONE_SHARE:
+            return self._rng.choice(same_zone)
+        if same_region and draw < SAME_ZONE_SHARE + SAME_REGION_SHARE:
+            return self._rng.choice(same_region)
+        return self._rng.choice(others or members)
+
+    async def _ask(
+        self,
+        address: settings.Address,
+        process_id: int,
+        record: membership.EndpointRecord | None,
+        requester: settings.Address | None,
+    ) -> None:
+        """Send a question and await its answer in the background."""
+        message = self._build_message(process_id)
+        if record is not None:
+            self._probes[message.sequence] = _Probe(
+                record.endpoint_id,
+                record.process_id,
+                trio.current_time(),
+                False,
+                requester,
+            )
+            if record.is_suspected:
+                # The daemon must hear of the suspicion to answer it.
+                message.records.append(membership.encode_record(record))
+        await self._send(message, address)
+
+    def _build_message(self, process_id: int) -> wire.messages.Gossip:
+        self._sequence += 1
+        table = self._state.table
+        own = table.own
+        available = self._budget.get_available(trio.current_time())
+        room = _datagram.MAX_DATAGRAM_BYTES - BASE_MESSAGE_BYTES
+        max_bytes = int(min(room, available - BASE_MESSAGE_BYTES))
+        batch = self._state.news.take_batch(max_bytes, len(table))
+        return wire.messages.Gossip(
+            protocol_version=_datagram.PROTOCOL_VERSION,
+            sender_id=own.endpoint_id,
+            sender_process_id=own.process_id,
+            sequence=self._sequence,
+            membership_digest=table.digest,
+            catalog_digest=self._state.catalog.digest,
+            records=batch.records,
+            classes=batch.entries,
+            n_endpoints=len(table),
+            target_process_id=process_id,
+        )
+
+    async def _send(
+        self, message: wire.messages.Gossip, address: settings.Address
+    ) -> None:
+        if self._socket is None:
+            return
+        datagram = self._codec.encode(message)
+        n_bytes = len(datagram) + _datagram.PACKET_OVERHEAD_BYTES
+        self._budget.spend(n_bytes)
+        self.n_bytes_sent += n_bytes
+        try:
+            await self._socket.sendto(datagram, (address.host, address.port))
+        except OSError as fault:
+            self._log.warn("gossip_send", peer=str(address), reason=str(fault))
+
+    async def _receive_forever(self) -> None:
+        if self._socket is None:
+            raise RuntimeError("expected bind before run")
+        while True:
+            try:
+                datagram, sender = await self._socket.recvfrom(65_536)
+            except OSError:
+                # A peer's host reported its port closed; its silence is judged anyway.
+                continue
+            self.n_bytes_received += len(datagram) + _datagram.PACKET_OVERHEAD_BYTES
+            decoded = self._codec.decode(datagram)
+            if decoded.is_error():
+                self._log.warn(
+                    "datagram_refused",
+                    peer=f"{sender[0]}:{sender[1]}",
+                    reason=decoded.error.detail,
+                )
+                continue
+            await self._take_message(decoded.ok, settings.Address(*sender[:2]))
+
+    async def _take_message(
+        self, message: wire.messages.Gossip, sender: settings.Address
+    ) -> None:
+        now = trio.current_time()
+        self._state.take_records(message.records, now)
+        self._state.take_messages_of_entries(message.classes)
+        self._compare_digests(message)
+        if message.is_answer:
+            await self._take_answer(message)
+            return
+        if message.probe_for:
+            await self._help_probe(message, sender)
+            return
+        answer = self._build_message(message.sender_process_id)
+        answer.is_answer = True
+        answer.answers_sequence = message.sequence
+        held = self._state.table.clear_suspicion(
+            message.sender_id, message.sender_process_id, now
+        )
+        if held is not None:
+            answer.records.append(membership.encode_record(held))
+        await self._send(answer, sender)
+
+    async def _take_answer(self, message: wire.messages.Gossip) -> None:
+        if message.probe_for:
+            self._drop_probes(message.probe_for)
+            return
+        probe = self._probes.pop(message.answers_sequence, None)
+        if probe is None:
+            return
+        for sequence, other in list(self._probes.items()):
+            if other.endpoint_id == probe.endpoint_id and other.requester is None:
+                del self._probes[sequence]
+        if probe.requester is not None:
+            relay = self._build_message(0)
+            relay.is_answer = True
+            relay.probe_for = probe.endpoint_id
+            await self._send(relay, probe.requester)
+
+    async def _help_probe(
+        self, message: wire.messages.Gossip, sender: settings.Address
+    ) -> None:
+        """Ask the named daemon on behalf of the sender."""
+        record = self._state.table.get(message.probe_for)
+        if record is not None:
+            await self._ask(record.address, record.process_id, record, sender)
+
+    def _drop_probes(self, endpoint_id: str) -> None:
+        for sequence, probe in list(self._probes.items()):
+            if probe.endpoint_id == endpoint_id:
+                del self._probes[sequence]
+
+    async def _judge_probes(self, now: float) -> None:
+        """Look for unanswered questions: ask again through others, then suspect."""
+        for sequence, probe in list(self._probes.items()):
+            age = now - probe.sent_at
+            if probe.requester is not None:
+                if age > CONFIRM_TIMEOUT_SECONDS:
+                    del self._probes[sequence]
+                continue
+            if not probe.is_confirming and age > ANSWER_TIMEOUT_SECONDS:
+                self._probes[sequence] = probe._replace(is_confirming=True)
+                await self._ask_helpers(probe)
+            elif probe.is_confirming and age > CONFIRM_TIMEOUT_SECONDS:
+                del self._probes[sequence]
+                self._state.suspect(probe.endpoint_id, probe.process_id, now)
+
+    async def _ask_helpers(self, probe: _Probe) -> None:
+        members = [
+            row for row in self._list_members() if row.endpoint_id != probe.endpoint_id
+        ]
+        for record in self._rng.sample(members, min(N_HELPERS, len(members))):
+            message = self._build_message(record.process_id)
+            message.probe_for = probe.endpoint_id
+            await self._send(message, record.address)
+
+    def _compare_digests(self, message: wire.messages.Gossip) -> None:
+        table = self._state.table
+        is_same = (
+            message.membership_digest == table.digest
+            and message.catalog_digest == self._state.catalog.digest
+        )
+        if is_same:
+            self._n_mismatches = 0
+            self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
+            return
+        self._n_mismatches += 1
+        self._last_mismatch_id = message.sender_id
+
+    def _should_sync(self, now: float) -> bool:
+        if self._n_mismatches < MISMATCHES_BEFORE_SYNC or now < self._next_sync_at:
+            return False
+        size_factor = max(1.0, math.log2(len(self._state.table) + 1) / 4)
+        jitter = self._rng.uniform(0.5, 1.5)
+        self._next_sync_at = now + self._sync_interval * size_factor * jitter
+        self._sync_interval = min(SYNC_MAX_INTERVAL_SECONDS, self._sync_interval * 2)
+        self._n_mismatches = 0
+        return True
+
+    async def _sync(self) -> None:
+        record = self._state.table.get(self._last_mismatch_id)
+        if record is None:
+            return
+        peer = peerlink.PeerAddress(record.address, record.process_id)
+        await self._synchronizer.sync_with(peer, trio.current_time())
+
+    async def _forget_forever(self) -> None:
+        while True:
+            await trio.sleep(FORGET_INTERVAL_SECONDS)
+            for endpoint_id in self._state.table.forget_old(trio.current_time()):
+                self._log.write("endpoint_forgotten", endpoint=endpoint_id)
--- /dev/null
+++ b/umberdrum/gossip/_news.py
@@ -0,0 +1,86 @@
+"""Queue of changes that are still to be passed on."""
+
+import math
+from typing import NamedTuple
+
+from umberdrum import classes, membership, wire
+from umberdrum.gossip import _convert
+
+SENDS_PER_LOG2 = 3
+
+
+class NewsBatch(NamedTuple):
+    """Changes that fit into one datagram, and their encoded size in bytes."""
+
+    records: list[wire.messages.EndpointRecord]
+    entries: list[wire.messages.ClassEntry]
+    n_bytes: int
+
+
+class _Item:
+    """One change with the number of times that it was sent."""
+
+    __slots__ = ("entry", "n_bytes", "n_sends", "record")
+
+    def __init__(
+        self,
+        record: wire.messages.EndpointRecord | None,
+        entry: wire.messages.ClassEntry | None,
+    ) -> None:
+        self.record = record
+        self.entry = entry
+        self.n_sends = 0
+        size = 0
+        if record is not None:
+            size = record.ByteSize()
+        elif entry is not None:
+            size = entry.ByteSize()
+        self.n_bytes = size + 4
+
+
+class NewsQueue:
+    """Changes that this daemon passes on, the least often sent first.
+
+    A change is sent about three times the binary logarithm of the number of endpoints,
+    after which nearly all daemons have it; digests find those that have not. A newer
+    change of the same record or class replaces the older one.
+    """
+
+    def __init__(self) -> None:
+        self._items: dict[str, _Item] = {}
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def add_record(self, record: membership.EndpointRecord) -> None:
+        """Queue a record that has changed."""
+        message = membership.encode_record(record)
+        self._items["endpoint " + record.endpoint_id] = _Item(message, None)
+
+    def add_entry(self, entry: classes.CatalogEntry) -> None:
+        """Queue a class that has changed."""
+        message = _convert.encode_entry(entry)
+        self._items["class " + entry.name] = _Item(None, message)
+
+    def take_batch(self, max_bytes: int, n_endpoints: int) -> NewsBatch:
+        """Return changes of at most ``max_bytes`` and count them as sent once more."""
+        max_sends = SENDS_PER_LOG2 * math.ceil(math.log2(n_endpoints + 2))
+        batch = NewsBatch([], [], 0)
+        n_bytes = 0
+        by_sends = sorted(self._items.items(), key=_get_n_sends)
+        for name, item in by_sends:
+            if n_bytes + item.n_bytes > max_bytes:
+                continue
+            n_bytes += item.n_bytes
+            if item.record is not None:
+                batch.records.append(item.record)
+            if item.entry is not None:
+                batch.entries.append(item.entry)
+            item.n_sends += 1
+            if item.n_sends >= max_sends:
+                del self._items[name]
+        return batch._replace(n_bytes=n_bytes)
+
+
+def _get_n_sends(row: tuple[str, _Item]) -> int:
+    return row[1].n_sends
--- /dev/null
+++ b/umberdrum/gossip/_state.py
@@ -0,0 +1,84 @@
+"""State that daemons share: membership and the catalog of classes."""
+
+from collections.abc import Callable, Iterable
+
+from umberdrum import classes, logs, membership, wire
+from umberdrum.gossip import _convert, _news
+
+
+class SharedState:
+    """What one daemon knows and passes on, with the news that is still to be spread.
+
+    Everything that comes in, by datagram, synchronisation or from the store, goes
+    through ``take_records`` and ``take_entries``; what they accept is queued as news.
+    """
+
+    def __init__(self, table: membership.MembershipTable, log: logs.EventLog) -> None:
+        self.table = table
+        self.catalog = classes.Catalog()
+        self.news = _news.NewsQueue()
+        self._log = log
+        self._catalog_listeners: list[Callable[[classes.Catalog], None]] = []
+        self.news.add_record(table.own)
+
+    def add_catalog_listener(self, listener: Callable[[classes.Catalog], None]) -> None:
+        """Call ``listener`` with each new catalog."""
+        self._catalog_listeners.append(listener)
+
+    def publish_own(self, record: membership.EndpointRecord) -> None:
+        """Spread a new version of the own record."""
+        self.news.add_record(record)
+
+    def take_records(
+        self, messages: Iterable[wire.messages.EndpointRecord], now: float
+    ) -> None:
+        """Merge records that came from another daemon."""
+        records: list[membership.EndpointRecord] = []
+        for message in messages:
+            decoded = membership.decode_record(message)
+            if decoded.is_ok():
+                records.append(decoded.ok)
+        for record in self.table.merge(records, now):
+            self._note_change(record)
+
+    def suspect(self, endpoint_id: str, process_id: int, now: float) -> None:
+        """Spread the suspicion that a daemon does not answer."""
+        record = self.table.suspect(endpoint_id, process_id, now)
+        if record is not None:
+            self._note_change(record)
+
+    def take_messages_of_entries(
+        self, messages: Iterable[wire.messages.ClassEntry]
+    ) -> None:
+        """Merge classes that came from another daemon."""
+        self.take_entries([_convert.decode_entry(message) for message in messages])
+
+    def take_entries(self, entries: list[classes.CatalogEntry]) -> None:
+        """Merge classes, of which only higher revisions count."""
+        news = [entry for entry in entries if self.catalog.is_news(entry)]
+        if not news:
+            return
+        self.catalog = self.catalog.merge(news)
+        for entry in news:
+            self.news.add_entry(entry)
+            self._log.write(
+                "class_changed",
+                cls=entry.name,
+                revision=entry.revision,
+                deleted=entry.is_deleted,
+            )
+        for listener in self._catalog_listeners:
+            listener(self.catalog)
+
+    def _note_change(self, record: membership.EndpointRecord) -> None:
+        self.news.add_record(record)
+        self._log.write(
+            "endpoint_changed",
+            endpoint=record.endpoint_id,
+            service=record.service or None,
+            state=record.state.name.lower(),
+            suspected=record.is_suspected,
+            final=record.is_final,
+            incarnation=record.incarnation,
+            version=record.version,
+        )
--- /dev/null
+++ b/umberdrum/gossip/_synchronizer.py
@@ -0,0 +1,84 @@
+"""Full synchronisation of two daemons over a peer link."""
+
+from google.protobuf import message as protobuf_message
+
+from umberdrum import membership, peerlink, sockets, wire
+from umberdrum.gossip import _convert, _state
+
+SYNC_TIMEOUT_SECONDS = 2.0
+
+
+class PeerSynchronizer:
+    """Exchanges with one peer all that digests show to be different.
+
+    It is used when a daemon joins and, rarely, when deltas were lost. Only buckets
+    whose digests differ are sent.
+    """
+
+    def __init__(self, state: _state.SharedState, pool: peerlink.PeerLinkPool) -> None:
+        self._state = state
+        self._pool = pool
+        self.n_syncs = 0
+        self.n_bytes = 0
+
+    async def sync_with(self, peer: peerlink.PeerAddress, now: float) -> bool:
+        """Synchronise with ``peer``; False when it could not be reached."""
+        try:
+            link = await self._pool.open(peer)
+        except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError):
+            return False
+        try:
+            reply = await self._exchange(link)
+        except (sockets.ConnectionLostError, peerlink.FrameError):
+            return False
+        finally:
+            link.close()
+        if reply is None:
+            return False
+        self.n_syncs += 1
+        self._state.take_records(reply.records, now)
+        self._state.take_messages_of_entries(reply.classes)
+        return True
+
+    async def _exchange(
+        self, link: peerlink.PeerLink
+    ) -> wire.messages.SyncReply | None:
+        request = wire.messages.SyncRequest(
+            bucket_digests=self._state.table.bucket_digests,
+            catalog_digest=self._state.catalog.digest,
+            records=[membership.encode_record(self._state.table.own)],
+            classes=[_convert.encode_entry(row) for row in self._state.catalog.entries],
+        )
+        encoded = request.SerializeToString()
+        await link.channel.send(peerlink.FrameKind.SYNC_REQUEST, encoded)
+        frame = await link.channel.receive_within(SYNC_TIMEOUT_SECONDS)
+        if frame is None or frame.kind is not peerlink.FrameKind.SYNC_REPLY:
+            return None
+        self.n_bytes += len(encoded) + len(frame.head)
+        return _parse_reply(frame)
+
+    def answer_sync(
+        self, request: wire.messages.SyncRequest, now: float
+    ) -> wire.messages.SyncReply:
+        """Merge what the request brings and return what its sender lacks."""
+        reply = wire.messages.SyncReply()
+        table = self._state.table
+        theirs = list(request.bucket_digests)
+        for bucket, digest in enumerate(table.bucket_digests):
+            if bucket < len(theirs) and theirs[bucket] == digest:
+                continue
+            for record in table.list_bucket(bucket):
+                reply.records.append(membership.encode_record(record))
+        if request.catalog_digest != self._state.catalog.digest:
+            for entry in self._state.catalog.entries:
+                reply.classes.append(_convert.encode_entry(entry))
+        self._state.take_records(request.records, now)
+        self._state.take_messages_of_entries(request.classes)
+        return reply
+
+
+def _parse_reply(frame: peerlink.Frame) -> wire.messages.SyncReply:
+    try:
+        return wire.messages.SyncReply.FromString(frame.head)
+    except protobuf_message.DecodeError as fault:
+        raise peerlink.FrameError(f"sync reply: {fault}") from None
--- /dev/null
+++ b/umberdrum/logs/_writer.py
@@ -0,0 +1,61 @@
+"""Handler that keeps log writing off the path of calls."""
+
+import logging
+import os
+import time
+
+MAX_BUFFERED_BYTES = 1 << 20
+FLUSH_INTERVAL_SECONDS = 0.05
+
+
+class LineWriter(logging.Handler):
+    """Handler that buffers lines and writes them to a descriptor when flushed.
+
+    A call never waits for a slow reader: lines go to a bounded buffer, which a thread
+    of its own flushes at intervals of ``FLUSH_INTERVAL_SECONDS``. Lines that find the
+    buffer full are counted in ``n_dropped`` and left out.
+    """
+
+    def __init__(self, descriptor: int) -> None:
+        super().__init__()
+        self._descriptor = descriptor
+        self._lines: list[bytes] = []
+        self._n_buffered_bytes = 0
+        self.n_dropped = 0
+
+    @property
+    def has_lines(self) -> bool:
+        """Whether a flush has anything to write."""
+        return bool(self._lines)
+
+    def handle(self, record: logging.LogRecord) -> bool:
+        """Buffer one line without taking a lock; all events come from one thread."""
+        self.emit(record)
+        return True
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Buffer one line, or count it as dropped when the buffer is full."""
+        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        text = (
+            f"time={stamp}.{int(record.msecs):03d}Z "
+            f"level={record.levelname.lower()} {record.getMessage()}\n"
+        )
+        line = text.encode("utf-8", "backslashreplace")
+        if self._n_buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
+            self.n_dropped += 1
+            return
+        self._lines.append(line)
+        self._n_buffered_bytes += len(line)
+
+    def flush(self) -> None:
+        """Write all that is buffered; waits for a slow reader."""
+        lines = self._lines
+        self._lines = []
+        self._n_buffered_bytes = 0
+        view = memoryview(b"".join(lines))
+        while view:
+            try:
+                n_written = os.write(self._descriptor, view)
+            except OSError:
+                return
+            view = view[n_written:]
--- /dev/null
+++ b/umberdrum/peerlink/_handshake.py
@@ -0,0 +1,126 @@
+"""Mutual authentication of two daemons by the cluster key.
+
+Both sides send a fresh nonce. The side that accepts proves the key at once; the side
+that connects proves it with its first frame, whose tag is keyed with a value derived
+from both nonces. A recorded connection can therefore not be replayed.
+"""
+
+import hmac
+import secrets
+from typing import NamedTuple
+
+import trio
+from google.protobuf import message as protobuf_message
+
+from umberdrum import wire
+from umberdrum.peerlink import _channel
+
+PROTOCOL_VERSION = 1
+NONCE_BYTES = 16
+HANDSHAKE_TIMEOUT_SECONDS = 2.0
+
+
+class DaemonIdentity(NamedTuple):
+    """Name of a daemon and random number of its present process."""
+
+    daemon_id: str
+    process_id: int
+
+
+class PeerNotAuthenticError(Exception):
+    """The other side did not prove the cluster key or spoke another protocol."""
+
+
+class AcceptedPeer(NamedTuple):
+    """Peer that connected, with the number it gave this connection."""
+
+    identity: DaemonIdentity
+    connection_id: int
+
+
+async def open_handshake(
+    channel: _channel.FrameChannel,
+    own: DaemonIdentity,
+    connection_id: int,
+    cluster_key: bytes,
+) -> DaemonIdentity:
+    """Authenticate a connection that this daemon opened; return the peer's identity.
+
+    Raises ``PeerNotAuthenticError``, also when the peer does not answer in time.
+    """
+    hello = wire.messages.Hello(
+        protocol_version=PROTOCOL_VERSION,
+        daemon_id=own.daemon_id,
+        process_id=own.process_id,
+        nonce=secrets.token_bytes(NONCE_BYTES),
+        connection_id=connection_id,
+    ).SerializeToString()
+    await channel.send(_channel.FrameKind.HELLO, hello)
+    frame = await channel.receive_within(HANDSHAKE_TIMEOUT_SECONDS)
+    if frame is None or frame.kind is not _channel.FrameKind.WELCOME:
+        raise PeerNotAuthenticError("expected a welcome frame")
+    welcome = _decode_welcome(frame.head)
+    proof = welcome.proof
+    welcome.proof = b""
+    transcript = hello + welcome.SerializeToString()
+    if not hmac.compare_digest(proof, _derive(cluster_key, b"proof", transcript)):
+        raise PeerNotAuthenticError("the peer does not hold the cluster key")
+    channel.set_keys(
+        _derive(cluster_key, b"from-opener", transcript),
+        _derive(cluster_key, b"from-acceptor", transcript),
+    )
+    return DaemonIdentity(welcome.daemon_id, welcome.process_id)
+
+
+async def accept_handshake(
+    channel: _channel.FrameChannel, own: DaemonIdentity, cluster_key: bytes
+) -> AcceptedPeer:
+    """Authenticate a connection that a peer opened; return the peer.
+
+    The peer's own proof is the tag of its next frame, which the channel checks.
+    """
+    frame = None
+    with trio.move_on_after(HANDSHAKE_TIMEOUT_SECONDS):
+        frame = await channel.receive()
+    if frame is None or frame.kind is not _channel.FrameKind.HELLO:
+        raise PeerNotAuthenticError("expected a hello frame")
+    hello = _decode_hello(frame.head)
+    welcome = wire.messages.Welcome(
+        protocol_version=PROTOCOL_VERSION,
+        daemon_id=own.daemon_id,
+        process_id=own.process_id,
+        nonce=secrets.token_bytes(NONCE_BYTES),
+    )
+    transcript = frame.head + welcome.SerializeToString()
+    welcome.proof = _derive(cluster_key, b"proof", transcript)
+    await channel.send(_channel.FrameKind.WELCOME, welcome.SerializeToString())
+    channel.set_keys(
+        _derive(cluster_key, b"from-acceptor", transcript),
+        _derive(cluster_key, b"from-opener", transcript),
+    )
+    identity = DaemonIdentity(hello.daemon_id, hello.process_id)
+    return AcceptedPeer(identity, hello.connection_id)
+
+
+def _decode_hello(head: bytes) -> wire.messages.Hello:
+    try:
+        hello = wire.messages.Hello.FromString(head)
+    except protobuf_message.DecodeError as fault:
+        raise PeerNotAuthenticError(f"hello can't be decoded: {fault}") from None
+    if hello.protocol_version < 1 or len(hello.nonce) != NONCE_BYTES:
+        raise PeerNotAuthenticError("expected a protocol version and a nonce")
+    return hello
+
+
+def _decode_welcome(head: bytes) -> wire.messages.Welcome:
+    try:
+        welcome = wire.messages.Welcome.FromString(head)
+    except protobuf_message.DecodeError as fault:
+        raise PeerNotAuthenticError(f"welcome can't be decoded: {fault}") from None
+    if welcome.protocol_version < 1 or len(welcome.nonce) != NONCE_BYTES:
+        raise PeerNotAuthenticError("expected a protocol version and a nonce")
+    return welcome
+
+
+def _derive(cluster_key: bytes, purpose: bytes, transcript: bytes) -> bytes:
+    return hmac.digest(cluster_key, purpose + b"\0" + transcript, "sha256")
--- /dev/null
+++ b/umberdrum/retries/__init__.py
@@ -0,0 +1,17 @@
+"""Budget and allowance for retries and hedges, across a chain of calls."""
+
+from umberdrum.retries._allowance import (
+    DEFAULT_EXTRA_ATTEMPTS,
+    MAX_EXTRA_ATTEMPTS,
+    AttemptAllowance,
+)
+from umberdrum.retries._budget import RetryBudget
+from umberdrum.retries._rules import may_retry
+
+__all__ = [
+    "DEFAULT_EXTRA_ATTEMPTS",
+    "MAX_EXTRA_ATTEMPTS",
+    "AttemptAllowance",
+    "RetryBudget",
+    "may_retry",
+]
--- /dev/null
+++ b/umberdrum/retries/_rules.py
@@ -0,0 +1,30 @@
+"""Rule that says which failures may be followed by another attempt."""
+
+from umberdrum import errors
+
+_NEVER_RETRIED = frozenset(
+    (
+        errors.ErrorKind.MALFORMED_REQUEST,
+        errors.ErrorKind.HEAD_TOO_LARGE,
+        errors.ErrorKind.CALLER_TOO_SLOW,
+        errors.ErrorKind.UNKNOWN_SERVICE,
+        errors.ErrorKind.UNKNOWN_CLASS,
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+        errors.ErrorKind.DUPLICATE_REQUEST,
+        errors.ErrorKind.REQUEST_BARRED,
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        errors.ErrorKind.CALLER_GONE,
+    )
+)
+
+
+def may_retry(failure: errors.Failure, is_idempotent: bool) -> bool:
+    """Return whether another attempt is safe after ``failure``.
+
+    A non-idempotent request is tried again only when it is proven not run.
+    """
+    if failure.kind in _NEVER_RETRIED:
+        return False
+    if failure.execution is errors.Execution.NOT_RUN:
+        return True
+    return is_idempotent
--- /dev/null
+++ b/umberdrum/routing/_router.py
@@ -0,0 +1,82 @@
+"""Interface of routers and the values that pass through it."""
+
+from collections.abc import Sequence
+from typing import NamedTuple, Protocol
+
+from umberdrum.routing import _view
+
+
+class Candidate(NamedTuple):
+    """Endpoint that may take a call.
+
+    ``key`` names one incarnation of the endpoint. ``is_local`` marks the endpoint
+    beside this daemon, ``is_suspected`` one that is used only when no other is left.
+    """
+
+    key: str
+    availability_zone: str
+    region: str
+    n_slots: int
+    is_local: bool
+    is_suspected: bool
+
+
+class RoutingDecision(NamedTuple):
+    """Endpoint that was chosen, with what a log line says of the choice.
+
+    ``expected_ms`` is the expected finishing time, 0 for policies without one.
+    """
+
+    candidate: Candidate
+    expected_ms: float
+    n_considered: int
+    policy: str
+
+
+class OutstandingCall(NamedTuple):
+    """Handle of one attempt between ``begin`` and ``end``."""
+
+    key: str
+    class_name: str
+    call_number: int
+
+
+class Observation(NamedTuple):
+    """What an attempt showed when it ended.
+
+    ``upstream_seconds`` is the time at the upstream as its daemon measured it, 0 when
+    it is not known. ``is_abandoned`` marks an attempt whose answer was no longer
+    wanted; it tells only that the endpoint took longer than that.
+    """
+
+    total_seconds: float
+    upstream_seconds: float
+    is_error: bool
+    is_refused: bool
+    is_abandoned: bool
+    report: _view.LoadReport | None
+
+
+class Router(Protocol):
+    """Policy that chooses an endpoint for each attempt and learns from its end."""
+
+    def choose(
+        self,
+        class_name: str,
+        candidates: Sequence[Candidate],
+        excluded: frozenset[str],
+        now: float,
+    ) -> RoutingDecision | None:
+        """Return the choice among candidates outside ``excluded``, or None."""
+
+    def begin(self, key: str, class_name: str, now: float) -> OutstandingCall:
+        """Note that an attempt is sent to the endpoint ``key``."""
+
+    def end(self, call: OutstandingCall, seen: Observation, now: float) -> None:
+        """Note that the attempt ended and learn from what was seen."""
+
+    def forget(self, live_keys: frozenset[str]) -> None:
+        """Drop what is known of endpoints outside ``live_keys``."""
+
+    def get_view(self, key: str) -> _view.EndpointView | None:
+        """Return what is known of the endpoint ``key``."""
--- /dev/null
+++ b/umberdrum/settings/_address.py
@@ -0,0 +1,44 @@
+"""IP address with a port, the only way in which processes name each other."""
+
+import ipaddress
+from typing import NamedTuple
+
+MAX_PORT = 65_535
+
+
+class Address(NamedTuple):
+    """IP number and port, for TCP and UDP alike.
+
+    Example: ``Address("127.0.0.1", 7000)``, printed as ``127.0.0.1:7000``.
+    """
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        if ":" in self.host:
+            return f"[{self.host}]:{self.port}"
+        return f"{self.host}:{self.port}"
+
+    @property
+    def is_loopback(self) -> bool:
+        """Whether only processes of the same instance reach the address."""
+        return ipaddress.ip_address(self.host).is_loopback
+
+
+def parse_address(text: str) -> Address:
+    """Return the address that ``text`` spells, as ``IP:PORT`` or ``[IP]:PORT``.
+
+    Raises ``ValueError`` when the host is no IP number or the port is out of range.
+    """
+    host, separator, port_text = text.strip().rpartition(":")
+    if not separator:
+        raise ValueError(f"an address IP:PORT, found {text!r}")
+    try:
+        ip_number = ipaddress.ip_address(host.strip("[]"))
+        port = int(port_text)
+    except ValueError:
+        raise ValueError(f"an address IP:PORT, found {text!r}") from None
+    if not 0 <= port <= MAX_PORT:
+        raise ValueError(f"a port of 0 to {MAX_PORT}, found {port}")
+    return Address(str(ip_number), port)
--- /dev/null
+++ b/umberdrum/sockets/__init__.py
@@ -0,0 +1,16 @@
+"""TCP connections on which trio only waits for readiness."""
+
+from umberdrum.sockets._connection import (
+    Connection,
+    ConnectionLostError,
+    connect,
+)
+from umberdrum.sockets._listener import accept_connections, bind_tcp
+
+__all__ = [
+    "Connection",
+    "ConnectionLostError",
+    "accept_connections",
+    "bind_tcp",
+    "connect",
+]
--- /dev/null
+++ b/umberdrum/store/__init__.py
@@ -0,0 +1,27 @@
+"""The platform's key-value service, behind one interface."""
+
+from umberdrum.store._calls import StoreCallCounter
+from umberdrum.store._etcd import EtcdStore
+from umberdrum.store._store import (
+    KeyValue,
+    Lease,
+    Listing,
+    Store,
+    Swap,
+    Watch,
+    WatchBatch,
+    WatchEvent,
+)
+
+__all__ = [
+    "EtcdStore",
+    "KeyValue",
+    "Lease",
+    "Listing",
+    "Store",
+    "StoreCallCounter",
+    "Swap",
+    "Watch",
+    "WatchBatch",
+    "WatchEvent",
+]
--- /dev/null
+++ b/umberdrum/store/_etcd.py
@@ -0,0 +1,225 @@
+"""Store adapter for the JSON gateway of the etcd v3 protocol."""
+
+import base64
+import contextlib
+from collections.abc import AsyncIterator
+
+import expression
+
+from umberdrum import errors, jsonclient, settings
+from umberdrum.store import _calls, _store
+
+JsonObject = jsonclient.JsonObject
+
+
+class EtcdStore:
+    """Client of the etcd v3 JSON gateway over HTTP/1.1.
+
+    Calls use a kept connection where there is one; each watch uses one of its own.
+    """
+
+    def __init__(
+        self,
+        addresses: tuple[settings.Address, ...],
+        counter: _calls.StoreCallCounter,
+        timeout_seconds: float = 2.0,
+    ) -> None:
+        kinds = jsonclient.FailureKinds(
+            errors.ErrorKind.STORE_UNAVAILABLE, errors.ErrorKind.STORE_OUTCOME_UNKNOWN
+        )
+        self._client = jsonclient.JsonClient(addresses, timeout_seconds, kinds)
+        self.counter = counter
+
+    def close(self) -> None:
+        """Close kept connections."""
+        self._client.close()
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[_store.KeyValue | None, errors.Failure]:
+        """Return the key, or None if it does not exist."""
+        answer = await self._call("range", "/v3/kv/range", {"key": _encode(key)})
+        if answer.is_error():
+            return expression.Error(answer.error)
+        items = _read_items(answer.ok.get("kvs", []))
+        return expression.Ok(items[0] if items else None)
+
+    async def list_prefix(
+        self, prefix: str
+    ) -> expression.Result[_store.Listing, errors.Failure]:
+        """Return all keys that start with ``prefix``."""
+        body = {"key": _encode(prefix), "range_end": _encode_bytes(_find_end(prefix))}
+        answer = await self._call("range", "/v3/kv/range", body)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        revision = int(answer.ok.get("header", {}).get("revision", 0))
+        return expression.Ok(
+            _store.Listing(revision, tuple(_read_items(answer.ok.get("kvs", []))))
+        )
+
+    async def swap(
+        self, key: str, expected_revision: int, value: bytes, lease_id: int = 0
+    ) -> expression.Result[_store.Swap, errors.Failure]:
+        """Write the key if its ``mod_revision`` is as expected; 0: if it is absent."""
+        put: JsonObject = {"key": _encode(key), "value": _encode_bytes(value)}
+        if lease_id:
+            put["lease"] = str(lease_id)
+        return await self._change(key, expected_revision, {"request_put": put})
+
+    async def delete(
+        self, key: str, expected_revision: int
+    ) -> expression.Result[_store.Swap, errors.Failure]:
+        """Delete the key if its ``mod_revision`` is as expected."""
+        operation = {"request_delete_range": {"key": _encode(key)}}
+        return await self._change(key, expected_revision, operation)
+
+    async def grant_lease(
+        self, ttl_seconds: int
+    ) -> expression.Result[_store.Lease, errors.Failure]:
+        """Return a new lease."""
+        body = {"TTL": str(ttl_seconds)}
+        answer = await self._call("lease_grant", "/v3/lease/grant", body, is_write=True)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        lease = _store.Lease(int(answer.ok["ID"]), int(answer.ok.get("TTL", 0)))
+        return expression.Ok(lease)
+
+    async def keep_alive(
+        self, lease_id: int
+    ) -> expression.Result[_store.Lease, errors.Failure]:
+        """Extend a lease; ``ttl_seconds`` of the result is 0 when it has lapsed."""
+        body = {"ID": str(lease_id)}
+        answer = await self._call("lease_keepalive", "/v3/lease/keepalive", body)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        result = answer.ok.get("result", {})
+        return expression.Ok(_store.Lease(lease_id, int(result.get("TTL", 0))))
+
+    async def revoke_lease(
+        self, lease_id: int
+    ) -> expression.Result[None, errors.Failure]:
+        """End a lease and delete its keys."""
+        body = {"ID": str(lease_id)}
+        answer = await self._call(
+            "lease_revoke", "/v3/lease/revoke", body, is_write=True
+        )
+        if answer.is_error():
+            return expression.Error(answer.error)
+        return expression.Ok(None)
+
+    @contextlib.asynccontextmanager
+    async def watch(
+        self, prefix: str, from_revision: int
+    ) -> AsyncIterator["_EtcdWatch"]:
+        """Open a watch of all changes of a prefix from a revision on."""
+        self.counter.count("watch")
+        body = {
+            "create_request": {
+                "key": _encode(prefix),
+                "range_end": _encode_bytes(_find_end(prefix)),
+                "start_revision": str(from_revision),
+                "progress_notify": True,
+            }
+        }
+        async with self._client.open_stream("/v3/watch", body) as stream:
+            yield _EtcdWatch(stream)
+
+    async def _change(
+        self, key: str, expected_revision: int, operation: JsonObject
+    ) -> expression.Result[_store.Swap, errors.Failure]:
+        encoded = _encode(key)
+        body = {
+            "compare": [
+                {
+                    "key": encoded,
+                    "target": "MOD",
+                    "result": "EQUAL",
+                    "mod_revision": str(expected_revision),
+                }
+            ],
+            "success": [operation],
+            "failure": [{"request_range": {"key": encoded}}],
+        }
+        answer = await self._call("txn", "/v3/kv/txn", body, is_write=True)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        revision = int(answer.ok.get("header", {}).get("revision", 0))
+        if answer.ok.get("succeeded"):
+            return expression.Ok(_store.Swap(True, revision, None))
+        found = None
+        for response in answer.ok.get("responses", []):
+            items = _read_items(response.get("response_range", {}).get("kvs", []))
+            if items:
+                found = items[0]
+        return expression.Ok(_store.Swap(False, revision, found))
+
+    async def _call(
+        self, operation: str, path: str, body: JsonObject, is_write: bool = False
+    ) -> expression.Result[JsonObject, errors.Failure]:
+        self.counter.count(operation)
+        answer = await self._client.post(path, body, is_write)
+        if answer.is_error():
+            self.counter.count_failure()
+        return answer
+
+
+class _EtcdWatch:
+    """Watch over one streamed answer of the gateway."""
+
+    def __init__(self, stream: jsonclient.JsonStream) -> None:
+        self._stream = stream
+
+    async def receive(
+        self,
+    ) -> expression.Result[_store.WatchBatch, errors.Failure]:
+        """Return the next batch, or the failure that ended the watch."""
+        while True:
+            received = await self._stream.receive()
+            if received.is_error():
+                return expression.Error(received.error)
+            result = received.ok.get("result", {})
+            compacted = int(result.get("compact_revision", 0))
+            if result.get("canceled") and not compacted:
+                reason = str(result.get("cancel_reason", "no reason given"))
+                return expression.Error(_fail_read(f"watch cancelled: {reason}"))
+            revision = int(result.get("header", {}).get("revision", 0))
+            events = tuple(_read_event(event) for event in result.get("events", []))
+            if events or compacted:
+                return expression.Ok(_store.WatchBatch(events, revision, compacted))
+
+
+def _read_event(event: JsonObject) -> _store.WatchEvent:
+    item = _read_items([event.get("kv", {})])[0]
+    return _store.WatchEvent(item, event.get("type") == "DELETE")
+
+
+def _read_items(rows: list[JsonObject]) -> list[_store.KeyValue]:
+    items: list[_store.KeyValue] = []
+    for row in rows:
+        items.append(
+            _store.KeyValue(
+                base64.b64decode(row.get("key", "")).decode("utf-8", "replace"),
+                base64.b64decode(row.get("value", "")),
+                int(row.get("mod_revision", 0)),
+                int(row.get("lease", 0)),
+            )
+        )
+    return items
+
+
+def _find_end(prefix: str) -> bytes:
+    """Return the key just after all keys that start with ``prefix``."""
+    raw = prefix.encode()
+    return raw[:-1] + bytes([raw[-1] + 1])
+
+
+def _encode(key: str) -> str:
+    return _encode_bytes(key.encode())
+
+
+def _encode_bytes(raw: bytes) -> str:
+    return base64.b64encode(raw).decode("ascii")
+
+
+def _fail_read(detail: str) -> errors.Failure:
+    return errors.fail(errors.ErrorKind.STORE_UNAVAILABLE, detail)
--- /dev/null
+++ b/umberdrum_bench/upstream.py
@@ -0,0 +1,265 @@
+"""Upstream stand-in: a small HTTP server with slots, service times and a run record."""
+
+import argparse
+import hashlib
+import json
+import os
+import random
+import signal
+import sys
+from collections.abc import Sequence
+from typing import NamedTuple
+
+import h11
+import trio
+
+from umberdrum import settings, sockets
+
+ANNOUNCE_SECONDS = 0.5
+MAX_CONNECTIONS = 1000
+
+
+class WorkKind(NamedTuple):
+    """Work that a path stands for: its mean time at the upstream in seconds."""
+
+    path_prefix: str
+    mean_seconds: float
+
+
+WORK_KINDS = (
+    WorkKind("/cards", 0.002),
+    WorkKind("/accounts", 0.002),
+    WorkKind("/payments", 0.008),
+    WorkKind("/transfers", 0.008),
+    WorkKind("/photos", 0.02),
+    WorkKind("/statements", 0.05),
+    WorkKind("/checks", 0.001),
+    WorkKind("/", 0.0),
+)
+
+
+class UpstreamOptions(NamedTuple):
+    """How one upstream stand-in behaves."""
+
+    listen: settings.Address
+    announce: settings.Address | None
+    service: str
+    n_slots: int
+    record_path: str
+    seed: int
+    is_instant: bool
+
+
+class UpstreamStandIn:
+    """Serves calls, at most ``n_slots`` at once, and records each one that it runs.
+
+    The record is a file with one line for each begin and end, written at once, so that
+    it outlives a kill. ``POST /standin/slow`` with ``{"factor": 10}`` makes it slower,
+    ``{"fail": true}`` makes it answer 500 at once.
+    """
+
+    def __init__(self, options: UpstreamOptions) -> None:
+        self._options = options
+        self._slots = trio.CapacityLimiter(options.n_slots)
+        self._rng = random.Random(options.seed)
+        self._record = -1
+        if options.record_path:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            self._record = os.open(options.record_path, flags, 0o644)
+        self.state = "serving"
+        self.slow_factor = 1.0
+        self.is_failing = False
+        self.n_running = 0
+
+    async def serve(self, connection: sockets.Connection) -> None:
+        """Serve one connection until it ends."""
+        http = h11.Connection(h11.SERVER)
+        while True:
+            head = await _receive_event(connection, http)
+            if not isinstance(head, h11.Request):
+                return
+            await self._serve_request(connection, http, head)
+            if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    async def announce_forever(self) -> None:
+        """Repeat the announcement to the daemon beside this upstream."""
+        while True:
+            await self.announce_once()
+            await trio.sleep(ANNOUNCE_SECONDS)
+
+    async def announce_once(self) -> None:
+        """Send one announcement; a daemon that is not there is passed over."""
+        announce = self._options.announce
+        if announce is None:
+            return
+        document = {
+            "service": self._options.service,
+            "address": str(self._options.listen),
+            "slots": self._options.n_slots,
+            "state": self.state,
+        }
+        body = json.dumps(document).encode()
+        request = (
+            f"PUT /v1/upstream HTTP/1.1\r\nhost: {announce}\r\n"
+            f"content-length: {len(body)}\r\nconnection: close\r\n\r\n"
+        ).encode() + body
+        try:
+            connection = await sockets.connect(announce, 0.5)
+        except sockets.ConnectionLostError:
+            return
+        try:
+            with trio.move_on_after(0.5):
+                await connection.send(request)
+                while await connection.receive():
+                    pass
+        except sockets.ConnectionLostError:
+            return
+        finally:
+            connection.close()
+
+    async def handle_signals(self, scope: trio.CancelScope) -> None:
+        """SIGUSR1 drains this upstream; SIGTERM ends it."""
+        wanted = (signal.SIGTERM, signal.SIGUSR1)
+        with trio.open_signal_receiver(*wanted) as received:
+            async for number in received:
+                if number == signal.SIGTERM:
+                    scope.cancel()
+                    return
+                self.state = "draining"
+                await self.announce_once()
+
+    async def _serve_request(
+        self, connection: sockets.Connection, http: h11.Connection, head: h11.Request
+    ) -> None:
+        path = bytes(head.target).decode("latin-1")
+        request_id = _find_header(head, b"umberdrum-request-id") or "-"
+        nonce = _find_header(head, b"x-nonce") or "-"
+        is_control = path.startswith("/standin/")
+        if not is_control:
+            self._write_record("begin", request_id, nonce)
+        hasher = hashlib.sha256()
+        raw = b""
+        n_bytes = 0
+        while True:
+            event = await _receive_event(connection, http)
+            if not isinstance(event, h11.Data):
+                break
+            hasher.update(event.data)
+            n_bytes += len(event.data)
+            if is_control:
+                raw += bytes(event.data)
+        if not isinstance(event, h11.EndOfMessage):
+            self._write_record("cut", request_id, nonce)
+            return
+        if is_control:
+            self._switch(json.loads(raw or b"{}"))
+            await _send_answer(connection, http, 200, b"{}")
+            return
+        if self.is_failing:
+            await _send_answer(connection, http, 500, b'{"error": "failing fast"}')
+            return
+        await self._work(path)
+        answer = {"nonce": nonce, "n_bytes": n_bytes, "sha256": hasher.hexdigest()}
+        self._write_record("end", request_id, nonce)
+        await _send_answer(connection, http, 200, json.dumps(answer).encode())
+
+    async def _work(self, path: str) -> None:
+        if self._options.is_instant:
+            return
+        async with self._slots:
+            self.n_running += 1
+            try:
+                mean_seconds = _find_mean_seconds(path)
+                seconds = self._rng.lognormvariate(0.0, 0.25) * mean_seconds
+                await trio.sleep(seconds * self.slow_factor)
+            finally:
+                self.n_running -= 1
+
+    def _switch(self, body: dict[str, object]) -> None:
+        self.slow_factor = float(str(body.get("factor", self.slow_factor)))
+        self.is_failing = bool(body.get("fail", self.is_failing))
+
+    def _write_record(self, event: str, request_id: str, nonce: str) -> None:
+        if self._record >= 0:
+            os.write(self._record, f"{event} {request_id} {nonce}\n".encode())
+
+
+async def _receive_event(
+    connection: sockets.Connection, http: h11.Connection
+) -> object:
+    while True:
+        event = http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        http.receive_data(await connection.receive())
+
+
+async def _send_answer(
+    connection: sockets.Connection, http: h11.Connection, status: int, body: bytes
+) -> None:
+    headers = [
+        ("content-type", "application/json"),
+        ("content-length", str(len(body))),
+    ]
+    data = http.send(h11.Response(status_code=status, headers=headers)) or b""
+    data += http.send(h11.Data(data=body)) or b""
+    data += http.send(h11.EndOfMessage()) or b""
+    await connection.send(data)
+
+
+def _find_header(head: h11.Request, wanted: bytes) -> str:
+    for name, value in head.headers:
+        if name == wanted:
+            return value.decode("latin-1")
+    return ""
+
+
+def _find_mean_seconds(path: str) -> float:
+    for kind in WORK_KINDS:
+        if path.startswith(kind.path_prefix):
+            return kind.mean_seconds
+    return 0.0
+
+
+async def run_upstream(options: UpstreamOptions) -> None:
+    """Serve until SIGTERM."""
+    standin = UpstreamStandIn(options)
+    listener = sockets.bind_tcp(options.listen)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(standin.handle_signals, nursery.cancel_scope)
+        nursery.start_soon(standin.announce_forever)
+        nursery.start_soon(
+            sockets.accept_connections, listener, standin.serve, MAX_CONNECTIONS
+        )
+
+
+def run_program(arguments: Sequence[str] | None = None) -> int:
+    """Run the upstream stand-in as a process."""
+    parser = argparse.ArgumentParser(prog="umberdrum-upstream-standin")
+    parser.add_argument("--listen", required=True, type=settings.parse_address)
+    parser.add_argument("--announce", type=settings.parse_address)
+    parser.add_argument("--service", default="cards")
+    parser.add_argument("--slots", type=int, default=6)
+    parser.add_argument("--record", default="")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--instant", action="store_true")
+    options = parser.parse_args(arguments)
+    trio.run(
+        run_upstream,
+        UpstreamOptions(
+            options.listen,
+            options.announce,
+            options.service,
+            options.slots,
+            options.record,
+            options.seed,
+            options.instant,
+        ),
+    )
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(run_program())
