--- a/umberdrum/callpath/_call.py
+++ b/umberdrum/callpath/_call.py
@@ -83,7 +83,11 @@
 
     @property
     def is_complete(self) -> bool:
-        """Whether ``initial`` is the whole body, so that it can be sent again."""
+        """Whether ``initial`` is the whole body."""
+
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Whether nothing after ``initial`` was received yet."""
 
     async def receive(self) -> bytes:
         """Return the next bytes after ``initial``, or none at the end.
@@ -97,6 +101,7 @@
 
     initial: bytes
     is_complete: bool = True
+    can_be_sent_again: bool = True
 
     async def receive(self) -> bytes:
         """Return no bytes: there are none after ``initial``."""
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -252,6 +252,12 @@
     def __init__(self, exchange: _CallerExchange, initial: bytes) -> None:
         self._exchange = exchange
         self._initial = initial
+        self._is_touched = False
+
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Whether nothing after ``initial`` was received yet."""
+        return not self._is_touched
 
     @property
     def initial(self) -> bytes:
@@ -265,6 +271,7 @@
 
     async def receive(self) -> bytes:
         """Return the next bytes; raises ``BodyLostError``."""
+        self._is_touched = True
         try:
             return await self._exchange.receive_body()
         except sockets.ConnectionLostError as fault:
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -211,6 +211,7 @@
         self._allowance = retries.AttemptAllowance(n_extra)
         self._tried: set[str] = set()
         self._n_attempts = 0
+        self._may_have_run = False
 
     async def run(self) -> _endpoint.CallResult:
         """Return the end of the call: a report, or the failure that is final."""
@@ -223,6 +224,7 @@
             result = await self._make_attempt(decision)
             if result.is_ok():
                 return result
+            result = self._join_execution(result.error)
             if not self._may_go_on(result.error):
                 return result
             last = result
@@ -252,12 +254,26 @@
         due_at = trio.current_time() + self._get_hedge_delay()
         self._entry.hedger.schedule(race, due_at)
         first = race.enter()
-        with first.scope:
-            result = await self._entry.attempt(
-                call, decision, self._body, first.sink, index
-            )
-            race.leave(first, result)
-        return await race.wait_for_result(first)
+        try:
+            with first.scope:
+                result = await self._entry.attempt(
+                    call, decision, self._body, first.sink, index
+                )
+                race.leave(first, result)
+            return await race.wait_for_result(first)
+        finally:
+            race.close()
+
+    def _join_execution(self, failure: errors.Failure) -> _endpoint.CallResult:
+        """Return the failure with what is known of all attempts together.
+
+        The last attempt may be proven not run while an earlier one may have run.
+        """
+        if failure.execution is not errors.Execution.NOT_RUN:
+            self._may_have_run = True
+        elif self._may_have_run:
+            failure = failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
+        return expression.Error(failure)
 
     def _get_hedge_delay(self) -> float:
         return self._row.policy.hedge_after_ms / MS_PER_SECOND
@@ -287,7 +303,7 @@
 
     def _may_go_on(self, failure: errors.Failure) -> bool:
         """Return whether another attempt is safe, allowed and paid for."""
-        if self._sink.is_started or not self._body.is_complete:
+        if self._sink.is_started or not self._body.can_be_sent_again:
             return False
         if not retries.may_retry(failure, self._call.is_idempotent):
             return False
--- a/umberdrum/callpath/_hedging.py
+++ b/umberdrum/callpath/_hedging.py
@@ -4,8 +4,10 @@
 import itertools
 from collections.abc import Awaitable, Callable
 
+import expression
 import trio
 
+from umberdrum import errors
 from umberdrum.callpath import _call, _endpoint, _peer_leg
 
 
@@ -34,6 +36,7 @@
         self._runners: list[Runner] = []
         self._n_running = 0
         self._result: _endpoint.CallResult | None = None
+        self._may_have_run = False
         self._over = trio.Event()
         self.winner: Runner | None = None
 
@@ -61,6 +64,8 @@
     def leave(self, runner: Runner, result: "_endpoint.CallResult | None") -> None:
         """Note the end of a runner; None stands for one that was cancelled."""
         self._n_running -= 1
+        if result is None or _may_have_run(result):
+            self._may_have_run = True
         is_decisive = self.winner in (None, runner)
         if result is not None and is_decisive:
             self._result = result
@@ -73,13 +78,26 @@
             await self._start_second(self)
 
     async def wait_for_result(self, first: Runner) -> _endpoint.CallResult:
-        """Return the result of the winner, or the last failure when none won."""
+        """Return the result of the winner, or the last failure when none won.
+
+        A failure says "not run" only if no attempt of the race may have run.
+        """
         if first.scope.cancelled_caught:
             self.leave(first, None)
         await self._over.wait()
-        if self._result is None:
-            raise trio.TooSlowError("every attempt of the race was cancelled")
-        return self._result
+        result = self._result
+        if result is None:
+            detail = "every attempt was cancelled"
+            result = expression.Error(errors.fail(errors.ErrorKind.INTERNAL, detail))
+        if result.is_error() and self._may_have_run:
+            execution = errors.Execution.MAY_HAVE_RUN
+            return expression.Error(result.error._replace(execution=execution))
+        return result
+
+    def close(self) -> None:
+        """Cancel whatever still runs, because the call has ended."""
+        for runner in self._runners:
+            runner.scope.cancel()
 
 
 class Hedger:
@@ -143,3 +161,9 @@
     async def finish(self) -> None:
         """Pass the end on."""
         await self._sink.finish()
+
+
+def _may_have_run(result: _endpoint.CallResult) -> bool:
+    if result.is_ok():
+        return True
+    return result.error.execution is not errors.Execution.NOT_RUN
--- a/umberdrum/callpath/_peer_server.py
+++ b/umberdrum/callpath/_peer_server.py
@@ -260,6 +260,11 @@
         """Whether the head brought the whole body: it did not."""
         return False
 
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Whether nothing was received yet; endpoint daemons never send again."""
+        return False
+
     async def receive(self) -> bytes:
         """Return the bytes of the next body frame, or none at the end."""
         if self.is_ended:
--- a/umberdrum/commandline/_daemon_commands.py
+++ b/umberdrum/commandline/_daemon_commands.py
@@ -114,19 +114,18 @@
 def _merge_reports(
     reports: list[admin.StatusReport], unreachable: list[str]
 ) -> StatusOutput:
-    """Join what several daemons report: the worst of a class, each endpoint once."""
-    worst: dict[str, admin.ClassReport] = {}
+    """Join what several daemons report: calls are added up, endpoints stand once."""
+    joined: dict[str, admin.ClassReport] = {}
     endpoints: dict[str, admin.EndpointReport] = {}
     for report in reports:
         for row in report["classes"]:
-            held = worst.get(row["name"])
-            if held is None or row["share_within"] < held["share_within"]:
-                worst[row["name"]] = row
+            held = joined.get(row["name"])
+            joined[row["name"]] = row if held is None else _join_class(held, row)
         for endpoint in report["endpoints"]:
             is_own = endpoint["endpoint"] == report["daemon"]
             if is_own or endpoint["endpoint"] not in endpoints:
                 endpoints[endpoint["endpoint"]] = endpoint
-    class_rows = [worst[name] for name in sorted(worst)]
+    class_rows = [joined[name] for name in sorted(joined)]
     return {
         "classes": class_rows,
         "endpoints": [endpoints[name] for name in sorted(endpoints)],
@@ -136,6 +135,27 @@
     }
 
 
+def _join_class(left: admin.ClassReport, right: admin.ClassReport) -> admin.ClassReport:
+    """Return the report of both daemons' calls; the slower achieved latency counts."""
+    n_calls = left["n_calls"] + right["n_calls"]
+    n_within = left["share_within"] * left["n_calls"]
+    n_within += right["share_within"] * right["n_calls"]
+    newer = left if left["revision"] >= right["revision"] else right
+    share_within = n_within / n_calls if n_calls else 100.0
+    achieved: float | None = None
+    if left["achieved_ms"] is not None and right["achieved_ms"] is not None:
+        achieved = max(left["achieved_ms"], right["achieved_ms"])
+    return {
+        **newer,
+        "n_calls": n_calls,
+        "n_failed": left["n_failed"] + right["n_failed"],
+        "share_within": round(share_within, 3),
+        "achieved_ms": achieved,
+        "holds": share_within >= newer["percentile"],
+        "reason": left["reason"] or right["reason"],
+    }
+
+
 def _render_status(output: StatusOutput) -> str:
     text = _render.render_table(output["classes"])
     text += "\n" + _render.render_table(output["endpoints"])
