Find the other zones' contacts soon after a start of everything

Cause: two daemons of different zones that started at the same moment each listed the contacts before the other had claimed a key, and listed again only after some 30 s.

Change: a contact lists the others right after its claim, then at intervals that grow from 1 s to 30 s; a daemon that finds all keys of its zone taken introduces itself to their holders.

Conclusion: of two contacts that claim at once, the later one's list finds the earlier one. A test of this belongs into the fault matrix.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -14,7 +14,8 @@
 CLAIM_CHECK_SECONDS = 1.0
 CLAIM_SPREAD_PER_MEMBER_SECONDS = 0.1
 MAX_CLAIM_SPREAD_SECONDS = 10.0
-LIST_INTERVAL_SECONDS = 30.0
+MIN_LIST_INTERVAL_SECONDS = 1.0
+MAX_LIST_INTERVAL_SECONDS = 30.0
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 30.0
 
@@ -115,7 +116,11 @@
         if listed.is_error():
             self._log.warn("store_read", reason=listed.error.detail)
             return False
-        for item in listed.ok.items:
+        await self._introduce_to_holders(listed.ok.items)
+        return True
+
+    async def _introduce_to_holders(self, items: tuple[store.KeyValue, ...]) -> None:
+        for item in items:
             try:
                 address = settings.parse_address(item.value.decode("utf-8", "replace"))
             except ValueError:
@@ -123,7 +128,6 @@
             held = self._state.table.get(str(address))
             if held is None or not held.is_live:
                 await self._introduce(address)
-        return True
 
     async def _introduce(self, address: settings.Address) -> None:
         if str(address) != self._state.table.own.endpoint_id:
@@ -146,6 +150,7 @@
         if listed.is_error():
             self._log.warn("store_read", reason=listed.error.detail)
             return False
+        await self._introduce_to_holders(listed.ok.items)
         taken = {item.key for item in listed.ok.items}
         own_address = self._state.table.own.endpoint_id.encode()
         for index in range(self._keys.n_contacts):
@@ -192,9 +197,16 @@
                 self._lease_id = 0
 
     async def _list_forever(self) -> None:
+        """List the contacts, often at first and then at long intervals.
+
+        The list follows the claim, so that of two contacts that claimed at the same
+        moment at least one finds the other.
+        """
+        interval = MIN_LIST_INTERVAL_SECONDS
         while True:
-            await trio.sleep(LIST_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5))
             await self._meet_contacts()
+            await trio.sleep(interval * self._rng.uniform(0.5, 1.5))
+            interval = min(MAX_LIST_INTERVAL_SECONDS, interval * 2)
 
     def _change_contact(self, is_contact: bool) -> None:
         now = trio.current_time()
