Watch silent links and deadlines from one task instead of timers in each call

Cause: a profile of the entry daemon showed cancel scopes at about a tenth of a call's processor time (two for each frame awaited, one for the deadline) and `logging` gathering thread, process and source fields that no line shows.

Change: one task looks at all peer links in use every 50 ms and closes those that are silent or past their deadline; it sleeps while there is no call. Log records skip unused fields. `umberdrum-bench cost` and `memory` read processor time and memory from the system.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -134,10 +134,7 @@
         handle = self.router.begin(candidate.key, call.class_name, began_at)
         result: _endpoint.CallResult | None = None
         try:
-            with trio.move_on_at(call.deadline + _peer_leg.DEADLINE_GRACE_SECONDS):
-                result = await self._send(call, candidate, body, sink)
-            if result is None:
-                result = expression.Error(_report_deadline(call))
+            result = await self._send(call, candidate, body, sink)
         finally:
             now = trio.current_time()
             seen = _observe(result, now - began_at)
@@ -382,11 +379,3 @@
     if result.is_ok():
         return str(result.ok.status)
     return f"{result.error.kind.token}/{result.error.execution.token}"
-
-
-def _report_deadline(call: _call.Call) -> errors.Failure:
-    return errors.fail(
-        errors.ErrorKind.DEADLINE_EXCEEDED,
-        f"request {call.request_id} was not answered by its deadline",
-        errors.Execution.MAY_HAVE_RUN,
-    )
--- a/umberdrum/callpath/_liveness.py
+++ b/umberdrum/callpath/_liveness.py
@@ -1,22 +1,63 @@
-"""Watch over the connections of calls in progress."""
+"""Watch over the calls in progress: callers that leave, deadlines and silent peers."""
 
 import contextlib
 from collections.abc import Iterator
-from typing import NamedTuple
 
 import trio
 
 from umberdrum import peerlink, sockets
 
 TICK_SECONDS = 0.05
+SILENCE_SECONDS = 0.3
 
 
-class _Watched(NamedTuple):
+class _WatchedCall:
     """Connection whose other side waits for an answer."""
 
-    connection: sockets.Connection
-    scope: trio.CancelScope
-    channel: peerlink.FrameChannel | None
+    __slots__ = ("channel", "connection", "scope")
+
+    def __init__(
+        self,
+        connection: sockets.Connection,
+        scope: trio.CancelScope,
+        channel: peerlink.FrameChannel | None,
+    ) -> None:
+        self.connection = connection
+        self.scope = scope
+        self.channel = channel
+
+
+class WatchedLink:
+    """Peer link on which this daemon waits for an answer.
+
+    Once nothing was received for ``SILENCE_SECONDS`` while something was awaited, or
+    once ``give_up_at`` has passed, the watch closes the link and says why. Its user
+    sees the close as a lost connection.
+    """
+
+    __slots__ = ("channel", "give_up_at", "is_past_deadline", "is_silent", "n_ticks")
+
+    def __init__(self, channel: peerlink.FrameChannel, give_up_at: float) -> None:
+        self.channel = channel
+        self.give_up_at = give_up_at
+        self.is_silent = False
+        self.is_past_deadline = False
+        self.n_ticks = 0
+
+    def look(self, now: float) -> None:
+        """Close the link if it is silent or too late."""
+        if now >= self.give_up_at:
+            self.is_past_deadline = True
+            self.channel.connection.close()
+            return
+        if not self.channel.is_awaited or self.channel.has_received:
+            self.channel.has_received = False
+            self.n_ticks = 0
+            return
+        self.n_ticks += 1
+        if self.n_ticks * TICK_SECONDS >= SILENCE_SECONDS:
+            self.is_silent = True
+            self.channel.connection.close()
 
 
 class LivenessWatch:
@@ -27,14 +68,16 @@
     """
 
     def __init__(self) -> None:
-        self._watched: dict[int, _Watched] = {}
+        self._calls: dict[int, _WatchedCall] = {}
+        self._links: dict[int, WatchedLink] = {}
         self._previous: frozenset[int] = frozenset()
         self._next_number = 0
+        self._wake = trio.Event()
 
     @property
     def n_watched(self) -> int:
-        """Calls in progress."""
-        return len(self._watched)
+        """Calls in progress, as entry or as endpoint."""
+        return len(self._calls)
 
     @contextlib.contextmanager
     def watch(
@@ -49,27 +92,45 @@
         """
         number = self._next_number
         self._next_number += 1
-        self._watched[number] = _Watched(connection, scope, channel)
+        self._calls[number] = _WatchedCall(connection, scope, channel)
+        self._wake.set()
         try:
             yield
         finally:
-            del self._watched[number]
+            del self._calls[number]
+
+    def add_link(self, link: WatchedLink) -> int:
+        """Watch a peer link until ``remove_link`` gets the number returned here."""
+        number = self._next_number
+        self._next_number += 1
+        self._links[number] = link
+        self._wake.set()
+        return number
+
+    def remove_link(self, number: int) -> None:
+        """Watch the link no longer."""
+        del self._links[number]
 
     async def run(self) -> None:
-        """Look at the calls in progress for ever."""
+        """Look at the calls in progress for ever; sleep while there are none."""
         while True:
+            if not self._calls and not self._links:
+                self._wake = trio.Event()
+                await self._wake.wait()
             await trio.sleep(TICK_SECONDS)
-            self.look()
+            self.look(trio.current_time())
 
-    def look(self) -> None:
-        """Look once at each call that was in progress at the last look already."""
+    def look(self, now: float) -> None:
+        """Look once at all links, and at each call that the last look saw already."""
         for number in self._previous:
-            watched = self._watched.get(number)
-            if watched is None:
+            call = self._calls.get(number)
+            if call is None:
                 continue
-            if watched.connection.is_lost():
-                watched.scope.cancel()
+            if call.connection.is_lost():
+                call.scope.cancel()
                 continue
-            if watched.channel is not None:
-                watched.channel.try_send(peerlink.FrameKind.KEEPALIVE)
-        self._previous = frozenset(self._watched)
+            if call.channel is not None:
+                call.channel.try_send(peerlink.FrameKind.KEEPALIVE)
+        for link in list(self._links.values()):
+            link.look(now)
+        self._previous = frozenset(self._calls)
--- a/umberdrum/callpath/_peer_leg.py
+++ b/umberdrum/callpath/_peer_leg.py
@@ -4,9 +4,8 @@
 import trio
 
 from umberdrum import errors, peerlink, sockets, wire
-from umberdrum.callpath import _call, _frames
+from umberdrum.callpath import _call, _frames, _liveness
 
-SILENCE_SECONDS = 0.3
 DEADLINE_GRACE_SECONDS = 0.1
 QUERY_WAIT_MS = 1000
 SETTLE_PAUSE_SECONDS = 0.05
@@ -18,20 +17,20 @@
 LegResult = expression.Result[_call.CallReport, errors.Failure]
 
 
-class _SilentLinkError(Exception):
-    """Nothing came over a link for longer than its peer ever keeps silent."""
-
-
 class PeerLeg:
     """Sends calls to endpoint daemons over peer links.
 
     An attempt whose link breaks or goes silent has an open outcome. For a
     non-idempotent call the leg asks the same process over a new link, which also bars a
-    late start; it never sends the request a second time.
+    late start; it never sends the request a second time. The watch closes links that go
+    silent, so that a quick call needs no timer of its own.
     """
 
-    def __init__(self, pool: peerlink.PeerLinkPool) -> None:
+    def __init__(
+        self, pool: peerlink.PeerLinkPool, watch: _liveness.LivenessWatch
+    ) -> None:
         self._pool = pool
+        self._watch = watch
         self.n_silent_links = 0
         self.n_settled = 0
 
@@ -47,16 +46,16 @@
             link = await self._pool.acquire(peer)
         except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError) as fault:
             return _fail_link(str(fault), errors.Execution.NOT_RUN)
+        watched = _liveness.WatchedLink(
+            link.channel, call.deadline + DEADLINE_GRACE_SECONDS
+        )
+        number = self._watch.add_link(watched)
         is_clean = False
         try:
             result = await self._exchange(call, link, body, sink)
             is_clean = True
         except (sockets.ConnectionLostError, peerlink.FrameError) as fault:
-            result = _fail_link(str(fault), errors.Execution.MAY_HAVE_RUN)
-        except _SilentLinkError as fault:
-            self.n_silent_links += 1
-            self._pool.discard(peer)
-            result = _fail_link(str(fault), errors.Execution.MAY_HAVE_RUN)
+            result = self._explain_loss(call, peer, watched, str(fault))
         except _call.BodyLostError as fault:
             failure = fault.failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
             return expression.Error(failure)
@@ -67,15 +66,34 @@
                 )
             )
         finally:
+            self._watch.remove_link(number)
             if is_clean and not link.channel.connection.is_closed:
                 self._pool.release(link)
             else:
                 link.close()
         if is_clean or call.is_idempotent or sink.is_started:
             return result
+        if watched.is_past_deadline:
+            return result
         self.n_settled += 1
         return await self._settle(call, link, sink)
 
+    def _explain_loss(
+        self,
+        call: _call.Call,
+        peer: peerlink.PeerAddress,
+        watched: _liveness.WatchedLink,
+        detail: str,
+    ) -> LegResult:
+        """Return the failure for a link that was lost or that the watch has closed."""
+        if watched.is_past_deadline:
+            return expression.Error(_report_deadline(call))
+        if watched.is_silent:
+            self.n_silent_links += 1
+            self._pool.discard(peer)
+            detail = f"{peer.address} kept silent for {_liveness.SILENCE_SECONDS:g} s"
+        return _fail_link(detail, errors.Execution.MAY_HAVE_RUN)
+
     async def _exchange(
         self,
         call: _call.Call,
@@ -99,7 +117,7 @@
         sink: "CountingSink",
     ) -> LegResult:
         """Send the rest of the body while the answer is awaited."""
-        frame = await self._receive(link, call)
+        frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.REFUSAL:
             return _read_refusal(frame, call)
         if frame.kind is not peerlink.FrameKind.ADMITTED:
@@ -114,7 +132,6 @@
             except (
                 sockets.ConnectionLostError,
                 peerlink.FrameError,
-                _SilentLinkError,
                 _call.SinkLostError,
             ) as raised:
                 fault = raised
@@ -133,9 +150,9 @@
     async def _relay_answer(
         self, call: _call.Call, link: peerlink.PeerLink, sink: "CountingSink"
     ) -> LegResult:
-        frame = await self._receive(link, call)
+        frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.ADMITTED:
-            frame = await self._receive(link, call)
+            frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.REFUSAL:
             return _read_refusal(frame, call)
         if frame.kind is not peerlink.FrameKind.RESPONSE:
@@ -171,7 +188,7 @@
         """Write the body frames that follow a response head to ``sink``."""
         await sink.flush()
         while True:
-            frame = await self._receive(link, call)
+            frame = await self._receive(link)
             if frame.kind is peerlink.FrameKind.ABORT:
                 message = _frames.parse_head(wire.messages.Refusal, frame)
                 return _frames.decode_refusal(message)
@@ -183,16 +200,10 @@
                 raise peerlink.FrameError(f"expected a body, found {frame.kind.name}")
             await sink.flush()
 
-    async def _receive(
-        self, link: peerlink.PeerLink, call: _call.Call
-    ) -> peerlink.Frame:
-        """Return the next frame that is no keepalive; raise when the link is silent."""
+    async def _receive(self, link: peerlink.PeerLink) -> peerlink.Frame:
+        """Return the next frame that is no keepalive."""
         while True:
-            frame = await link.channel.receive_within(SILENCE_SECONDS)
-            if frame is None:
-                raise _SilentLinkError(
-                    f"nothing came from {link.peer.address} for {SILENCE_SECONDS:g} s"
-                )
+            frame = await link.channel.receive()
             if frame.kind is not peerlink.FrameKind.KEEPALIVE:
                 return frame
 
@@ -208,11 +219,7 @@
                     result = await self._ask_once(call, silent, sink)
                 except peerlink.PeerNotAuthenticError as fault:
                     return _give_up_settling(str(fault))
-                except (
-                    sockets.ConnectionLostError,
-                    peerlink.FrameError,
-                    _SilentLinkError,
-                ):
+                except (sockets.ConnectionLostError, peerlink.FrameError):
                     n_refused += 1
                     result = None
                 if result is not None:
@@ -227,12 +234,17 @@
     ) -> LegResult | None:
         """Ask once; None means that the request is still in progress."""
         link = await self._pool.open(silent.peer)
+        watched = _liveness.WatchedLink(
+            link.channel, call.deadline + DEADLINE_GRACE_SECONDS
+        )
+        number = self._watch.add_link(watched)
         is_clean = False
         try:
             result = await self._query(call, silent, link, sink)
             is_clean = True
             return result
         finally:
+            self._watch.remove_link(number)
             if is_clean:
                 self._pool.release(link)
             else:
@@ -253,14 +265,14 @@
         )
         kind = peerlink.FrameKind.OUTCOME_QUERY
         await link.channel.send(kind, query.SerializeToString())
-        frame = await self._receive(link, call)
+        frame = await self._receive(link)
         if frame.kind is not peerlink.FrameKind.OUTCOME:
             raise peerlink.FrameError(f"expected an outcome, found {frame.kind.name}")
         outcome = _frames.parse_head(wire.messages.Outcome, frame)
         if outcome.request_id != call.request_id:
             raise peerlink.FrameError("the outcome is that of another request")
         if outcome.has_answer:
-            frame = await self._receive(link, call)
+            frame = await self._receive(link)
             return await self._relay_response(call, link, frame, sink)
         if outcome.is_running:
             return None
@@ -326,6 +338,14 @@
             return
 
 
+def _report_deadline(call: _call.Call) -> errors.Failure:
+    return errors.fail(
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+        f"request {call.request_id} was not answered by its deadline",
+        errors.Execution.MAY_HAVE_RUN,
+    )
+
+
 def _read_refusal(frame: peerlink.Frame, call: _call.Call) -> LegResult:
     message = _frames.parse_head(wire.messages.Refusal, frame)
     if message.request_id != call.request_id:
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -1,6 +1,5 @@
 """One daemon: its parts, its tasks, and an orderly stop."""
 
-import gc
 import logging
 import random
 import secrets
@@ -35,7 +34,6 @@
 MAX_CONTROL_CONNECTIONS = 64
 MAX_PEER_CONNECTIONS = 4096
 MAINTENANCE_SECONDS = 1.0
-GC_THRESHOLDS = (50_000, 20, 50)
 FINAL_NEWS_SECONDS = 1.0
 STORE_TIMEOUT_SECONDS = 2.0
 RESIGN_TIMEOUT_SECONDS = 1.0
@@ -93,9 +91,6 @@
     async def run(self) -> None:
         """Bind all addresses and serve until stopped; raises ``OSError``."""
         listeners = self._bind()
-        gc.collect()
-        gc.freeze()
-        gc.set_threshold(*GC_THRESHOLDS)
         async with trio.open_nursery() as nursery:
             parts = _Parts(
                 self._settings,
@@ -220,7 +215,7 @@
             log,
             nursery,
         )
-        self.peer_leg = callpath.PeerLeg(self.peer_pool)
+        self.peer_leg = callpath.PeerLeg(self.peer_pool, self.watch)
         self.entry = callpath.EntryService(
             self.directory,
             routing.build_router(
--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -1,6 +1,7 @@
 """Program ``umberdrumd``: the daemon beside an upstream."""
 
 import argparse
+import gc
 import logging
 import pathlib
 import signal
@@ -18,6 +19,7 @@
 EXIT_INVALID_SETTINGS = 2
 LOGGER_NAME = "umberdrum"
 STDOUT = 1
+GC_THRESHOLDS = (50_000, 20, 50)
 
 EXAMPLES = """examples:
   umberdrumd --settings /etc/umberdrum.ini
@@ -39,6 +41,8 @@
         sys.stdout.write("settings are valid\n")
         return EXIT_OK
     writer = logs.LineWriter(STDOUT)
+    _skip_unused_log_fields()
+    _keep_collector_off_calls()
     logger = logging.getLogger(LOGGER_NAME)
     logger.addHandler(writer)
     logger.setLevel(loaded.ok.log_level.upper())
@@ -91,6 +95,21 @@
             await trio.to_thread.run_sync(writer.flush, abandon_on_cancel=True)
 
 
+def _skip_unused_log_fields() -> None:
+    """Switch off what ``logging`` gathers for each line and no line shows."""
+    logging._srcfile = ""
+    logging.logThreads = False
+    logging.logProcesses = False
+    logging.logMultiprocessing = False
+
+
+def _keep_collector_off_calls() -> None:
+    """Make passes of the garbage collector rare, and small by leaving out the code."""
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
+
+
 def _print_faults(faults: list[settings.SettingsFault]) -> None:
     for fault in faults:
         sys.stderr.write(f"umberdrumd: {fault}\n")
--- a/umberdrum/peerlink/_channel.py
+++ b/umberdrum/peerlink/_channel.py
@@ -56,7 +56,9 @@
     """Frames over one connection, in both directions.
 
     Before ``set_keys`` frames carry no tag; only the handshake uses that. The channel
-    never interprets a head. After a ``FrameError`` the connection must be closed.
+    never interprets a head. ``is_awaited`` and ``has_received`` tell a watch whether
+    something is awaited and whether anything came; the watch resets the latter. After a
+    ``FrameError`` the connection must be closed.
     """
 
     def __init__(self, connection: sockets.Connection) -> None:
@@ -67,6 +69,8 @@
         self._n_sent = 0
         self._n_received = 0
         self._max_frame_bytes = 4096
+        self.is_awaited = False
+        self.has_received = False
 
     def set_keys(self, send_key: bytes, receive_key: bytes) -> None:
         """Authenticate all further frames with the keys of this session."""
@@ -97,9 +101,12 @@
             frame = self._take_frame()
             if frame is not None:
                 return frame
+            self.is_awaited = True
             data = await self.connection.receive()
+            self.is_awaited = False
             if not data:
                 raise sockets.ConnectionLostError("closed by the peer")
+            self.has_received = True
             self._buffer += data
 
     async def receive_within(self, timeout_seconds: float) -> Frame | None:
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from umberdrum_bench import added
+from umberdrum_bench import added, cost
 
 
 def run_program(arguments: Sequence[str] | None = None) -> int:
@@ -14,7 +14,9 @@
     options = _build_parser().parse_args(arguments)
     if options.command == "added":
         return _run_added(options)
-    return 2
+    if options.command == "cost":
+        return _run_cost(options)
+    return _run_memory()
 
 
 def _run_added(options: argparse.Namespace) -> int:
@@ -32,6 +34,27 @@
     return 0
 
 
+def _run_cost(options: argparse.Namespace) -> int:
+    callers = tuple(int(count) for count in options.callers.split(","))
+    print(f"{'way':10}{'callers':>8}{'calls/s':>9}", end="")
+    print(f"{'entry ms':>10}{'endpoint ms':>13}{'upstream ms':>13}")
+    for row in trio.run(cost.measure_cost, options.calls, callers):
+        print(
+            f"{row.way:10}{row.n_callers:8}{row.calls_per_second:9.0f}"
+            f"{row.entry_ms:10.3f}{row.endpoint_ms:13.3f}{row.upstream_ms:13.3f}"
+        )
+    return 0
+
+
+def _run_memory() -> int:
+    use = trio.run(cost.measure_memory)
+    print(f"idle: {use.idle_mb:.1f} MB, {use.idle_cpu_percent:.2f} % of a core")
+    print(
+        f"with {cost.N_IDLE_CONNECTIONS} connections: {use.with_connections_mb:.1f} MB"
+    )
+    return 0
+
+
 def _build_parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(
         prog="umberdrum-bench",
@@ -42,6 +65,10 @@
     latency_added.add_argument("--rates", default="1,60,300", help="calls a second")
     latency_added.add_argument("--seconds", type=float, default=10.0)
     latency_added.add_argument("--seed", type=int, default=1)
+    processor = commands.add_parser("cost", help="processor time of calls")
+    processor.add_argument("--calls", type=int, default=6000)
+    processor.add_argument("--callers", default="1,8", help="closed loops")
+    commands.add_parser("memory", help="memory of a daemon")
     return parser
 
 
