--- /dev/null
+++ b/umberdrum/announcements/tests/announcements.feature
@@ -0,0 +1,22 @@
+Feature: Announcements of the upstream
+
+  Scenario Outline: A faulty announcement changes nothing and names the field
+    When the upstream announces "<document>"
+    Then the status is 400, "<fault>" is named and nothing changes
+
+    Examples:
+      | document                                                        | fault     |
+      | not json                                                        | JSON      |
+      | []                                                              | object    |
+      | {}                                                              | service   |
+      | {"service":"Cards"}                                             | service   |
+      | {"service":"cards","address":"host:1","slots":1,"state":"serving"} | address |
+      | {"service":"cards","address":"1.2.3.4:5","slots":0,"state":"serving"} | slots |
+      | {"service":"cards","address":"1.2.3.4:5","slots":true,"state":"serving"} | slots |
+      | {"service":"cards","address":"1.2.3.4:5","slots":1,"state":"up"} | state    |
+      | {"service":"cards","address":"1.2.3.4:5","slots":1,"state":"serving","weight":3} | 'weight' |
+      | {"service":"cards","address":"1.2.3.4:5","slots":1,"state":"serving","load_path":"x"} | load_path |
+
+  Scenario: Announcements, silence and an ordered drain
+    When the upstream announces, is silent for 6 s, announces again and is drained by order
+    Then the daemon saw "serving, absent, serving, draining"
--- /dev/null
+++ b/umberdrum/announcements/tests/announcements_steps.py
@@ -0,0 +1,80 @@
+"""Steps on announcements."""
+
+import json
+import logging
+
+import behave
+import trio
+from behave import runner
+
+from umberdrum import announcements, callpath, controlhttp, logs
+from umberdrum.tests import harness
+
+VALID = b'{"service":"cards","address":"1.2.3.4:5","slots":1,"state":"serving"}'
+
+
+class ListenerFake:
+    """Keeps the states that it is told."""
+
+    def __init__(self) -> None:
+        self.states: list[str] = []
+
+    def take_announcement(self, announcement: callpath.UpstreamAnnouncement) -> None:
+        self.states.append(announcement.state.value)
+
+    def take_absence(self) -> None:
+        self.states.append("absent")
+
+
+def _build_desk(context: runner.Context) -> announcements.AnnouncementDesk:
+    context.listener = ListenerFake()
+    log = logs.EventLog(logging.Logger("desk"), "d")
+    return announcements.AnnouncementDesk(context.listener, 5.0, log)
+
+
+async def _put(
+    desk: announcements.AnnouncementDesk, body: bytes
+) -> controlhttp.ControlAnswer:
+    request = controlhttp.ControlRequest("PUT", "/v1/upstream", {}, body)
+    return await desk.handle(request)
+
+
+@behave.when('the upstream announces "{document}"')
+def announce(context: runner.Context, document: str) -> None:
+    async def run() -> None:
+        desk = _build_desk(context)
+        context.answer = await _put(desk, document.encode())
+
+    harness.run_on_virtual_clock(run)
+
+
+@behave.then('the status is 400, "{fault}" is named and nothing changes')
+def check_fault(context: runner.Context, fault: str) -> None:
+    assert context.answer.status == 400, context.answer
+    detail = json.loads(context.answer.body)["detail"]
+    assert fault in detail, detail
+    assert context.listener.states == []
+
+
+@behave.when(
+    "the upstream announces, is silent for {seconds:d} s, announces again and is "
+    "drained by order"
+)
+def live(context: runner.Context, seconds: int) -> None:
+    async def run() -> None:
+        desk = _build_desk(context)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(desk.watch_timeout)
+            await _put(desk, VALID)
+            await _put(desk, VALID)
+            await trio.sleep(seconds)
+            await _put(desk, VALID)
+            desk.order_drain(True)
+            nursery.cancel_scope.cancel()
+
+    harness.run_on_virtual_clock(run)
+
+
+@behave.then('the daemon saw "{states}"')
+def check_states(context: runner.Context, states: str) -> None:
+    assert ", ".join(context.listener.states) == states, context.listener.states
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -10,6 +10,7 @@
 
 MAX_BUFFERED_BODY_BYTES = 65_536
 OUTPUT_BUFFER_BYTES = 65_536
+FIELD_OVERHEAD_BYTES = 4
 LINGER_SECONDS = 1.0
 MAX_LINGER_BYTES = 1 << 20
 MS_PER_SECOND = 1000.0
@@ -146,6 +147,7 @@
             return None
         self._is_head_request = event.method == b"HEAD"
         headers = list(event.headers)
+        self._check_head_size(event, headers)
         fields = _headers.read_call_fields(headers)
         if fields.is_error():
             raise _call.BodyLostError(fields.error)
@@ -157,6 +159,20 @@
             bytes(event.method), bytes(event.target), headers, fields.ok, received_at
         )
 
+    def _check_head_size(
+        self, event: h11.Request, headers: _headers.HeaderFields
+    ) -> None:
+        """Refuse a head that came whole but is too large."""
+        n_bytes = len(event.target) + sum(
+            len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in headers
+        )
+        if n_bytes > self._limits.max_head_bytes:
+            raise _lose_body(
+                errors.ErrorKind.HEAD_TOO_LARGE,
+                f"expected at most {self._limits.max_head_bytes} bytes, "
+                f"found {n_bytes}",
+            )
+
     async def receive_first_body_part(self) -> _call.RequestBody:
         """Return the body, whole if it is short; raises ``BodyLostError``."""
         parts: list[bytes] = []
--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -33,8 +33,8 @@
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
         )
+        self._is_ended = False
         self.has_sent = False
-        self.is_reused = False
         self.idle_since = 0.0
 
     def close(self) -> None:
@@ -54,7 +54,6 @@
             return False
         self._http.start_next_cycle()
         self.has_sent = False
-        self.is_reused = True
         return True
 
     async def send_request(
@@ -126,7 +125,7 @@
         try:
             return self._http.next_event()
         except h11.RemoteProtocolError as fault:
-            if self._http.their_state is h11.ERROR and "closed" in str(fault):
+            if self._is_ended:
                 raise _broke_off(str(fault)) from None
             raise _invalid_answer(str(fault)) from None
 
@@ -135,6 +134,7 @@
             data = await self._connection.receive()
         except sockets.ConnectionLostError as fault:
             raise _broke_off(str(fault)) from None
+        self._is_ended = not data
         self._http.receive_data(data)
 
 
--- /dev/null
+++ b/umberdrum/classes/tests/classes_steps.py
@@ -0,0 +1,151 @@
+"""Steps on classes and the catalog."""
+
+import random
+
+import behave
+import hypothesis
+from behave import runner
+from hypothesis import strategies
+
+from umberdrum import callpath, classes
+
+VALID = classes.RequestClass(
+    "look", "cards", ("GET",), "/cards", True, classes.Target(50, 99.0), "c1"
+)
+
+
+@behave.when('a class has "{field}" of "{value}"')
+def build_invalid(context: runner.Context, field: str, value: str) -> None:
+    changed = VALID
+    if field == "latency_ms":
+        changed = VALID._replace(target=classes.Target(int(value), 99.0))
+    elif field == "percentile":
+        changed = VALID._replace(target=classes.Target(50, float(value)))
+    elif field == "methods":
+        changed = VALID._replace(methods=(value,))
+    elif field == "name":
+        changed = VALID._replace(name=value)
+    elif field == "service":
+        changed = VALID._replace(service=value)
+    else:
+        changed = VALID._replace(path_prefix=value)
+    context.checked = classes.check_class(changed)
+
+
+@behave.then('it is refused with "{fault}"')
+def check_refused(context: runner.Context, fault: str) -> None:
+    assert context.checked.is_error()
+    assert context.checked.error.detail.startswith(fault), context.checked.error
+
+
+@behave.then("documents of {n_classes:d} random classes decode to the same class")
+def check_round_trip(context: runner.Context, n_classes: int) -> None:
+    rng = random.Random(7)
+    for index in range(n_classes):
+        drawn = VALID._replace(
+            name=f"c{index}",
+            methods=tuple(rng.sample(["GET", "PUT", "POST"], rng.randrange(4))),
+            is_idempotent=rng.random() < 0.5,
+            target=classes.Target(rng.randrange(1, 600_001), rng.uniform(50, 99.9)),
+        )
+        decoded = classes.decode_document(classes.encode_document(drawn))
+        assert decoded.is_ok() and decoded.ok == drawn, decoded
+
+
+@behave.then("{n_documents:d} damaged documents are refused or decode to a valid class")
+def check_damaged(context: runner.Context, n_documents: int) -> None:
+    rng = random.Random(8)
+    whole = classes.encode_document(VALID)
+    n_refused = 0
+    for _ in range(n_documents):
+        damaged = bytearray(whole)
+        for _ in range(rng.randrange(1, 5)):
+            damaged[rng.randrange(len(damaged))] = rng.randrange(256)
+        decoded = classes.decode_document(bytes(damaged[: rng.randrange(len(whole))]))
+        if decoded.is_error():
+            n_refused += 1
+            continue
+        assert classes.check_class(decoded.ok).is_ok()
+    assert n_refused > 0
+
+
+@behave.given('the classes "/" and "/cards" and "/payments" of one service')
+def build_catalog(context: runner.Context) -> None:
+    entries = []
+    for name, path in (("any", "/"), ("cards", "/cards"), ("payments", "/payments")):
+        row = VALID._replace(name=name, path_prefix=path, methods=())
+        document = classes.encode_document(row)
+        entries.append(classes.CatalogEntry(name, 2, document, False))
+    context.catalog = classes.Catalog().merge(entries)
+
+
+@behave.when('the target "{target}" is matched')
+def match_target(context: runner.Context, target: str) -> None:
+    path = callpath.normalize_path(target.encode())
+    context.row = context.catalog.match("cards", "POST", path)
+
+
+@behave.then('the class is "{name}"')
+def check_match(context: runner.Context, name: str) -> None:
+    assert context.row is not None
+    assert context.row.request_class.name == name, context.row
+
+
+def _build_entry(name: str, revision: int, is_deleted: bool) -> classes.CatalogEntry:
+    document = b"" if is_deleted else classes.encode_document(VALID._replace(name=name))
+    return classes.CatalogEntry(name, revision, document, is_deleted)
+
+
+def _draw_catalogs() -> strategies.SearchStrategy[list[classes.CatalogEntry]]:
+    # A revision of the store belongs to one change of one key.
+    revisions = strategies.integers(min_value=1, max_value=12)
+
+    def build(numbers: list[int]) -> list[classes.CatalogEntry]:
+        return [_build_entry("abc"[n % 3], n, n % 4 == 0) for n in numbers]
+
+    return strategies.lists(revisions, max_size=8).map(build)
+
+
+@behave.then("merging random catalogs follows the laws and never lowers a revision")
+def check_merge_laws(context: runner.Context) -> None:
+    drawn = _draw_catalogs()
+
+    @hypothesis.settings(max_examples=200, derandomize=True, database=None)
+    @hypothesis.given(drawn, drawn, drawn)
+    def check(
+        first: list[classes.CatalogEntry],
+        second: list[classes.CatalogEntry],
+        third: list[classes.CatalogEntry],
+    ) -> None:
+        one = classes.Catalog().merge(first)
+        both = one.merge(second)
+        assert both.entries == classes.Catalog().merge(second).merge(first).entries
+        assert both.merge(second).entries == both.entries
+        right = classes.Catalog().merge(second).merge(third)
+        assert both.merge(third).entries == one.merge(right.entries).entries
+        for entry in one.entries:
+            held = both.get_entry(entry.name)
+            assert held is not None and held.revision >= entry.revision
+        assert both.digest == one.merge(second).digest
+
+    check()
+
+
+@behave.when('a class has a target of {ms:d} ms and is "{kind}"')
+def derive(context: runner.Context, ms: int, kind: str) -> None:
+    row = VALID._replace(
+        target=classes.Target(ms, 99.0), is_idempotent=kind == "idempotent"
+    )
+    context.policy = classes.derive_policy(row)
+
+
+@behave.then(
+    "its deadline is {deadline:d} ms, it is hedged after {hedge:d} ms "
+    "and queued at most {queue:d} ms"
+)
+def check_policy(
+    context: runner.Context, deadline: int, hedge: int, queue: int
+) -> None:
+    policy = context.policy
+    found = (policy.deadline_ms, policy.hedge_after_ms, policy.max_queue_ms)
+    assert found == (deadline, hedge, queue), policy
--- /dev/null
+++ b/umberdrum/commandline/tests/commandline.feature
@@ -0,0 +1,27 @@
+Feature: The operators' tool
+
+  Scenario Outline: Exit codes and messages
+    Given a store with the class "look"
+    When the operator runs "<arguments>" while the store is "<store>"
+    Then the exit code is <code> and "<text>" is printed
+
+    Examples:
+      | arguments                                                        | store | code | text             |
+      | class list                                                       | up    | 0    | look             |
+      | class list --json                                                | up    | 0    | "target_ms": 50  |
+      | class show look                                                  | up    | 0    | target_ms        |
+      | class show nosuch                                                | up    | 4    | nosuch           |
+      | class create pay --service pay --not-idempotent --target-ms 9    | up    | 0    | created          |
+      | class create look --service cards --idempotent --target-ms 9     | up    | 3    | revision         |
+      | class create Big --service cards --idempotent --target-ms 9      | up    | 2    | name: expected   |
+      | class create big --service cards --idempotent --target-ms 0      | up    | 2    | target latency   |
+      | class set look --target-ms 40                                    | up    | 0    | changed          |
+      | class set look --target-ms 40 --expect-revision 1                | up    | 3    | within 50 ms     |
+      | class set look                                                   | up    | 2    | --target-ms      |
+      | class delete look                                                | up    | 0    | deleted          |
+      | class delete nosuch                                              | up    | 4    | nosuch           |
+      | class set look --target-ms 40                                    | lossy | 0    | changed          |
+      | class set look --target-ms 40                                    | down  | 5    | does not answer  |
+      | --store x class list                                             | up    | 2    | IP:PORT          |
+      | status                                                           | up    | 2    | --admin          |
+      | --admin 127.0.0.1:1 status                                       | up    | 7    | no daemon        |
--- /dev/null
+++ b/umberdrum/configuration/tests/configuration.feature
@@ -0,0 +1,43 @@
+Feature: Operators' changes and how daemons follow them
+
+  Scenario Outline: What an operator is told of a change
+    Given a stored class with a target of 100 ms
+    When an operator changes it to 80 ms while "<event>"
+    Then the operator is told "<told>"
+    And the stored target is <stored> ms
+
+    Examples:
+      | event                                   | told                  | stored |
+      | nothing happens                         | accepted              | 80     |
+      | another operator changed it to 60       | store-conflict        | 60     |
+      | it was deleted                          | store-conflict        | none   |
+      | the answer is lost                      | accepted              | 80     |
+      | the answer is lost and 60 follows       | store-conflict        | 60     |
+      | the store goes down after it            | store-outcome-unknown | 80     |
+      | the store is unreachable                | store-unavailable     | 100    |
+
+  Scenario Outline: Deleting a class
+    Given a stored class with a target of 100 ms
+    When an operator deletes it while "<event>"
+    Then the operator is told "<told>"
+
+    Examples:
+      | event              | told     |
+      | nothing happens    | accepted |
+      | the answer is lost | accepted |
+
+  Scenario Outline: The catalog follows the store and never goes back
+    Given a watcher that follows a store with classes "a" and "b"
+    When "<event>" happens
+    Then the catalog in the end holds "<classes>"
+    And no revision ever went down
+
+    Examples:
+      | event                                        | classes |
+      | b is deleted                                 | a       |
+      | b is deleted during an outage                | a       |
+      | b is deleted and history is compacted        | a       |
+      | c is created, then the watch is cut          | a, b, c |
+      | b is deleted and created again               | a, b    |
+      | an old copy of b arrives from another daemon | a, b    |
+      | a copy of deleted b arrives late             | a       |
--- /dev/null
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -0,0 +1,209 @@
+"""Steps on the operators' configuration."""
+
+import logging
+import random
+
+import behave
+import trio
+from behave import runner
+
+from umberdrum import classes, configuration, gossip, logs, membership
+from umberdrum.membership.tests import membership_steps
+from umberdrum.tests import harness
+
+
+def _build_class(name: str, ms: int) -> classes.RequestClass:
+    target = classes.Target(ms, 99.0)
+    return classes.RequestClass(
+        name, "cards", (), "/", True, target, f"change-{name}-{ms}"
+    )
+
+
+@behave.given("a stored class with a target of {ms:d} ms")
+def store_class(context: runner.Context, ms: int) -> None:
+    context.first_ms = ms
+
+
+async def _prepare_event(
+    context: runner.Context,
+    site: harness.Site,
+    repository: configuration.ClassRepository,
+    revision: int,
+) -> None:
+    event = context.event
+    if event == "another operator changed it to 60":
+        await repository.write_class(_build_class("look", 60), revision)
+    elif event == "it was deleted":
+        await repository.delete_class("look", revision)
+    elif event == "the answer is lost":
+        site.faults.n_lost_answers = 1
+    elif event == "the answer is lost and 60 follows":
+        # The settling read comes 0.3 s after the lost answer.
+        site.faults.n_lost_answers = 1
+        context.follow_up = True
+    elif event == "the store goes down after it":
+        site.faults.n_lost_answers = 1
+        context.go_down = True
+    elif event == "the store is unreachable":
+        site.store_address, context.hidden = (
+            harness.find_free_address(),
+            site.store_address,
+        )
+
+
+async def _follow_up(context: runner.Context, site: harness.Site) -> None:
+    """Do what happens just after the operator's request was applied."""
+    await trio.sleep(0.1)
+    if context.follow_up:
+        repository = site.build_repository()
+        found = (await repository.get_class("look")).ok
+        assert found is not None
+        written = await repository.write_class(_build_class("look", 60), found.revision)
+        assert written.is_ok()
+    if context.go_down:
+        site.faults.is_down = True
+
+
+def _run_change(context: runner.Context, event: str, is_delete: bool) -> None:
+    context.event = event
+    context.follow_up = False
+    context.go_down = False
+    context.hidden = None
+
+    async def run() -> None:
+        async with harness.open_site() as site:
+            repository = site.build_repository()
+            first = _build_class("look", context.first_ms)
+            revision = (await repository.write_class(first, 0)).ok.revision
+            await _prepare_event(context, site, repository, revision)
+            repository = site.build_repository()
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_follow_up, context, site)
+                if is_delete:
+                    context.told = await repository.delete_class("look", revision)
+                else:
+                    changed = _build_class("look", 80)
+                    context.told = await repository.write_class(changed, revision)
+            site.faults.is_down = False
+            if context.hidden is not None:
+                site.store_address = context.hidden
+            context.stored = (await site.build_repository().get_class("look")).ok
+
+    harness.run_on_virtual_clock(run)
+
+
+@behave.when('an operator changes it to 80 ms while "{event}"')
+def change(context: runner.Context, event: str) -> None:
+    _run_change(context, event, is_delete=False)
+
+
+@behave.when('an operator deletes it while "{event}"')
+def delete(context: runner.Context, event: str) -> None:
+    _run_change(context, event, is_delete=True)
+
+
+@behave.then('the operator is told "{told}"')
+def check_told(context: runner.Context, told: str) -> None:
+    found = "accepted"
+    if context.told.is_error():
+        found = context.told.error.kind.token
+    assert found == told, context.told
+
+
+@behave.then("the stored target is {stored} ms")
+def check_stored(context: runner.Context, stored: str) -> None:
+    found = "none"
+    if context.stored is not None:
+        found = str(context.stored.request_class.target.latency_ms)
+    assert found == stored, context.stored
+
+
+class WatcherRun:
+    """Watcher with a shared state of its own."""
+
+    def __init__(self, site: harness.Site) -> None:
+        log = logs.EventLog(logging.Logger("watcher"), "d")
+        table = membership.MembershipTable(membership_steps.OWN)
+        self.state = gossip.SharedState(table, log)
+        self.watcher = configuration.ConfigurationWatcher(
+            site.build_store(), "umberdrum", self.state, random.Random(1), log
+        )
+        self.n_lowered = 0
+        self._revisions: dict[str, int] = {}
+        self.state.add_catalog_listener(self._note)
+
+    def list_names(self) -> str:
+        names = [row.name for row in self.state.catalog.list_classes()]
+        return ", ".join(names)
+
+    def _note(self, catalog: classes.Catalog) -> None:
+        for entry in catalog.entries:
+            if entry.revision < self._revisions.get(entry.name, 0):
+                self.n_lowered += 1
+            self._revisions[entry.name] = entry.revision
+
+
+@behave.given('a watcher that follows a store with classes "a" and "b"')
+def follow(context: runner.Context) -> None:
+    context.names = ("a", "b")
+
+
+@behave.when('"{event}" happens')
+def bring_about(context: runner.Context, event: str) -> None:
+    async def run() -> None:
+        async with harness.open_site() as site, trio.open_nursery() as nursery:
+            repository = site.build_repository()
+            revisions = {}
+            for name in context.names:
+                written = await repository.write_class(_build_class(name, 50), 0)
+                revisions[name] = written.ok.revision
+            context.watched = WatcherRun(site)
+            nursery.start_soon(context.watched.watcher.run)
+            await site.wait_until(lambda: context.watched.list_names() == "a, b")
+            await _happen(event, site, context.watched, revisions["b"])
+            await trio.sleep(60.0)
+            nursery.cancel_scope.cancel()
+
+    harness.run_on_virtual_clock(run)
+
+
+async def _happen(
+    event: str, site: harness.Site, watched: WatcherRun, b_revision: int
+) -> None:
+    repository = site.build_repository()
+    old = watched.state.catalog.get_entry("b")
+    assert old is not None
+    if event.startswith("c is created"):
+        await repository.write_class(_build_class("c", 50), 0)
+        site.server.switch_faults({"down": True})
+        site.server.switch_faults({"down": False})
+        return
+    if event.startswith("an old copy"):
+        await repository.write_class(_build_class("b", 70), b_revision)
+        await trio.sleep(1.0)
+        watched.state.take_entries([old])
+        return
+    if "outage" in event:
+        site.server.switch_faults({"down": True})
+        await trio.sleep(5.0)
+        site.state.delete("umberdrum/classes/b")
+        site.server.switch_faults({"down": False})
+        return
+    await repository.delete_class("b", b_revision)
+    if "compacted" in event:
+        site.server.switch_faults({"compact": True})
+    if "created again" in event:
+        await repository.write_class(_build_class("b", 90), 0)
+    if "late" in event:
+        await trio.sleep(1.0)
+        watched.state.take_entries([old])
+
+
+@behave.then('the catalog in the end holds "{names}"')
+def check_catalog(context: runner.Context, names: str) -> None:
+    assert context.watched.list_names() == names, context.watched.list_names()
+
+
+@behave.then("no revision ever went down")
+def check_revisions(context: runner.Context) -> None:
+    assert context.watched.n_lowered == 0
--- a/umberdrum/daemon/__init__.py
+++ b/umberdrum/daemon/__init__.py
@@ -1,5 +1,5 @@
 """The daemon beside each upstream: parts put together, started and stopped."""
 
-from umberdrum.daemon._daemon import Daemon
+from umberdrum.daemon._daemon import Daemon, DaemonParts
 
-__all__ = ["Daemon"]
+__all__ = ["Daemon", "DaemonParts"]
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -2,7 +2,6 @@
 
 import logging
 import random
-import secrets
 import socket
 from typing import NamedTuple
 
@@ -38,6 +37,7 @@
 STORE_TIMEOUT_SECONDS = 2.0
 RESIGN_TIMEOUT_SECONDS = 1.0
 MS_PER_SECOND = 1000.0
+PROCESS_ID_BITS = 63
 
 
 class _Listeners(NamedTuple):
@@ -54,6 +54,7 @@
 
     It is built from checked settings, runs until ``stop`` is called and then leaves in
     order: it refuses new work, tells the others, waits for calls in progress, and ends.
+    A test passes an ``rng`` of its own to make random choices repeatable.
     """
 
     def __init__(
@@ -61,18 +62,26 @@
         own_settings: settings.Settings,
         logger: logging.Logger,
         writer: logs.LineWriter,
+        rng: random.Random | None = None,
     ) -> None:
         self._settings = own_settings
         self._logger = logger
         self._writer = writer
         daemon_id = str(own_settings.peer_advertise)
         self._log = logs.EventLog(logger, daemon_id)
-        self._identity = peerlink.DaemonIdentity(daemon_id, secrets.randbits(63) | 1)
-        self._rng = random.Random()
+        self._rng = rng or random.Random()
+        process_id = self._rng.getrandbits(PROCESS_ID_BITS) | 1
+        self._identity = peerlink.DaemonIdentity(daemon_id, process_id)
         self._budget = measuring.MeasuringBudget(
             own_settings.measuring_bytes_per_second
         )
         self._stop_requested = trio.Event()
+        self._stopped = trio.Event()
+        self.parts: DaemonParts | None = None
+
+    async def wait_stopped(self) -> None:
+        """Return once ``run`` has ended in order."""
+        await self._stopped.wait()
 
     def stop(self) -> None:
         """Begin an orderly stop."""
@@ -88,11 +97,26 @@
             measuring_bytes_per_second=changed.measuring_bytes_per_second,
         )
 
-    async def run(self) -> None:
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
         """Bind all addresses and serve until stopped; raises ``OSError``."""
         listeners = self._bind()
+        try:
+            await self._serve(listeners, task_status)
+        finally:
+            for listener in listeners:
+                sockets.close_listener(listener)
+            if self.parts is not None:
+                self.parts.close()
+        self._log.write("stopped")
+        self._stopped.set()
+
+    async def _serve(
+        self, listeners: _Listeners, task_status: trio.TaskStatus[None]
+    ) -> None:
         async with trio.open_nursery() as nursery:
-            parts = _Parts(
+            parts = DaemonParts(
                 self._settings,
                 self._identity,
                 self._budget,
@@ -101,6 +125,7 @@
                 self._writer,
                 nursery,
             )
+            self.parts = parts
             await parts.exchange.bind()
             self._start_tasks(parts, listeners, nursery)
             self._log.write(
@@ -110,10 +135,10 @@
                 region=self._settings.region,
                 caller=str(self._settings.caller_listen),
             )
+            task_status.started()
             await self._stop_requested.wait()
             await self._leave(parts, listeners)
             nursery.cancel_scope.cancel()
-        self._log.write("stopped")
 
     def _bind(self) -> _Listeners:
         own = self._settings
@@ -125,7 +150,7 @@
         )
 
     def _start_tasks(
-        self, parts: "_Parts", listeners: _Listeners, nursery: trio.Nursery
+        self, parts: "DaemonParts", listeners: _Listeners, nursery: trio.Nursery
     ) -> None:
         accept = sockets.accept_connections
         n_callers = self._settings.max_connections
@@ -148,7 +173,7 @@
         nursery.start_soon(parts.watch.run)
         nursery.start_soon(self._maintain, parts)
 
-    async def _maintain(self, parts: "_Parts") -> None:
+    async def _maintain(self, parts: "DaemonParts") -> None:
         """Close what has been idle for long and forget endpoints that are gone."""
         while True:
             await trio.sleep(MAINTENANCE_SECONDS)
@@ -157,12 +182,12 @@
             parts.upstream_pool.close_idle(now)
             parts.entry.router.forget(parts.directory.list_keys())
 
-    async def _leave(self, parts: "_Parts", listeners: _Listeners) -> None:
+    async def _leave(self, parts: "DaemonParts", listeners: _Listeners) -> None:
         """Refuse new work, finish what is in progress and take leave of the others."""
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
         parts.state_keeper.leave()
-        listeners.caller.close()
+        sockets.close_listener(listeners.caller)
         parts.caller_server.start_closing()
         leave_until = trio.current_time() + FINAL_NEWS_SECONDS
         with trio.move_on_after(self._settings.grace_ms / MS_PER_SECOND) as scope:
@@ -175,7 +200,7 @@
         await trio.sleep_until(leave_until)
 
 
-class _Parts:
+class DaemonParts:
     """Everything that one daemon consists of, wired together."""
 
     def __init__(
@@ -246,12 +271,12 @@
             log,
         )
         counter = store.StoreCallCounter()
-        etcd = store.EtcdStore(
+        self._store = store.EtcdStore(
             own_settings.store_addresses, counter, STORE_TIMEOUT_SECONDS
         )
         prefix = own_settings.store_prefix
         self.keeper = configuration.ContactKeeper(
-            etcd,
+            self._store,
             configuration.ContactKeys(
                 prefix,
                 own_settings.availability_zone,
@@ -259,7 +284,9 @@
             ),
             self.state,
             self.exchange,
-            configuration.ConfigurationWatcher(etcd, prefix, self.state, rng, log),
+            configuration.ConfigurationWatcher(
+                self._store, prefix, self.state, rng, log
+            ),
             own_settings.seeds,
             rng,
             log,
@@ -301,6 +328,13 @@
         """Serve one connection of the announcement address."""
         await controlhttp.serve_control(connection, self.desk.handle)
 
+    def close(self) -> None:
+        """Close what is bound or kept open between calls."""
+        self.exchange.close()
+        self.peer_pool.close_all()
+        self.upstream_pool.close_all()
+        self._store.close()
+
     def _use_catalog(self, catalog: classes.Catalog) -> None:
         self.entry.catalog = catalog
 
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -17,6 +17,8 @@
 SYNC_MIN_INTERVAL_SECONDS = 5.0
 SYNC_MAX_INTERVAL_SECONDS = 60.0
 MISMATCHES_BEFORE_SYNC = 4
+SYNC_RETRY_SECONDS = 1.0
+JOIN_FACTOR = 2
 SAME_ZONE_SHARE = 0.6
 SAME_REGION_SHARE = 0.3
 SUSPECTED_PROBE_SHARE = 0.1
@@ -64,7 +66,7 @@
         self._probes: dict[int, _Probe] = {}
         self._urgent: set[str] = set()
         self._n_mismatches = 0
-        self._last_mismatch_id = ""
+        self._sync_peer: peerlink.PeerAddress | None = None
         self._next_sync_at = 0.0
         self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
         self._budget = _budget.ControlBudget(0.0)
@@ -79,6 +81,11 @@
         await sock.bind((self._listen.host, self._listen.port))
         self._socket = sock
 
+    def close(self) -> None:
+        """Close the UDP socket."""
+        if self._socket is not None:
+            self._socket.close()
+
     async def run(self) -> None:
         """Exchange datagrams for ever."""
         async with trio.open_nursery() as nursery:
@@ -244,7 +251,11 @@
         now = trio.current_time()
         self._state.take_records(message.records, now)
         self._state.take_messages_of_entries(message.classes)
-        self._compare_digests(message)
+        try:
+            self._compare_digests(message)
+        except ValueError:
+            # The sender gave no address; it can't be synchronised with.
+            return
         if message.is_answer:
             await self._take_answer(message)
             return
@@ -254,11 +265,11 @@
         answer = self._build_message(message.sender_process_id)
         answer.is_answer = True
         answer.answers_sequence = message.sequence
-        held = self._state.table.clear_suspicion(
-            message.sender_id, message.sender_process_id, now
+        correction = self._state.table.find_correction(
+            message.sender_id, message.sender_process_id
         )
-        if held is not None:
-            answer.records.append(membership.encode_record(held))
+        if correction is not None:
+            answer.records.append(membership.encode_record(correction))
         await self._send(answer, sender)
 
     async def _take_answer(self, message: wire.messages.Gossip) -> None:
@@ -325,7 +336,12 @@
             self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
             return
         self._n_mismatches += 1
-        self._last_mismatch_id = message.sender_id
+        address = settings.parse_address(message.sender_id)
+        self._sync_peer = peerlink.PeerAddress(address, message.sender_process_id)
+        if message.n_endpoints > JOIN_FACTOR * len(table):
+            # This daemon has just joined, or was cut off for long.
+            self._n_mismatches = MISMATCHES_BEFORE_SYNC
+            self._wake.set()
 
     def _should_sync(self, now: float) -> bool:
         if self._n_mismatches < MISMATCHES_BEFORE_SYNC or now < self._next_sync_at:
@@ -338,11 +354,15 @@
         return True
 
     async def _sync(self) -> None:
-        record = self._state.table.get(self._last_mismatch_id)
-        if record is None:
+        """Synchronise with the peer whose digests differed last."""
+        if self._sync_peer is None:
             return
-        peer = peerlink.PeerAddress(record.address, record.process_id)
-        await self._synchronizer.sync_with(peer, trio.current_time())
+        is_done = await self._synchronizer.sync_with(
+            self._sync_peer, trio.current_time()
+        )
+        if not is_done:
+            # Another peer may be reachable; try as soon as one differs.
+            self._next_sync_at = trio.current_time() + SYNC_RETRY_SECONDS
 
     async def _forget_forever(self) -> None:
         while True:
--- /dev/null
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -0,0 +1,35 @@
+Feature: Gossip datagrams
+
+  Scenario Outline: Only authentic and fresh datagrams are taken
+    Given a datagram from another daemon
+    When it is "<change>"
+    Then it is <result>
+
+    Examples:
+      | change                      | result  |
+      | unchanged                   | taken   |
+      | changed in one byte         | refused |
+      | cut by one byte             | refused |
+      | empty                       | refused |
+      | made with another key       | refused |
+      | meant for another process   | refused |
+      | sent a second time          | refused |
+      | sent late by 10 sequences   | taken   |
+      | sent late by 100 sequences  | refused |
+
+  Scenario: Random bytes never raise
+    Then 3000 random datagrams are refused
+
+  Scenario: News is sent to many but not for ever, and never above its room
+    Given 100 changes in the queue of a daemon among 560
+    When batches of 1000 bytes are taken until the queue is empty
+    Then each change was sent 30 times, and no batch exceeds 1000 bytes
+
+  Scenario: A newer change replaces the older one in the queue
+    Given 100 changes in the queue of a daemon among 560
+    When one of them changes again
+    Then the queue still holds 100
+
+  Scenario: Sent bytes stay within the control budget
+    When a daemon spends whatever its budget has, for 60 s
+    Then it spends at most 2500 bytes a second on average over the last 50 s
--- a/umberdrum/membership/_table.py
+++ b/umberdrum/membership/_table.py
@@ -138,16 +138,19 @@
         self._put(suspected, now)
         return suspected
 
-    def clear_suspicion(
-        self, endpoint_id: str, process_id: int, now: float
+    def find_correction(
+        self, endpoint_id: str, process_id: int
     ) -> _record.EndpointRecord | None:
-        """Return the suspected record of a daemon that has just answered.
+        """Return the record that a daemon which has just spoken must hear of.
 
-        The record stays as it is: the daemon itself must raise its version. Passing it
-        the suspicion makes it do so.
+        It is one that suspects that daemon, or one of another process at its address
+        that is taken for newer. Only the daemon itself can answer it, by a newer record
+        of its own.
         """
         held = self._records.get(endpoint_id)
-        if held is None or held.process_id != process_id or not held.is_suspected:
+        if held is None or endpoint_id == self._own_id:
+            return None
+        if held.process_id == process_id and not held.is_suspected:
             return None
         return held
 
--- /dev/null
+++ b/umberdrum/retries/tests/retries.feature
@@ -0,0 +1,33 @@
+Feature: Retries only where safe, and few
+
+  Scenario Outline: Whether another attempt is safe
+    Then after "<kind>" with "<execution>" a "<request>" request may be retried: <answer>
+
+    Examples:
+      | kind               | execution    | request        | answer |
+      | OVERLOADED         | NOT_RUN      | idempotent     | yes    |
+      | OVERLOADED         | NOT_RUN      | non-idempotent | yes    |
+      | LINK_BROKE         | MAY_HAVE_RUN | idempotent     | yes    |
+      | LINK_BROKE         | MAY_HAVE_RUN | non-idempotent | no     |
+      | UPSTREAM_BROKE_OFF | RAN          | non-idempotent | no     |
+      | UPSTREAM_BROKE_OFF | MAY_HAVE_RUN | idempotent     | yes    |
+      | OUTCOME_UNKNOWN    | MAY_HAVE_RUN | idempotent     | no     |
+      | REQUEST_BARRED     | NOT_RUN      | non-idempotent | no     |
+      | DEADLINE_EXCEEDED  | MAY_HAVE_RUN | idempotent     | no     |
+      | CALLER_GONE        | RAN          | idempotent     | no     |
+      | ENDPOINT_LEAVING   | NOT_RUN      | non-idempotent | yes    |
+
+  Scenario Outline: A chain of calls that all fail stays bounded, however deep
+    When every call of a chain <depth> deep fails and is tried as often as allowed
+    Then the last service sees at most <calls> calls for one at the top
+
+    Examples:
+      | depth | calls |
+      | 1     | 3     |
+      | 2     | 4     |
+      | 5     | 4     |
+      | 9     | 4     |
+
+  Scenario: Extra attempts stay near a tenth of calls when everything fails
+    When 1000 calls each want 2 extra attempts
+    Then between 90 and 115 extra attempts are made
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -8,6 +8,8 @@
 N_SAMPLED = 5
 OTHERS_WEIGHT = 0.05
 BUSY_SHARE = 0.25
+NEARLY_BEST_FACTOR = 1.1
+NEARLY_BEST_SECONDS = 0.0003
 POLICY_NAME = "finish_time"
 MS_PER_SECOND = 1000.0
 
@@ -33,22 +35,23 @@
         excluded: frozenset[str],
         now: float,
     ) -> _router.RoutingDecision | None:
-        """Return the sampled candidate with the lowest expected finishing time."""
+        """Return one of the sampled candidates that are expected to finish first."""
         allowed = _tracking.filter_candidates(candidates, excluded)
         if not allowed:
             return None
-        sampled = self._rng.sample(allowed, min(N_SAMPLED, len(allowed)))
+        warm = self._leave_out_cold(allowed, now)
+        sampled = self._rng.sample(warm, min(N_SAMPLED, len(warm)))
         typical = self._get_class_seconds(class_name)
-        best = sampled[0]
-        best_seconds = float("inf")
-        for candidate in sampled:
-            seconds = self._estimate_seconds(candidate, typical, now)
-            if seconds >= best_seconds:
+        expected = [self._estimate_seconds(row, typical, now) for row in sampled]
+        bound = min(expected) * NEARLY_BEST_FACTOR + NEARLY_BEST_SECONDS
+        # The sample is in random order, so the first of the nearly best is a fair draw.
+        for candidate, seconds in zip(sampled, expected, strict=True):
+            if seconds > bound:
                 continue
-            best = candidate
-            best_seconds = seconds
-        expected_ms = best_seconds * MS_PER_SECOND
-        return _router.RoutingDecision(best, expected_ms, len(sampled), POLICY_NAME)
+            return _router.RoutingDecision(
+                candidate, seconds * MS_PER_SECOND, len(sampled), POLICY_NAME
+            )
+        return None
 
     def end(
         self, call: _router.OutstandingCall, seen: _router.Observation, now: float
@@ -62,6 +65,21 @@
         others = max(0, reported - view.n_outstanding)
         self._usual_others += OTHERS_WEIGHT * (others - self._usual_others)
 
+    def _leave_out_cold(
+        self, allowed: list[_router.Candidate], now: float
+    ) -> list[_router.Candidate]:
+        """Return the candidates that take part in this choice.
+
+        A newly started endpoint takes part in a growing share of choices, so that it
+        warms up on few calls; when all are new, all take part.
+        """
+        warm: list[_router.Candidate] = []
+        for candidate in allowed:
+            share = self._get_candidate_view(candidate, now).get_warm_share(now)
+            if share >= 1.0 or self._rng.random() < share:
+                warm.append(candidate)
+        return warm or allowed
+
     def _estimate_seconds(
         self, candidate: _router.Candidate, typical: float, now: float
     ) -> float:
@@ -70,7 +88,7 @@
         load = view.estimate_load(now, self._usual_others)
         occupancy = (load + 1.0) / n_slots
         waiting_factor = max(1.0, occupancy) + BUSY_SHARE * min(1.0, occupancy)
-        slowness = view.get_slowness(now) * view.get_ramp_factor(now)
+        slowness = view.get_slowness(now)
         return view.network_seconds + typical * slowness * waiting_factor
 
 
--- a/umberdrum/routing/_view.py
+++ b/umberdrum/routing/_view.py
@@ -9,7 +9,7 @@
 REPORT_TIME_CONSTANT_SECONDS = 0.1
 ERROR_SLOWNESS = 50.0
 RAMP_SECONDS = 5.0
-COLD_SLOWNESS = 2.0
+MIN_WARM_SHARE = 0.1
 MAX_SLOWNESS = 1000.0
 
 
@@ -109,12 +109,10 @@
             slowness = max(slowness, age_ratio)
         return slowness
 
-    def get_ramp_factor(self, now: float) -> float:
-        """Return the factor that keeps load from an endpoint that was just started."""
+    def get_warm_share(self, now: float) -> float:
+        """Return the share of choices in which a newly started endpoint takes part."""
         age = now - self.first_seen_at
-        if age >= RAMP_SECONDS:
-            return 1.0
-        return 1.0 + (COLD_SLOWNESS - 1.0) * (1.0 - age / RAMP_SECONDS)
+        return min(1.0, max(MIN_WARM_SHARE, age / RAMP_SECONDS))
 
     def estimate_load(self, now: float, usual_others: float) -> float:
         """Return the expected number of calls at the endpoint, running and queued.
--- a/umberdrum/sockets/__init__.py
+++ b/umberdrum/sockets/__init__.py
@@ -5,12 +5,13 @@
     ConnectionLostError,
     connect,
 )
-from umberdrum.sockets._listener import accept_connections, bind_tcp
+from umberdrum.sockets._listener import accept_connections, bind_tcp, close_listener
 
 __all__ = [
     "Connection",
     "ConnectionLostError",
     "accept_connections",
     "bind_tcp",
+    "close_listener",
     "connect",
 ]
--- a/umberdrum/sockets/_listener.py
+++ b/umberdrum/sockets/_listener.py
@@ -31,6 +31,14 @@
     return sock
 
 
+def close_listener(listener: socket.socket) -> None:
+    """Close a listening socket; the task that accepts from it ends."""
+    if listener.fileno() < 0:
+        return
+    trio.lowlevel.notify_closing(listener)
+    listener.close()
+
+
 async def accept_connections(
     listener: socket.socket,
     handler: ConnectionHandler,
--- /dev/null
+++ b/umberdrum/tests/feature_run.py
@@ -0,0 +1,97 @@
+"""Runs all features, in several processes at once, and adds up their scenarios.
+
+Scenarios that KNOWN-RED.txt names in a line ``scenario: FILE | NAME`` are reported and
+do not fail the run.
+"""
+
+import os
+import pathlib
+import re
+import subprocess
+import sys
+from typing import NamedTuple
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+TESTS = "umberdrum/tests"
+KNOWN_RED = ROOT / "KNOWN-RED.txt"
+GROUP_VARIABLE = "UMBERDRUM_TEST_GROUP"
+TIMEOUT_SECONDS = 1800
+_COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
+_FAILING = re.compile(r"^  (\S+\.feature):\d+\s+(.+)$", re.M)
+
+
+class GroupResult(NamedTuple):
+    """Counts of one process and the scenarios that failed in it."""
+
+    n_passed: int
+    n_failed: int
+    failing: list[str]
+    output: str
+
+
+def list_groups() -> list[list[str]]:
+    """Return the feature paths of each process; the first is below ``TESTS``."""
+    parts = sorted(ROOT.glob("umberdrum/*/tests/*.feature"))
+    groups = [[f"{TESTS}/scenes.feature"]]
+    groups[0] += [str(path.relative_to(ROOT)) for path in parts]
+    for path in sorted((ROOT / TESTS).glob("fault_*.feature")):
+        groups.append([str(path.relative_to(ROOT))])
+    return groups
+
+
+def read_known_red() -> set[str]:
+    """Return the scenarios that are known to fail, as ``FILE | NAME``."""
+    if not KNOWN_RED.exists():
+        return set()
+    known: set[str] = set()
+    for line in KNOWN_RED.read_text().splitlines():
+        if line.startswith("scenario: "):
+            known.add(line.removeprefix("scenario: ").strip())
+    return known
+
+
+def start_group(index: int, paths: list[str]) -> "subprocess.Popen[str]":
+    """Start one process; its tests bind ports of a range of their own."""
+    return subprocess.Popen(
+        [sys.executable, "-m", "behave", *paths],
+        cwd=ROOT,
+        env={**os.environ, GROUP_VARIABLE: str(index)},
+        stdin=subprocess.DEVNULL,
+        stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
+        text=True,
+    )
+
+
+def collect(process: "subprocess.Popen[str]") -> GroupResult:
+    """Wait for one process; one that printed no counts is one failure."""
+    output, _ = process.communicate(timeout=TIMEOUT_SECONDS)
+    counts = _COUNTS.search(output)
+    if counts is None:
+        return GroupResult(0, 1, ["no counts were printed"], output)
+    failing = [f"{path} | {name.strip()}" for path, name in _FAILING.findall(output)]
+    n_failed = int(counts[2]) + int(counts[3] or 0)
+    return GroupResult(int(counts[1]), n_failed, failing, output)
+
+
+def main() -> int:
+    """Run everything and print the closing line."""
+    processes = [start_group(*row) for row in enumerate(list_groups())]
+    results = [collect(process) for process in processes]
+    known = read_known_red()
+    n_known = 0
+    for result in results:
+        if not result.n_failed:
+            continue
+        print(result.output)
+        n_known += sum(1 for name in result.failing if name in known)
+    n_passed = sum(result.n_passed for result in results)
+    n_failed = sum(result.n_failed for result in results)
+    if n_known:
+        print(f"known red (KNOWN-RED.txt): {n_known}")
+    print(f"{n_passed} passed, {n_failed} failed")
+    return 0 if n_failed == n_known and n_passed > 0 else 1
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/umberdrum/tests/harness.py
@@ -0,0 +1,431 @@
+"""Daemons, store and upstreams in one process on a virtual clock, for tests.
+
+Everything runs in one trio loop over loopback sockets. The clock jumps on when every
+task waits, so that timeouts of minutes cost no time and no test measures time.
+"""
+
+import contextlib
+import itertools
+import json
+import logging
+import os
+import random
+import socket
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import NamedTuple, TypeVar
+
+import h11
+import trio
+import trio.testing
+
+from umberdrum import classes, configuration, logs, settings, sockets, store
+from umberdrum.daemon import Daemon
+from umberdrum_bench import caller, link, store_server, store_state
+
+AUTOJUMP_SECONDS = 0.01
+ANNOUNCE_SECONDS = 1.0
+HOST = "127.0.0.1"
+N_PORTS = 3000
+FIRST_PORT = 10_000 + int(os.environ.get("UMBERDRUM_TEST_GROUP", "6")) * N_PORTS
+LAST_PORT = FIRST_PORT + N_PORTS
+CLUSTER_KEY = bytes(range(16))
+CALL_TIMEOUT_SECONDS = 60.0
+RAW_TIMEOUT_SECONDS = 90.0
+
+_Result = TypeVar("_Result")
+
+
+def run_on_virtual_clock(function: Callable[[], Awaitable[_Result]]) -> _Result:
+    """Run ``function`` in a trio loop whose clock jumps over waiting times."""
+    clock = trio.testing.MockClock(autojump_threshold=AUTOJUMP_SECONDS)
+    return trio.run(function, clock=clock)
+
+
+_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+
+
+def find_free_address() -> settings.Address:
+    """Return a loopback address whose TCP and UDP ports are free now.
+
+    The ports lie below those that the system gives to outgoing connections, so that no
+    connection takes one before it is bound.
+    """
+    for port in _ports:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            with contextlib.suppress(OSError):
+                tcp.bind((HOST, port))
+                udp.bind((HOST, port))
+                return settings.Address(HOST, port)
+    raise OSError("no port is free")
+
+
+class FakeUpstream:
+    """Upstream that records what it runs and misbehaves on request.
+
+    The field ``x-fault`` of a request says how: ``hang``, ``close-before-answer``,
+    ``close-in-answer``, ``garbage``, ``slow`` (two seconds) or ``error``.
+    """
+
+    def __init__(self, address: settings.Address) -> None:
+        self.address = address
+        self.begun: list[str] = []
+        self.ended: list[str] = []
+        self.cancelled: list[str] = []
+        self.seen_headers: list[dict[str, str]] = []
+        self.service_seconds = 0.01
+        self.constant_fault = ""
+        self.state = "serving"
+        self.n_running = 0
+        self.max_running = 0
+
+    async def serve(self, connection: sockets.Connection) -> None:
+        """Serve one connection."""
+        http = h11.Connection(h11.SERVER)
+        while True:
+            head = await _receive(connection, http)
+            if not isinstance(head, h11.Request):
+                return
+            fields = {k.decode(): v.decode("latin-1") for k, v in head.headers}
+            self.seen_headers.append(fields)
+            nonce = fields.get("x-nonce", "-")
+            self.begun.append(nonce)
+            n_bytes = 0
+            while isinstance(event := await _receive(connection, http), h11.Data):
+                n_bytes += len(event.data)
+            if not isinstance(event, h11.EndOfMessage):
+                self.cancelled.append(nonce)
+                return
+            self.n_running += 1
+            self.max_running = max(self.max_running, self.n_running)
+            try:
+                is_open = await self._answer(connection, http, fields, nonce, n_bytes)
+            finally:
+                self.n_running -= 1
+            if not is_open or http.our_state is not h11.DONE:
+                return
+            http.start_next_cycle()
+
+    async def _answer(
+        self,
+        connection: sockets.Connection,
+        http: h11.Connection,
+        fields: dict[str, str],
+        nonce: str,
+        n_bytes: int,
+    ) -> bool:
+        fault = self.constant_fault or fields.get("x-fault", "")
+        seconds = 2.0 if fault == "slow" else self.service_seconds
+        if fault == "hang":
+            seconds = 100_000.0
+        if not await self._work(connection, seconds):
+            self.cancelled.append(nonce)
+            return False
+        if fault == "close-before-answer":
+            return False
+        if fault == "garbage":
+            await connection.send(b"this is not HTTP\r\n\r\n")
+            return False
+        self.ended.append(nonce)
+        body = json.dumps({"nonce": nonce, "n_bytes": n_bytes}).encode()
+        n_length = len(body) + (10 if fault == "close-in-answer" else 0)
+        response = h11.Response(
+            status_code=500 if fault == "error" else 200,
+            headers=[("content-length", str(n_length))],
+        )
+        data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
+        if fault == "close-in-answer":
+            await connection.send(data)
+            return False
+        await connection.send(data + (http.send(h11.EndOfMessage()) or b""))
+        return True
+
+    async def _work(self, connection: sockets.Connection, seconds: float) -> bool:
+        """Wait for the service time; False when the daemon closed meanwhile."""
+        until = trio.current_time() + seconds
+        while trio.current_time() < until:
+            await trio.sleep(min(0.1, until - trio.current_time()))
+            if connection.is_lost():
+                return False
+        return True
+
+
+async def _receive(connection: sockets.Connection, http: h11.Connection) -> object:
+    while True:
+        event = http.next_event()
+        if event is not h11.NEED_DATA:
+            return event
+        http.receive_data(await connection.receive())
+
+
+class Node(NamedTuple):
+    """One endpoint of a site: daemon, upstream, and the link in front, if any."""
+
+    settings: settings.Settings
+    daemon: Daemon
+    upstream: FakeUpstream
+    scope: trio.CancelScope
+    link: link.LinkStandIn | None
+    lines: list[str]
+
+    @property
+    def endpoint_id(self) -> str:
+        """Id of the endpoint."""
+        return str(self.settings.peer_advertise)
+
+
+class _LineList(logging.Handler):
+    """Log handler that keeps lines in memory."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[str] = []
+
+    def emit(self, record: logging.LogRecord) -> None:
+        self.lines.append(record.getMessage())
+
+
+class Site:
+    """A store and endpoints, started and ended by the test."""
+
+    def __init__(self, nursery: trio.Nursery, seed: int) -> None:
+        self._nursery = nursery
+        self._rng = random.Random(seed)
+        self.state = store_state.StoreState()
+        self.faults = store_server.StoreFaults()
+        self.server = store_server.StoreServer(self.state, self.faults)
+        self.store_address = find_free_address()
+        self.nodes: list[Node] = []
+        self.pool = caller.CallerPool()
+        self.counter = store.StoreCallCounter()
+
+    def start_store(self) -> None:
+        """Serve the store stand-in."""
+        listener = sockets.bind_tcp(self.store_address)
+        self._nursery.start_soon(self.server.expire_leases_forever)
+        self._nursery.start_soon(
+            sockets.accept_connections, listener, self.server.serve, 500
+        )
+
+    def build_repository(self) -> configuration.ClassRepository:
+        """Return the operators' way to the classes."""
+        return configuration.ClassRepository(self.build_store(), "umberdrum")
+
+    def build_store(self) -> store.EtcdStore:
+        """Return a client of the store stand-in."""
+        return store.EtcdStore((self.store_address,), self.counter, 2.0)
+
+    async def create_class(
+        self,
+        name: str,
+        service: str,
+        path: str = "/",
+        is_idempotent: bool = True,
+        target_ms: int = 200,
+    ) -> None:
+        """Write one class."""
+        request_class = classes.RequestClass(
+            name,
+            service,
+            (),
+            path,
+            is_idempotent,
+            classes.Target(target_ms, 99.0),
+            f"change-{name}",
+        )
+        written = await self.build_repository().write_class(request_class, 0)
+        assert written.is_ok(), written
+
+    async def add_node(
+        self,
+        service: str,
+        zone: str = "az1",
+        region: str = "r1",
+        n_slots: int = 4,
+        has_link: bool = False,
+        replaces: Node | None = None,
+        state: str = "serving",
+        seeds: tuple[settings.Address, ...] = (),
+    ) -> Node:
+        """Start one endpoint; with ``replaces`` at the addresses of an earlier one."""
+        if replaces is not None:
+            own = replaces.settings
+            upstream = FakeUpstream(replaces.upstream.address)
+        else:
+            own = self._build_settings(zone, region, has_link)
+            upstream = FakeUpstream(find_free_address())
+        own = own._replace(seeds=seeds)
+        logger = logging.Logger(f"node-{len(self.nodes)}")
+        lines = _LineList()
+        logger.addHandler(lines)
+        rng = random.Random(self._rng.getrandbits(64))
+        daemon = Daemon(own, logger, logs.LineWriter(2), rng)
+        standin = None
+        if own.peer_advertise != own.peer_listen:
+            standin = link.LinkStandIn(own.peer_advertise, own.peer_listen)
+        scope = await self._nursery.start(self._run_node, daemon, upstream, standin)
+        node = Node(own, daemon, upstream, scope, standin, lines.lines)
+        self.nodes.append(node)
+        if service:
+            upstream.state = state
+            self._nursery.start_soon(self._announce_forever, node, service, n_slots)
+        return node
+
+    async def announce(
+        self, node: Node, service: str, n_slots: int, state: str
+    ) -> None:
+        """Send one announcement of a node's upstream."""
+        document = {
+            "service": service,
+            "address": str(node.upstream.address),
+            "slots": n_slots,
+            "state": state,
+        }
+        body = json.dumps(document).encode()
+        await self.send_raw(
+            node.settings.announce_listen,
+            b"PUT /v1/upstream HTTP/1.1\r\nhost: x\r\nconnection: close\r\n"
+            b"content-length: %d\r\n\r\n" % len(body) + body,
+        )
+
+    async def send_raw(self, address: settings.Address, raw: bytes) -> bytes:
+        """Send bytes as they are and return all that comes back until the close."""
+        try:
+            connection = await sockets.connect(address, 1.0)
+        except sockets.ConnectionLostError:
+            return b""
+        received = b""
+        try:
+            with trio.move_on_after(RAW_TIMEOUT_SECONDS):
+                await connection.send(raw)
+                while data := await connection.receive():
+                    received += data
+        except sockets.ConnectionLostError:
+            pass
+        finally:
+            connection.close()
+        return received
+
+    async def call(
+        self,
+        node: Node,
+        service: str,
+        nonce: str,
+        path: str = "/",
+        fault: str = "",
+        body: bytes = b"",
+        deadline_ms: int = 0,
+        request_id: str = "",
+    ) -> caller.CallerAnswer:
+        """Send one call to a node as its entry and return what came back."""
+        request = caller.CallerRequest(
+            service,
+            "POST" if body else "GET",
+            path,
+            request_id or f"id-{nonce}",
+            nonce,
+            body,
+            deadline_ms,
+            fault,
+        )
+        address = node.settings.caller_listen
+        return await self.pool.call(address, request, CALL_TIMEOUT_SECONDS)
+
+    async def wait_until(
+        self, condition: Callable[[], bool], limit_seconds: float = 60.0
+    ) -> None:
+        """Return once ``condition`` holds; fails after ``limit_seconds``."""
+        with trio.fail_after(limit_seconds):
+            while not condition():
+                await trio.sleep(0.05)
+
+    async def wait_until_known(
+        self, n_classes: int, limit_seconds: float = 60.0
+    ) -> None:
+        """Return once all running nodes know each other and the classes."""
+        await self.wait_until(lambda: self.is_known(n_classes), limit_seconds)
+
+    def is_known(self, n_classes: int) -> bool:
+        """Return whether all running nodes know each other and the classes."""
+        running = [node for node in self.nodes if not node.scope.cancel_called]
+        for node in running:
+            parts = node.daemon.parts
+            if parts is None:
+                return False
+            if len(parts.state.catalog.list_classes()) < n_classes:
+                return False
+            live = [record for record in parts.table.records if record.is_live]
+            if len(live) < len(running):
+                return False
+        return True
+
+    def kill(self, node: Node) -> None:
+        """End a node at once, without a word to anybody."""
+        node.scope.cancel()
+
+    def count_runs(self, nonce: str) -> int:
+        """Return how often upstreams began the request with this nonce."""
+        return sum(node.upstream.begun.count(nonce) for node in self.nodes)
+
+    async def _announce_forever(self, node: Node, service: str, n_slots: int) -> None:
+        while not node.scope.cancel_called:
+            await self.announce(node, service, n_slots, node.upstream.state)
+            await trio.sleep(ANNOUNCE_SECONDS)
+
+    async def _run_node(
+        self,
+        daemon: Daemon,
+        upstream: FakeUpstream,
+        standin: link.LinkStandIn | None,
+        task_status: trio.TaskStatus[trio.CancelScope],
+    ) -> None:
+        with trio.CancelScope() as scope:
+            async with trio.open_nursery() as nursery:
+                listener = sockets.bind_tcp(upstream.address)
+                serve = sockets.accept_connections
+                nursery.start_soon(serve, listener, upstream.serve, 500)
+                if standin is not None:
+                    await nursery.start(standin.run)
+                await nursery.start(daemon.run)
+                task_status.started(scope)
+                await daemon.wait_stopped()
+                nursery.cancel_scope.cancel()
+            scope.cancel()
+
+    def _build_settings(
+        self, zone: str, region: str, has_link: bool
+    ) -> settings.Settings:
+        peer = find_free_address()
+        advertise = find_free_address() if has_link else peer
+        text = "\n".join(
+            [
+                "[instance]",
+                f"availability_zone = {zone}",
+                f"region = {region}",
+                "[listen]",
+                f"caller = {find_free_address()}",
+                f"peer = {peer}",
+                f"peer_advertise = {advertise}",
+                f"admin = {find_free_address()}",
+                f"announce = {find_free_address()}",
+                "[cluster]",
+                f"key = {CLUSTER_KEY.hex()}",
+                "[store]",
+                f"addresses = {self.store_address}",
+            ]
+        )
+        parsed = settings.parse_settings(text)
+        assert parsed.is_ok(), parsed
+        return parsed.ok
+
+
+@contextlib.asynccontextmanager
+async def open_site(seed: int = 1) -> AsyncIterator[Site]:
+    """Open a site with an empty store; everything ends with the block."""
+    async with trio.open_nursery() as nursery:
+        site = Site(nursery, seed)
+        site.start_store()
+        try:
+            yield site
+        finally:
+            site.pool.close()
+            nursery.cancel_scope.cancel()
--- a/umberdrum_bench/caller.py
+++ b/umberdrum_bench/caller.py
@@ -13,7 +13,10 @@
 
 
 class CallerRequest(NamedTuple):
-    """Request of a caller; ``deadline_ms`` of 0 leaves the deadline to the class."""
+    """Request of a caller; ``deadline_ms`` of 0 leaves the deadline to the class.
+
+    ``fault`` asks an upstream of the tests to misbehave.
+    """
 
     service: str
     method: str
@@ -22,6 +25,7 @@
     nonce: str
     body: bytes = b""
     deadline_ms: int = 0
+    fault: str = ""
 
 
 class CallerAnswer(NamedTuple):
@@ -149,6 +153,8 @@
         ]
         if request.deadline_ms:
             headers.append(("umberdrum-deadline-ms", str(request.deadline_ms)))
+        if request.fault:
+            headers.append(("x-fault", request.fault))
         if request.body:
             headers.append(("content-length", str(len(request.body))))
         head = h11.Request(method=request.method, target=request.path, headers=headers)
--- a/umberdrum_bench/link.py
+++ b/umberdrum_bench/link.py
@@ -25,12 +25,22 @@
         self._listen = listen
         self._target = target
         self._generation = 0
+        self._resumed = trio.Event()
+        self._resumed.set()
         self._udp_clients: dict[settings.Address, trio.socket.SocketType] = {}
 
     def silence(self) -> None:
         """Drop from now on what open connections carry."""
         self._generation += 1
 
+    def pause(self) -> None:
+        """Hold everything back until ``resume``, as if the daemon were paused."""
+        self._resumed = trio.Event()
+
+    def resume(self) -> None:
+        """Pass everything on again, what was held back on connections first."""
+        self._resumed.set()
+
     async def serve(self, connection: sockets.Connection) -> None:
         """Forward one connection until either side closes."""
         generation = self._generation
@@ -43,13 +53,26 @@
         finally:
             target.close()
 
-    async def forward_datagrams(self) -> None:
-        """Forward datagrams to the daemon and its answers back."""
+    async def run(
+        self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Forward connections and datagrams until cancelled."""
+        listener = sockets.bind_tcp(self._listen)
         server = trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         await server.bind((self._listen.host, self._listen.port))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._forward_datagrams, server)
+            nursery.start_soon(
+                sockets.accept_connections, listener, self.serve, MAX_CONNECTIONS
+            )
+            task_status.started()
+
+    async def _forward_datagrams(self, server: trio.socket.SocketType) -> None:
         async with trio.open_nursery() as nursery:
             while True:
                 data, sender = await server.recvfrom(MAX_DATAGRAM_BYTES)
+                if not self._resumed.is_set():
+                    continue
                 address = settings.Address(*sender)
                 client = self._udp_clients.get(address)
                 if client is None:
@@ -79,6 +102,7 @@
         try:
             while True:
                 data = await source.receive()
+                await self._resumed.wait()
                 if generation != self._generation:
                     # A close is lost on the way too.
                     if not data:
@@ -96,12 +120,8 @@
 async def run_link(listen: settings.Address, target: settings.Address) -> None:
     """Forward until cancelled."""
     link = LinkStandIn(listen, target)
-    listener = sockets.bind_tcp(listen)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(
-            sockets.accept_connections, listener, link.serve, MAX_CONNECTIONS
-        )
-        nursery.start_soon(link.forward_datagrams)
+        nursery.start_soon(link.run)
         with trio.open_signal_receiver(signal.SIGUSR1) as received:
             async for _ in received:
                 link.silence()
--- a/umberdrum_bench/store_server.py
+++ b/umberdrum_bench/store_server.py
@@ -85,7 +85,7 @@
         raw: bytes,
     ) -> None:
         if path == "/standin/faults":
-            self._switch_faults(json.loads(raw))
+            self.switch_faults(json.loads(raw))
             await _send_json(connection, http, {"ok": True})
             return
         if path == "/standin/counts":
@@ -108,7 +108,8 @@
             raise _ConnectionDroppedError
         await _send_json(connection, http, answer)
 
-    def _switch_faults(self, body: JsonObject) -> None:
+    def switch_faults(self, body: JsonObject) -> None:
+        """Switch faults on and off; fields that are left out stay as they are."""
         faults = self.faults
         faults.is_down = bool(body.get("down", faults.is_down))
         faults.delay_seconds = body.get("delay_ms", faults.delay_seconds * 1000) / 1000
