Refuse earlier what would wait too long, and share calls between new endpoints

A call whose expected wait was just below its bound waited and was refused at the bound. And leaving out new endpoints by chance could leave only a stalled one to choose.

Change: the expected wait must stay below 0.8 of the bound. An endpoint counts as new only against the oldest of its service.

--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -11,6 +11,7 @@
 from umberdrum.admission import _limit
 
 MAX_QUEUED_PER_SLOT = 8
+QUEUE_MARGIN = 0.8
 MEAN_WEIGHT = 0.1
 LONG_CLASS_RATIO = 4.0
 LONG_CLASS_SLOT_SHARE = 0.67
@@ -220,7 +221,7 @@
             return self._refuse(errors.ErrorKind.OVERLOADED, detail)
         n_ahead = self._count_ahead(request, now)
         wait_seconds = (n_ahead + 1) * self._mean_seconds / limit
-        if wait_seconds * MS_PER_SECOND > request.max_queue_ms:
+        if wait_seconds * MS_PER_SECOND > request.max_queue_ms * QUEUE_MARGIN:
             detail = (
                 f"expected wait {wait_seconds * MS_PER_SECOND:.0f} ms, class allows "
                 f"{request.max_queue_ms} ms"
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -73,9 +73,11 @@
         A newly started endpoint takes part in a growing share of choices, so that it
         warms up on few calls; when all are new, all take part.
         """
+        views = [self._get_candidate_view(candidate, now) for candidate in allowed]
+        oldest_seen_at = min(view.first_seen_at for view in views)
         warm: list[_router.Candidate] = []
-        for candidate in allowed:
-            share = self._get_candidate_view(candidate, now).get_warm_share(now)
+        for candidate, view in zip(allowed, views, strict=True):
+            share = view.get_warm_share(now, oldest_seen_at)
             if share >= 1.0 or self._rng.random() < share:
                 warm.append(candidate)
         return warm or allowed
--- a/umberdrum/routing/_view.py
+++ b/umberdrum/routing/_view.py
@@ -109,10 +109,17 @@
             slowness = max(slowness, age_ratio)
         return slowness
 
-    def get_warm_share(self, now: float) -> float:
-        """Return the share of choices in which a newly started endpoint takes part."""
+    def get_warm_share(self, now: float, oldest_seen_at: float) -> float:
+        """Return the share of choices in which a newly started endpoint takes part.
+
+        It grows with age, measured against the oldest endpoint of the service, so that
+        endpoints which are all equally new share the calls evenly.
+        """
+        ramp_seconds = min(RAMP_SECONDS, now - oldest_seen_at)
         age = now - self.first_seen_at
-        return min(1.0, max(MIN_WARM_SHARE, age / RAMP_SECONDS))
+        if age >= ramp_seconds:
+            return 1.0
+        return max(MIN_WARM_SHARE, age / ramp_seconds)
 
     def estimate_load(self, now: float, usual_others: float) -> float:
         """Return the expected number of calls at the endpoint, running and queued.
