Measure control costs of a fleet: umberdrum-bench fleet

Cause: docs/CAPACITY.md needs slopes of bytes, processor time, store calls and delays against the number of daemons.

Change: a bench that starts a fleet, reads its use from the system and the daemons, and finds delays in their logs.

--- a/umberdrum_bench/cost.py
+++ b/umberdrum_bench/cost.py
@@ -119,10 +119,13 @@
     n_callers: int,
     n_calls: int,
 ) -> WayCost:
+    upstream_process = endpoint.upstream_process
+    if upstream_process is None:
+        raise RuntimeError("expected an upstream, found none")
     pids = (
         entry.daemon_process.pid,
         endpoint.daemon_process.pid,
-        endpoint.upstream_process.pid,
+        upstream_process.pid,
     )
     before = [read_process(pid).cpu_seconds for pid in pids]
     began_at = trio.current_time()
--- a/umberdrum_bench/demo.py
+++ b/umberdrum_bench/demo.py
@@ -201,22 +201,20 @@
         photos = self._find("photos")
         await trio.sleep_until(began_at + 3.0)
         self._announce_fault("drain: a cards upstream announces that it is draining")
-        cards[0].upstream_process.send_signal(signal.SIGUSR1)
+        _signal(cards[0].upstream_process, signal.SIGUSR1)
         self._drained.add(cards[0].position)
         await trio.sleep_until(began_at + 5.0)
         self._announce_fault("drain: a photos daemon is stopped by SIGTERM")
         self._drained.add(photos[0].position)
-        photos[0].daemon_process.send_signal(signal.SIGTERM)
+        _signal(photos[0].daemon_process, signal.SIGTERM)
         await trio.sleep_until(began_at + 8.0)
         self._announce_fault("kill: a payments daemon and its upstream")
         self._killed.add(payments[0].position)
-        payments[0].daemon_process.kill()
-        payments[0].upstream_process.kill()
+        _signal(payments[0].daemon_process, signal.SIGKILL)
+        _signal(payments[0].upstream_process, signal.SIGKILL)
         await trio.sleep_until(began_at + 11.0)
         self._announce_fault("silence: open connections to a payments daemon")
-        link = payments[1].link_process
-        if link is not None:
-            link.send_signal(signal.SIGUSR1)
+        _signal(payments[1].link_process, signal.SIGUSR1)
         await trio.sleep_until(began_at + 13.0)
         self._announce_fault("outage: the store stops answering")
         await self._cluster.switch_store_faults(down=True)
@@ -283,6 +281,12 @@
         return through.p50_ms - direct.p50_ms, through.p99_ms - direct.p99_ms
 
 
+def _signal(process: "subprocess.Popen[bytes] | None", number: signal.Signals) -> None:
+    if process is None:
+        raise RuntimeError("expected a running process, found none")
+    process.send_signal(number)
+
+
 def run_program(arguments: Sequence[str] | None = None) -> int:
     """Run the demo; exit code 0 only when every promise held."""
     parser = argparse.ArgumentParser(prog="demo", description=__doc__)
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -6,7 +6,7 @@
 
 import trio
 
-from umberdrum_bench import added, cost
+from umberdrum_bench import added, cost, fleet
 
 
 def run_program(arguments: Sequence[str] | None = None) -> int:
@@ -16,6 +16,8 @@
         return _run_added(options)
     if options.command == "cost":
         return _run_cost(options)
+    if options.command == "fleet":
+        return _run_fleet(options)
     return _run_memory()
 
 
@@ -46,6 +48,30 @@
     return 0
 
 
+def _run_fleet(options: argparse.Namespace) -> int:
+    print(f"{'daemons':>8}{'B/s':>7}{'cpu %':>7}{'MB':>7}{'store/s':>9}", end="")
+    print(f"{'watches':>8}{'change s':>10}{'leave s':>9}{'death s':>9}", end="")
+    print(f"{'worst B/s':>11}", flush=True)
+    for size in options.sizes.split(","):
+        wanted = fleet.FleetOptions(
+            int(size),
+            options.changes,
+            options.leaves,
+            options.deaths,
+            options.store_down,
+        )
+        row = trio.run(fleet.measure_fleet, wanted)
+        print(
+            f"{row.n_daemons:8}{row.control_bytes_per_second:7.0f}"
+            f"{row.cpu_percent:7.2f}{row.memory_mb:7.1f}"
+            f"{row.store_calls_per_second:9.2f}{row.n_store_watches:8}"
+            f"{row.change_seconds:10.2f}{row.leave_seconds:9.2f}"
+            f"{row.death_seconds:9.2f}{row.worst_bytes_per_second:11.0f}",
+            flush=True,
+        )
+    return 0
+
+
 def _run_memory() -> int:
     use = trio.run(cost.measure_memory)
     print(f"idle: {use.idle_mb:.1f} MB, {use.idle_cpu_percent:.2f} % of a core")
@@ -68,6 +94,12 @@
     processor = commands.add_parser("cost", help="processor time of calls")
     processor.add_argument("--calls", type=int, default=6000)
     processor.add_argument("--callers", default="1,8", help="closed loops")
+    control = commands.add_parser("fleet", help="control costs against fleet size")
+    control.add_argument("--sizes", default="12,60,200", help="daemons")
+    control.add_argument("--changes", type=int, default=30)
+    control.add_argument("--leaves", type=int, default=5)
+    control.add_argument("--deaths", type=int, default=5)
+    control.add_argument("--store-down", action="store_true", help="for the exits")
     commands.add_parser("memory", help="memory of a daemon")
     return parser
 
--- a/umberdrum_bench/processes.py
+++ b/umberdrum_bench/processes.py
@@ -40,6 +40,7 @@
     routing_policy: str = "finish_time"
     log_level: str = "info"
     is_instant: bool = False
+    has_upstreams: bool = True
     seed: int = 1
 
 
@@ -55,7 +56,7 @@
     record_path: pathlib.Path
     log_path: pathlib.Path
     daemon_process: "subprocess.Popen[bytes]"
-    upstream_process: "subprocess.Popen[bytes]"
+    upstream_process: "subprocess.Popen[bytes] | None"
     link_process: "subprocess.Popen[bytes] | None"
 
 
@@ -163,7 +164,9 @@
         ]
         if self.options.is_instant:
             arguments.append("--instant")
-        upstream_process = self._spawn(f"upstream-{name}", arguments)
+        upstream_process = None
+        if self.options.has_upstreams:
+            upstream_process = self._spawn(f"upstream-{name}", arguments)
         return RunningEndpoint(
             index,
             plan,
