--- a/umberdrum_bench/added.py
+++ b/umberdrum_bench/added.py
@@ -55,12 +55,16 @@
 
 
 async def create_class(
-    cluster: processes.Cluster, name: str, service: str, path: str
+    cluster: processes.Cluster,
+    name: str,
+    service: str,
+    path: str,
+    target_ms: int = 1000,
 ) -> None:
     """Write one idempotent class into the store stand-in."""
     etcd = store.EtcdStore((cluster.store,), store.StoreCallCounter())
     repository = configuration.ClassRepository(etcd, "umberdrum")
-    target = classes.Target(1000, 99.0)
+    target = classes.Target(target_ms, 99.0)
     request_class = classes.RequestClass(name, service, (), path, True, target, name)
     for _ in range(50):
         written = await repository.write_class(request_class, 0)
--- /dev/null
+++ b/umberdrum_bench/experiment.py
@@ -0,0 +1,201 @@
+"""Experiments on decisions: an INI file each, run on real processes under open load."""
+
+import configparser
+import pathlib
+import random
+import signal
+import tempfile
+from typing import NamedTuple
+
+import trio
+
+from umberdrum_bench import added, caller, latency, processes
+
+BASE_PORT = 27_000
+CALL_TIMEOUT_SECONDS = 10.0
+WARM_SECONDS = 3.0
+EVENTS = ("none", "slow", "fail", "swing", "drain")
+SLOW_FACTOR = 10
+SWING_PERIOD_SECONDS = 2.0
+SWING_FACTOR = 3.0
+
+
+class ExperimentPlan(NamedTuple):
+    """One experiment as its INI file describes it.
+
+    ``load`` is the share of the capacity of all slots. ``event`` happens to the first
+    endpoint when the measured time begins; ``swing`` triples the arrivals for half of
+    each two seconds instead.
+    """
+
+    name: str
+    policy: str
+    event: str
+    n_endpoints: int
+    n_slots: int
+    mean_ms: float
+    load: float
+    seconds: float
+    target_ms: int
+    measuring_bytes_per_second: int
+    seed: int
+
+
+class ExperimentResult(NamedTuple):
+    """What the callers saw, times from the scheduled moment of each call."""
+
+    name: str
+    policy: str
+    event: str
+    n_calls: int
+    n_answered: int
+    n_refused: int
+    n_failed: int
+    p50_ms: float
+    p99_ms: float
+    p999_ms: float
+    share_within: float
+    goodput_per_second: float
+
+
+def read_plan(path: pathlib.Path) -> ExperimentPlan:
+    """Return the plan in the file at ``path``; raises ``ValueError`` for a fault."""
+    parser = configparser.ConfigParser(interpolation=None)
+    parser.read_string(path.read_text())
+    row = parser["experiment"]
+    event = row.get("event", "none")
+    if event not in EVENTS:
+        raise ValueError(f"{path}: event: expected one of {EVENTS}, found {event!r}")
+    return ExperimentPlan(
+        path.stem,
+        row.get("policy", "finish_time"),
+        event,
+        row.getint("endpoints", 4),
+        row.getint("slots", 2),
+        row.getfloat("mean_ms", 20.0),
+        row.getfloat("load", 0.7),
+        row.getfloat("seconds", 10.0),
+        row.getint("target_ms", 100),
+        row.getint("measuring_bytes_per_second", 1000),
+        row.getint("seed", 1),
+    )
+
+
+async def run_experiment(plan: ExperimentPlan) -> ExperimentResult:
+    """Run one experiment on a cluster of its own."""
+    with tempfile.TemporaryDirectory() as directory:
+        return await _Run(plan, pathlib.Path(directory)).run()
+
+
+class _Run:
+    """One run of an experiment."""
+
+    def __init__(self, plan: ExperimentPlan, directory: pathlib.Path) -> None:
+        self._plan = plan
+        self._rng = random.Random(plan.seed)
+        self._cluster = processes.Cluster(
+            processes.ClusterOptions(
+                BASE_PORT,
+                directory,
+                plan.measuring_bytes_per_second,
+                plan.policy,
+                mean_ms=plan.mean_ms,
+                seed=plan.seed,
+            )
+        )
+        self._pool = caller.CallerPool()
+        self._recorder = latency.Recorder()
+        self._n_calls = 0
+        self._n_answered = 0
+        self._n_refused = 0
+        self._n_failed = 0
+        self._n_within = 0
+
+    async def run(self) -> ExperimentResult:
+        plan = self._plan
+        try:
+            self._cluster.start(
+                [
+                    processes.EndpointPlan("cards", f"az{i % 3}", "r1", plan.n_slots)
+                    for i in range(plan.n_endpoints)
+                ]
+            )
+            await added.create_class(
+                self._cluster, "lookups", "cards", "/", plan.target_ms
+            )
+            await self._cluster.wait_until_ready(1)
+            await self._send(WARM_SECONDS, is_measured=False)
+            await self._bring_about()
+            await self._send(plan.seconds, is_measured=True)
+        finally:
+            self._pool.close()
+            self._cluster.stop()
+        summary = self._recorder.summarize()
+        return ExperimentResult(
+            plan.name,
+            plan.policy,
+            plan.event,
+            self._n_calls,
+            self._n_answered,
+            self._n_refused,
+            self._n_failed,
+            summary.p50_ms,
+            summary.p99_ms,
+            summary.p999_ms,
+            100.0 * self._n_within / max(1, self._n_calls),
+            self._n_answered / plan.seconds,
+        )
+
+    async def _bring_about(self) -> None:
+        event = self._plan.event
+        endpoint = self._cluster.endpoints[0]
+        if event == "drain" and endpoint.upstream_process is not None:
+            endpoint.upstream_process.send_signal(signal.SIGUSR1)
+        switches: dict[str, dict[str, object]] = {
+            "slow": {"factor": SLOW_FACTOR},
+            "fail": {"fail": True},
+        }
+        if event in switches:
+            client = processes.build_client(endpoint.upstream)
+            await client.request("POST", "/standin/x", switches[event], is_write=False)
+            client.close()
+
+    async def _send(self, seconds: float, is_measured: bool) -> None:
+        """Send calls at random moments, whatever the answers do."""
+        plan = self._plan
+        capacity = plan.n_endpoints * plan.n_slots * 1000.0 / plan.mean_ms
+        rate = plan.load * capacity
+        began_at = trio.current_time()
+        next_at = began_at
+        async with trio.open_nursery() as nursery:
+            while next_at < began_at + seconds:
+                await trio.sleep_until(next_at)
+                nursery.start_soon(self._call, next_at, is_measured)
+                next_at += self._rng.expovariate(rate * self._get_swing(next_at))
+
+    def _get_swing(self, now: float) -> float:
+        """Return the factor of the arrivals: high for half a period, else low."""
+        if self._plan.event != "swing":
+            return 1.0
+        is_high = now % SWING_PERIOD_SECONDS < SWING_PERIOD_SECONDS / 2
+        mean = (1.0 + SWING_FACTOR) / 2
+        return (SWING_FACTOR if is_high else 1.0) / mean
+
+    async def _call(self, scheduled_at: float, is_measured: bool) -> None:
+        entry = self._rng.choice(self._cluster.endpoints)
+        request_id = f"x-{self._rng.getrandbits(64):016x}"
+        request = caller.CallerRequest("cards", "GET", "/x", request_id, "n")
+        answer = await self._pool.call(entry.caller, request, CALL_TIMEOUT_SECONDS)
+        if not is_measured:
+            return
+        seconds = trio.current_time() - scheduled_at
+        self._n_calls += 1
+        if answer.status == 200:
+            self._n_answered += 1
+            self._recorder.record(seconds)
+            if seconds * 1000.0 <= self._plan.target_ms:
+                self._n_within += 1
+        elif answer.kind and answer.execution == "not-run":
+            self._n_refused += 1
+        else:
+            self._n_failed += 1
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -1,12 +1,14 @@
 """Program ``umberdrum-bench``: measurements on real processes."""
 
 import argparse
+import json
+import pathlib
 import sys
 from collections.abc import Sequence
 
 import trio
 
-from umberdrum_bench import added, cost, fleet
+from umberdrum_bench import added, cost, experiment, fleet
 
 
 def run_program(arguments: Sequence[str] | None = None) -> int:
@@ -16,6 +18,8 @@
         return _run_added(options)
     if options.command == "cost":
         return _run_cost(options)
+    if options.command == "run":
+        return _run_experiments(options)
     if options.command == "fleet":
         return _run_fleet(options)
     return _run_memory()
@@ -72,6 +76,31 @@
     return 0
 
 
+def _run_experiments(options: argparse.Namespace) -> int:
+    """Run the experiments in turn, again and again, and compare them with the first."""
+    plans = [experiment.read_plan(pathlib.Path(name)) for name in options.files]
+    results: list[experiment.ExperimentResult] = []
+    print(f"{'experiment':26}{'calls':>7}{'refused':>8}{'failed':>7}", end="")
+    print(f"{'p50 ms':>9}{'p99 ms':>9}{'p99.9':>9}{'within %':>9}{'p99 ratio':>10}")
+    for repeat in range(options.repeats):
+        first_p99_ms = 0.0
+        for plan in plans:
+            seeded = plan._replace(seed=plan.seed + repeat)
+            row = trio.run(experiment.run_experiment, seeded)
+            results.append(row)
+            first_p99_ms = first_p99_ms or row.p99_ms
+            print(
+                f"{row.name:26}{row.n_calls:7}{row.n_refused:8}{row.n_failed:7}"
+                f"{row.p50_ms:9.2f}{row.p99_ms:9.2f}{row.p999_ms:9.2f}"
+                f"{row.share_within:9.2f}{row.p99_ms / first_p99_ms:10.2f}",
+                flush=True,
+            )
+    if options.json:
+        rows = [row._asdict() for row in results]
+        pathlib.Path(options.json).write_text(json.dumps(rows, indent=2) + "\n")
+    return 0
+
+
 def _run_memory() -> int:
     use = trio.run(cost.measure_memory)
     print(f"idle: {use.idle_mb:.1f} MB, {use.idle_cpu_percent:.2f} % of a core")
@@ -100,6 +129,10 @@
     control.add_argument("--leaves", type=int, default=5)
     control.add_argument("--deaths", type=int, default=5)
     control.add_argument("--store-down", action="store_true", help="for the exits")
+    runs = commands.add_parser("run", help="run experiments, interleaved")
+    runs.add_argument("files", nargs="+", help="INI files of experiments")
+    runs.add_argument("--repeats", type=int, default=1)
+    runs.add_argument("--json", default="", help="file for the results")
     commands.add_parser("memory", help="memory of a daemon")
     return parser
 
--- a/umberdrum_bench/processes.py
+++ b/umberdrum_bench/processes.py
@@ -41,6 +41,7 @@
     log_level: str = "info"
     is_instant: bool = False
     has_upstreams: bool = True
+    mean_ms: float = 0.0
     seed: int = 1
 
 
@@ -162,6 +163,8 @@
             *("--service", plan.service, "--slots", str(plan.n_slots)),
             *("--record", str(record_path), "--seed", str(self.options.seed + index)),
         ]
+        if self.options.mean_ms:
+            arguments += ["--mean-ms", str(self.options.mean_ms)]
         if self.options.is_instant:
             arguments.append("--instant")
         upstream_process = None
--- a/umberdrum_bench/upstream.py
+++ b/umberdrum_bench/upstream.py
@@ -48,6 +48,7 @@
     record_path: str
     seed: int
     is_instant: bool
+    mean_seconds: float
 
 
 class UpstreamStandIn:
@@ -171,7 +172,8 @@
         async with self._slots:
             self.n_running += 1
             try:
-                mean_seconds = _find_mean_seconds(path)
+                mean_seconds = self._options.mean_seconds
+                mean_seconds = mean_seconds or _find_mean_seconds(path)
                 seconds = self._rng.lognormvariate(0.0, 0.25) * mean_seconds
                 await trio.sleep(seconds * self.slow_factor)
             finally:
@@ -244,6 +246,7 @@
     parser.add_argument("--slots", type=int, default=6)
     parser.add_argument("--record", default="")
     parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--mean-ms", type=float, default=0.0)
     parser.add_argument("--instant", action="store_true")
     options = parser.parse_args(arguments)
     trio.run(
@@ -256,6 +259,7 @@
             options.record,
             options.seed,
             options.instant,
+            options.mean_ms / 1000.0,
         ),
     )
     return 0
