--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -26,8 +26,9 @@
 )
 from umberdrum.callpath._liveness import LivenessWatch
 from umberdrum.callpath._paths import normalize_path
-from umberdrum.callpath._peer_leg import CountingSink, PeerLeg
+from umberdrum.callpath._peer_leg import PeerLeg
 from umberdrum.callpath._peer_server import PeerServer
+from umberdrum.callpath._sinks import CountingSink, ForwardingSink
 from umberdrum.callpath._statistics import CallStatistics, TargetReport
 from umberdrum.callpath._sync import Synchronizer
 from umberdrum.callpath._upstream import UpstreamPool
@@ -48,6 +49,7 @@
     "EndpointState",
     "EntryOutcome",
     "EntryService",
+    "ForwardingSink",
     "IncomingRequest",
     "LivenessWatch",
     "PeerLeg",
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -16,7 +16,7 @@
     settings,
     sockets,
 )
-from umberdrum.callpath import _call, _recording, _upstream
+from umberdrum.callpath import _call, _recording, _sending, _upstream
 
 MS_PER_SECOND = 1000.0
 LOAD_REPORT_BYTES = 12
@@ -310,7 +310,7 @@
             head = await upstream.receive_head()
         else:
             await upstream.send_request(call, body, remaining_ms)
-            head = await _StreamedSending(body, upstream).run()
+            head = await _sending.StreamedExchange(body, upstream).run()
         now = trio.current_time()
         report = _call.CallReport(
             head.status, now - sent_at, queue_seconds, self.build_load_report(now)
@@ -326,45 +326,6 @@
         )
 
 
-class _StreamedSending:
-    """Sends the rest of a body while the head of the answer is awaited."""
-
-    def __init__(
-        self, body: _call.RequestBody, upstream: _upstream.UpstreamConnection
-    ) -> None:
-        self._body = body
-        self._upstream = upstream
-        self._fault: Exception | None = None
-        self._head: _call.AnswerHead | None = None
-
-    async def run(self) -> _call.AnswerHead:
-        """Return the head of the answer; one that comes early ends the sending."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._send, nursery.cancel_scope)
-            try:
-                self._head = await self._upstream.receive_head()
-            except _upstream.UpstreamFailureError as fault:
-                self._fault = self._fault or fault
-            nursery.cancel_scope.cancel()
-        if self._head is not None:
-            return self._head
-        if self._fault is not None:
-            raise self._fault
-        raise _call.BodyLostError(
-            errors.fail(errors.ErrorKind.INTERNAL, "the exchange was cancelled")
-        )
-
-    async def _send(self, scope: trio.CancelScope) -> None:
-        try:
-            await self._upstream.send_rest_of_body(self._body)
-        except _call.BodyLostError as fault:
-            self._fault = fault
-            scope.cancel()
-        except sockets.ConnectionLostError:
-            # The answer, or its absence, is noticed by the receiving side.
-            return
-
-
 def _describe(call: _call.Call) -> admission.AdmissionRequest:
     return admission.AdmissionRequest(
         call.class_name, call.target_latency_ms, call.max_queue_ms, call.deadline
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -13,16 +13,15 @@
     _endpoint,
     _headers,
     _hedging,
+    _journey,
     _paths,
     _peer_leg,
+    _sinks,
     _statistics,
 )
 
 MS_PER_SECOND = 1000.0
 REQUEST_ID_BYTES = 16
-FREE_RETRY_KINDS = frozenset(
-    (errors.ErrorKind.ENDPOINT_LEAVING, errors.ErrorKind.STALE_INCARNATION)
-)
 ENDPOINT_FAULT_KINDS = frozenset(
     (
         errors.ErrorKind.LINK_BROKE,
@@ -98,8 +97,8 @@
             self.statistics.count_unmatched(failure.kind)
             return EntryOutcome(expression.Error(failure), False, request_id)
         call = _build_call(request, request_id, row.request_class, row.policy)
-        counting = _peer_leg.CountingSink(sink)
-        journey = _Journey(self, row, call, body, counting)
+        counting = _sinks.CountingSink(sink)
+        journey = _journey.Journey(self, row, call, body, counting)
         result = await journey.run()
         self.statistics.record(
             row.request_class, trio.current_time() - request.received_at, result
@@ -125,7 +124,7 @@
         call: _call.Call,
         decision: routing.RoutingDecision,
         body: _call.RequestBody,
-        sink: _peer_leg.CountingSink,
+        sink: _sinks.CountingSink,
         attempt_index: int,
     ) -> _endpoint.CallResult:
         """Make one attempt at the chosen endpoint and let the router learn from it."""
@@ -149,7 +148,7 @@
         call: _call.Call,
         candidate: routing.Candidate,
         body: _call.RequestBody,
-        sink: _peer_leg.CountingSink,
+        sink: _sinks.CountingSink,
     ) -> _endpoint.CallResult:
         if candidate.is_local:
             return await self._endpoint.run(call, body, sink)
@@ -186,142 +185,6 @@
         return errors.fail(errors.ErrorKind.UNKNOWN_CLASS, detail)
 
 
-class _Journey:
-    """One call at its entry daemon: its attempts, one after the other or hedged."""
-
-    def __init__(
-        self,
-        entry: EntryService,
-        row: classes.CatalogRow,
-        call: _call.Call,
-        body: _call.RequestBody,
-        sink: _peer_leg.CountingSink,
-    ) -> None:
-        self._entry = entry
-        self._row = row
-        self._call = call
-        self._body = body
-        self._sink = sink
-        self._service = row.request_class.service
-        self._budget = entry.get_budget(self._service)
-        n_extra = min(call.n_extra_attempts, row.policy.max_attempts - 1)
-        self._allowance = retries.AttemptAllowance(n_extra)
-        self._tried: set[str] = set()
-        self._n_attempts = 0
-        self._may_have_run = False
-
-    async def run(self) -> _endpoint.CallResult:
-        """Return the end of the call: a report, or the failure that is final."""
-        self._budget.record_call()
-        last: _endpoint.CallResult | None = None
-        while True:
-            decision = self._choose()
-            if decision is None:
-                return last or expression.Error(self._explain_no_endpoint())
-            result = await self._make_attempt(decision)
-            if result.is_ok():
-                return result
-            result = self._join_execution(result.error)
-            if not self._may_go_on(result.error):
-                return result
-            last = result
-
-    def _choose(self) -> routing.RoutingDecision | None:
-        excluded = frozenset(self._tried)
-        return self._entry.choose(self._service, self._call.class_name, excluded)
-
-    async def _make_attempt(
-        self, decision: routing.RoutingDecision
-    ) -> _endpoint.CallResult:
-        """Make one attempt; a slow answer to an idempotent call brings in a second."""
-        index = self._n_attempts
-        self._n_attempts += 1
-        self._tried.add(decision.candidate.key)
-        call = self._call._replace(n_extra_attempts=self._allowance.hand_on(index))
-        may_hedge = (
-            self._row.policy.hedge_after_ms > 0
-            and self._body.is_complete
-            and self._allowance.allows(self._n_attempts)
-        )
-        if not may_hedge:
-            return await self._entry.attempt(
-                call, decision, self._body, self._sink, index
-            )
-        race = _hedging.Race(self._sink, self._start_hedge)
-        due_at = trio.current_time() + self._get_hedge_delay()
-        self._entry.hedger.schedule(race, due_at)
-        first = race.enter()
-        try:
-            with first.scope:
-                result = await self._entry.attempt(
-                    call, decision, self._body, first.sink, index
-                )
-                race.leave(first, result)
-            return await race.wait_for_result(first)
-        finally:
-            race.close()
-
-    def _join_execution(self, failure: errors.Failure) -> _endpoint.CallResult:
-        """Return the failure with what is known of all attempts together.
-
-        The last attempt may be proven not run while an earlier one may have run.
-        """
-        if failure.execution is not errors.Execution.NOT_RUN:
-            self._may_have_run = True
-        elif self._may_have_run:
-            failure = failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
-        return expression.Error(failure)
-
-    def _get_hedge_delay(self) -> float:
-        return self._row.policy.hedge_after_ms / MS_PER_SECOND
-
-    async def _start_hedge(self, race: _hedging.Race) -> None:
-        """Make a second attempt beside one that is slow, if the budget allows."""
-        index = self._n_attempts
-        if not self._allowance.allows(index):
-            return
-        decision = self._choose()
-        if decision is None or decision.candidate.is_suspected:
-            return
-        if not self._budget.take():
-            return
-        self._n_attempts += 1
-        self._tried.add(decision.candidate.key)
-        self._entry.statistics.count_hedge(self._call.class_name)
-        call = self._call._replace(n_extra_attempts=self._allowance.hand_on(index))
-        runner = race.enter()
-        with runner.scope:
-            result = await self._entry.attempt(
-                call, decision, self._body, runner.sink, index
-            )
-            race.leave(runner, result)
-        if runner.scope.cancelled_caught:
-            race.leave(runner, None)
-
-    def _may_go_on(self, failure: errors.Failure) -> bool:
-        """Return whether another attempt is safe, allowed and paid for."""
-        if self._sink.is_started or not self._body.can_be_sent_again:
-            return False
-        if not retries.may_retry(failure, self._call.is_idempotent):
-            return False
-        if trio.current_time() >= self._call.deadline:
-            return False
-        if failure.kind in FREE_RETRY_KINDS:
-            return True
-        if not self._allowance.allows(self._n_attempts):
-            return False
-        if not self._budget.take():
-            return False
-        self._entry.statistics.count_retry(self._call.class_name)
-        return True
-
-    def _explain_no_endpoint(self) -> errors.Failure:
-        detail = f"no endpoint announces the service {self._service!r}"
-        return errors.Failure(
-            errors.ErrorKind.NO_ENDPOINT, errors.Execution.NOT_RUN, detail, 1000
-        )
-
-
 def _build_call(
     request: IncomingRequest,
     request_id: str,
--- a/umberdrum/callpath/_hedging.py
+++ b/umberdrum/callpath/_hedging.py
@@ -8,7 +8,7 @@
 import trio
 
 from umberdrum import errors
-from umberdrum.callpath import _call, _endpoint, _peer_leg
+from umberdrum.callpath import _call, _endpoint, _sinks
 
 
 class Runner:
@@ -16,7 +16,7 @@
 
     def __init__(self, race: "Race", sink: _call.AnswerSink) -> None:
         self.scope = trio.CancelScope()
-        self.sink = _peer_leg.CountingSink(_RaceSink(race, self, sink))
+        self.sink = _sinks.CountingSink(_RaceSink(race, self, sink))
 
 
 class Race:
@@ -136,13 +136,13 @@
                 self._nursery.start_soon(race.run_second)
 
 
-class _RaceSink:
+class _RaceSink(_sinks.ForwardingSink):
     """Sink of one runner; only the winner's answer passes."""
 
     def __init__(self, race: Race, runner: Runner, sink: _call.AnswerSink) -> None:
+        super().__init__(sink)
         self._race = race
         self._runner = runner
-        self._sink = sink
 
     async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
         """Claim the race and pass the head on."""
@@ -150,18 +150,6 @@
             raise _call.SinkLostError("another attempt answered first")
         await self._sink.start(head, report)
 
-    async def write(self, data: bytes) -> None:
-        """Pass body bytes on."""
-        await self._sink.write(data)
-
-    async def flush(self) -> None:
-        """Pass the flush on."""
-        await self._sink.flush()
-
-    async def finish(self) -> None:
-        """Pass the end on."""
-        await self._sink.finish()
-
 
 def _may_have_run(result: _endpoint.CallResult) -> bool:
     if result.is_ok():
--- a/umberdrum/callpath/_peer_leg.py
+++ b/umberdrum/callpath/_peer_leg.py
@@ -4,7 +4,7 @@
 import trio
 
 from umberdrum import errors, peerlink, sockets, wire
-from umberdrum.callpath import _call, _frames, _liveness
+from umberdrum.callpath import _call, _frames, _liveness, _sending, _sinks
 
 DEADLINE_GRACE_SECONDS = 0.1
 QUERY_WAIT_MS = 1000
@@ -39,7 +39,7 @@
         call: _call.Call,
         peer: peerlink.PeerAddress,
         body: _call.RequestBody,
-        sink: "CountingSink",
+        sink: _sinks.CountingSink,
     ) -> LegResult:
         """Run ``call`` at the endpoint of ``peer`` and write its answer to ``sink``."""
         try:
@@ -99,7 +99,7 @@
         call: _call.Call,
         link: peerlink.PeerLink,
         body: _call.RequestBody,
-        sink: "CountingSink",
+        sink: _sinks.CountingSink,
     ) -> LegResult:
         """Send the request and relay the answer; the link is clean on return."""
         now = trio.current_time()
@@ -114,7 +114,7 @@
         call: _call.Call,
         link: peerlink.PeerLink,
         body: _call.RequestBody,
-        sink: "CountingSink",
+        sink: _sinks.CountingSink,
     ) -> LegResult:
         """Send the rest of the body while the answer is awaited."""
         frame = await self._receive(link)
@@ -122,7 +122,7 @@
             return _read_refusal(frame, call)
         if frame.kind is not peerlink.FrameKind.ADMITTED:
             raise peerlink.FrameError(f"expected admission, found {frame.kind.name}")
-        sending = _BodySending(link, body)
+        sending = _sending.FrameBodySending(link.channel, body)
         result: LegResult | None = None
         fault: Exception | None = None
         async with trio.open_nursery() as nursery:
@@ -148,7 +148,7 @@
         return result
 
     async def _relay_answer(
-        self, call: _call.Call, link: peerlink.PeerLink, sink: "CountingSink"
+        self, call: _call.Call, link: peerlink.PeerLink, sink: _sinks.CountingSink
     ) -> LegResult:
         frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.ADMITTED:
@@ -164,7 +164,7 @@
         call: _call.Call,
         link: peerlink.PeerLink,
         frame: peerlink.Frame,
-        sink: "CountingSink",
+        sink: _sinks.CountingSink,
     ) -> LegResult:
         message = _frames.parse_head(wire.messages.ResponseHead, frame)
         if message.request_id != call.request_id:
@@ -183,7 +183,7 @@
         return expression.Ok(report)
 
     async def _relay_body(
-        self, call: _call.Call, link: peerlink.PeerLink, sink: "CountingSink"
+        self, call: _call.Call, link: peerlink.PeerLink, sink: _sinks.CountingSink
     ) -> errors.Failure | None:
         """Write the body frames that follow a response head to ``sink``."""
         await sink.flush()
@@ -208,7 +208,7 @@
                 return frame
 
     async def _settle(
-        self, call: _call.Call, silent: peerlink.PeerLink, sink: "CountingSink"
+        self, call: _call.Call, silent: peerlink.PeerLink, sink: _sinks.CountingSink
     ) -> LegResult:
         """Find out over new links what became of ``call``, up to its deadline."""
         n_refused = 0
@@ -230,7 +230,7 @@
         return _give_up_settling(f"{silent.peer.address} can't be asked")
 
     async def _ask_once(
-        self, call: _call.Call, silent: peerlink.PeerLink, sink: "CountingSink"
+        self, call: _call.Call, silent: peerlink.PeerLink, sink: _sinks.CountingSink
     ) -> LegResult | None:
         """Ask once; None means that the request is still in progress."""
         link = await self._pool.open(silent.peer)
@@ -255,7 +255,7 @@
         call: _call.Call,
         silent: peerlink.PeerLink,
         link: peerlink.PeerLink,
-        sink: "CountingSink",
+        sink: _sinks.CountingSink,
     ) -> LegResult | None:
         query = wire.messages.OutcomeQuery(
             request_id=call.request_id,
@@ -280,64 +280,6 @@
         return _fail_link("settled by an outcome query", execution)
 
 
-class CountingSink:
-    """Sink that knows whether an answer was started, around the sink of a caller."""
-
-    def __init__(self, sink: _call.AnswerSink) -> None:
-        self._sink = sink
-        self.is_started = False
-        self.started_at = 0.0
-        self.report: _call.CallReport | None = None
-
-    async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
-        """Note the start and pass the head on."""
-        self.is_started = True
-        self.started_at = trio.current_time()
-        self.report = report
-        await self._sink.start(head, report)
-
-    async def write(self, data: bytes) -> None:
-        """Pass body bytes on."""
-        await self._sink.write(data)
-
-    async def flush(self) -> None:
-        """Pass the flush on."""
-        await self._sink.flush()
-
-    async def finish(self) -> None:
-        """Pass the end on."""
-        await self._sink.finish()
-
-
-class _BodySending:
-    """Sends a request body in frames, in a task of its own."""
-
-    def __init__(self, link: peerlink.PeerLink, body: _call.RequestBody) -> None:
-        self._link = link
-        self._body = body
-        self.fault: Exception | None = None
-        self.is_done = False
-
-    async def run(self, scope: trio.CancelScope) -> None:
-        """Send until the body ends; a lost body breaks the exchange off."""
-        channel = self._link.channel
-        try:
-            while True:
-                data = await self._body.receive()
-                if not data:
-                    break
-                await channel.send(peerlink.FrameKind.BODY, b"", data)
-                await trio.lowlevel.checkpoint()
-            await channel.send(peerlink.FrameKind.BODY_END)
-            self.is_done = True
-        except _call.BodyLostError as fault:
-            self.fault = fault
-            scope.cancel()
-        except sockets.ConnectionLostError:
-            # The receiving side of the exchange notices the loss too.
-            return
-
-
 def _report_deadline(call: _call.Call) -> errors.Failure:
     return errors.fail(
         errors.ErrorKind.DEADLINE_EXCEEDED,
--- a/umberdrum/daemon/__init__.py
+++ b/umberdrum/daemon/__init__.py
@@ -1,5 +1,6 @@
 """The daemon beside each upstream: parts put together, started and stopped."""
 
-from umberdrum.daemon._daemon import Daemon, DaemonParts
+from umberdrum.daemon._daemon import Daemon
+from umberdrum.daemon._parts import DaemonParts
 
 __all__ = ["Daemon", "DaemonParts"]
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -5,36 +5,21 @@
 import socket
 from typing import NamedTuple
 
-import prometheus_client
 import trio
 
 from umberdrum import (
-    admin,
-    admission,
-    announcements,
-    callpath,
-    classes,
-    configuration,
-    controlhttp,
-    gossip,
     logs,
     measuring,
-    membership,
-    outcomes,
     peerlink,
-    routing,
     settings,
     sockets,
-    store,
 )
-from umberdrum.daemon import _endpoint_state, _metrics, _view
+from umberdrum.daemon import _parts
 
-INITIAL_SLOTS = 1
 MAX_CONTROL_CONNECTIONS = 64
 MAX_PEER_CONNECTIONS = 4096
 MAINTENANCE_SECONDS = 1.0
 FINAL_NEWS_SECONDS = 1.0
-STORE_TIMEOUT_SECONDS = 2.0
 RESIGN_TIMEOUT_SECONDS = 1.0
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
@@ -77,7 +62,7 @@
         )
         self._stop_requested = trio.Event()
         self._stopped = trio.Event()
-        self.parts: DaemonParts | None = None
+        self.parts: _parts.DaemonParts | None = None
 
     async def wait_stopped(self) -> None:
         """Return once ``run`` has ended in order."""
@@ -116,7 +101,7 @@
         self, listeners: _Listeners, task_status: trio.TaskStatus[None]
     ) -> None:
         async with trio.open_nursery() as nursery:
-            parts = DaemonParts(
+            parts = _parts.DaemonParts(
                 self._settings,
                 self._identity,
                 self._budget,
@@ -150,7 +135,7 @@
         )
 
     def _start_tasks(
-        self, parts: "DaemonParts", listeners: _Listeners, nursery: trio.Nursery
+        self, parts: _parts.DaemonParts, listeners: _Listeners, nursery: trio.Nursery
     ) -> None:
         accept = sockets.accept_connections
         n_callers = self._settings.max_connections
@@ -173,7 +158,7 @@
         nursery.start_soon(parts.watch.run)
         nursery.start_soon(self._maintain, parts)
 
-    async def _maintain(self, parts: "DaemonParts") -> None:
+    async def _maintain(self, parts: _parts.DaemonParts) -> None:
         """Close what has been idle for long and forget endpoints that are gone."""
         while True:
             await trio.sleep(MAINTENANCE_SECONDS)
@@ -182,7 +167,7 @@
             parts.upstream_pool.close_idle(now)
             parts.entry.router.forget(parts.directory.list_keys())
 
-    async def _leave(self, parts: "DaemonParts", listeners: _Listeners) -> None:
+    async def _leave(self, parts: _parts.DaemonParts, listeners: _Listeners) -> None:
         """Refuse new work, finish what is in progress and take leave of the others."""
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
@@ -198,170 +183,3 @@
         with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
             await parts.keeper.resign()
         await trio.sleep_until(leave_until)
-
-
-class DaemonParts:
-    """Everything that one daemon consists of, wired together."""
-
-    def __init__(
-        self,
-        own_settings: settings.Settings,
-        identity: peerlink.DaemonIdentity,
-        budget: measuring.MeasuringBudget,
-        rng: random.Random,
-        log: logs.EventLog,
-        writer: logs.LineWriter,
-        nursery: trio.Nursery,
-    ) -> None:
-        key = own_settings.cluster_key
-        self.registry = prometheus_client.CollectorRegistry()
-        self.table = membership.MembershipTable(_build_record(own_settings, identity))
-        self.state = gossip.SharedState(self.table, log)
-        self.peer_pool = peerlink.PeerLinkPool(identity, key)
-        self.synchronizer = gossip.PeerSynchronizer(self.state, self.peer_pool)
-        self.exchange = gossip.GossipExchange(
-            self.state,
-            self.synchronizer,
-            gossip.DatagramCodec(key, identity.process_id),
-            own_settings.peer_listen,
-            rng,
-            log,
-        )
-        self.directory = membership.MembershipDirectory(
-            self.table, self.exchange.request_probe
-        )
-        self.watch = callpath.LivenessWatch()
-        self.upstream_pool = callpath.UpstreamPool()
-        self.endpoint = callpath.EndpointService(
-            admission.AdmissionGate(admission.LatencySlotLimit(INITIAL_SLOTS)),
-            outcomes.OutcomeRecord(),
-            self.upstream_pool,
-            budget,
-            log,
-            nursery,
-        )
-        self.peer_leg = callpath.PeerLeg(self.peer_pool, self.watch)
-        self.entry = callpath.EntryService(
-            self.directory,
-            routing.build_router(
-                own_settings.routing_policy,
-                own_settings.availability_zone,
-                own_settings.region,
-                rng,
-            ),
-            self.endpoint,
-            self.peer_leg,
-            callpath.CallStatistics(self.registry),
-            log,
-            nursery,
-        )
-        self.state.add_catalog_listener(self._use_catalog)
-        self.peer_server = callpath.PeerServer(
-            identity, key, self.endpoint, self.watch, self.synchronizer, log
-        )
-        self.caller_server = callpath.CallerServer(
-            self.entry, self.watch, _build_limits(own_settings), identity.daemon_id
-        )
-        self.state_keeper = _endpoint_state.EndpointStateKeeper(
-            self.endpoint, self.upstream_pool, self.state, self.exchange, nursery
-        )
-        self.desk = announcements.AnnouncementDesk(
-            self.state_keeper,
-            own_settings.announcement_timeout_ms / MS_PER_SECOND,
-            log,
-        )
-        counter = store.StoreCallCounter()
-        self._store = store.EtcdStore(
-            own_settings.store_addresses, counter, STORE_TIMEOUT_SECONDS
-        )
-        prefix = own_settings.store_prefix
-        self.keeper = configuration.ContactKeeper(
-            self._store,
-            configuration.ContactKeys(
-                prefix,
-                own_settings.availability_zone,
-                own_settings.n_contacts_per_zone,
-            ),
-            self.state,
-            self.exchange,
-            configuration.ConfigurationWatcher(
-                self._store, prefix, self.state, rng, log
-            ),
-            own_settings.seeds,
-            rng,
-            log,
-        )
-        self.reporter = _view.DaemonReporter(
-            own_settings,
-            self.state,
-            self.exchange,
-            self.entry,
-            self.endpoint,
-            self.directory,
-            self.desk,
-            budget,
-            counter,
-        )
-        self._admin_desk = admin.AdminDesk(self.reporter, self.registry)
-        _metrics.register_metrics(
-            _metrics.MetricSources(
-                self.endpoint,
-                self.upstream_pool,
-                self.peer_pool,
-                self.peer_leg,
-                self.watch,
-                self.state,
-                self.exchange,
-                self.synchronizer,
-                budget,
-                counter,
-                writer,
-            ),
-            self.registry,
-        )
-
-    async def serve_admin(self, connection: sockets.Connection) -> None:
-        """Serve one connection of the admin address."""
-        await controlhttp.serve_control(connection, self._admin_desk.handle)
-
-    async def serve_announce(self, connection: sockets.Connection) -> None:
-        """Serve one connection of the announcement address."""
-        await controlhttp.serve_control(connection, self.desk.handle)
-
-    def close(self) -> None:
-        """Close what is bound or kept open between calls."""
-        self.exchange.close()
-        self.peer_pool.close_all()
-        self.upstream_pool.close_all()
-        self._store.close()
-
-    def _use_catalog(self, catalog: classes.Catalog) -> None:
-        self.entry.catalog = catalog
-
-
-def _build_record(
-    own_settings: settings.Settings, identity: peerlink.DaemonIdentity
-) -> membership.EndpointRecord:
-    return membership.EndpointRecord(
-        endpoint_id=identity.daemon_id,
-        incarnation=1,
-        process_id=identity.process_id,
-        version=1,
-        state=membership.RecordState.ABSENT,
-        is_suspected=False,
-        service="",
-        availability_zone=own_settings.availability_zone,
-        region=own_settings.region,
-        n_slots=0,
-        is_contact=False,
-        is_final=False,
-    )
-
-
-def _build_limits(own_settings: settings.Settings) -> callpath.CallerLimits:
-    return callpath.CallerLimits(
-        own_settings.max_head_bytes,
-        own_settings.head_timeout_ms / MS_PER_SECOND,
-        own_settings.body_idle_timeout_ms / MS_PER_SECOND,
-        own_settings.idle_timeout_ms / MS_PER_SECOND,
-    )
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -14,12 +14,12 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple, TypeVar
 
-import h11
 import trio
 import trio.testing
 
 from umberdrum import classes, configuration, logs, settings, sockets, store
 from umberdrum.daemon import Daemon
+from umberdrum.tests import upstreams
 from umberdrum_bench import caller, link, store_server, store_state
 
 AUTOJUMP_SECONDS = 0.01
@@ -59,110 +59,12 @@
     raise OSError("no port is free")
 
 
-class FakeUpstream:
-    """Upstream that records what it runs and misbehaves on request.
-
-    The field ``x-fault`` of a request says how: ``hang``, ``close-before-answer``,
-    ``close-in-answer``, ``garbage``, ``slow`` (two seconds) or ``error``.
-    """
-
-    def __init__(self, address: settings.Address) -> None:
-        self.address = address
-        self.begun: list[str] = []
-        self.ended: list[str] = []
-        self.cancelled: list[str] = []
-        self.seen_headers: list[dict[str, str]] = []
-        self.service_seconds = 0.01
-        self.constant_fault = ""
-        self.state = "serving"
-        self.n_running = 0
-        self.max_running = 0
-
-    async def serve(self, connection: sockets.Connection) -> None:
-        """Serve one connection."""
-        http = h11.Connection(h11.SERVER)
-        while True:
-            head = await _receive(connection, http)
-            if not isinstance(head, h11.Request):
-                return
-            fields = {k.decode(): v.decode("latin-1") for k, v in head.headers}
-            self.seen_headers.append(fields)
-            nonce = fields.get("x-nonce", "-")
-            self.begun.append(nonce)
-            n_bytes = 0
-            while isinstance(event := await _receive(connection, http), h11.Data):
-                n_bytes += len(event.data)
-            if not isinstance(event, h11.EndOfMessage):
-                self.cancelled.append(nonce)
-                return
-            self.n_running += 1
-            self.max_running = max(self.max_running, self.n_running)
-            try:
-                is_open = await self._answer(connection, http, fields, nonce, n_bytes)
-            finally:
-                self.n_running -= 1
-            if not is_open or http.our_state is not h11.DONE:
-                return
-            http.start_next_cycle()
-
-    async def _answer(
-        self,
-        connection: sockets.Connection,
-        http: h11.Connection,
-        fields: dict[str, str],
-        nonce: str,
-        n_bytes: int,
-    ) -> bool:
-        fault = self.constant_fault or fields.get("x-fault", "")
-        seconds = 2.0 if fault == "slow" else self.service_seconds
-        if fault == "hang":
-            seconds = 100_000.0
-        if not await self._work(connection, seconds):
-            self.cancelled.append(nonce)
-            return False
-        if fault == "close-before-answer":
-            return False
-        if fault == "garbage":
-            await connection.send(b"this is not HTTP\r\n\r\n")
-            return False
-        self.ended.append(nonce)
-        body = json.dumps({"nonce": nonce, "n_bytes": n_bytes}).encode()
-        n_length = len(body) + (10 if fault == "close-in-answer" else 0)
-        response = h11.Response(
-            status_code=500 if fault == "error" else 200,
-            headers=[("content-length", str(n_length))],
-        )
-        data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
-        if fault == "close-in-answer":
-            await connection.send(data)
-            return False
-        await connection.send(data + (http.send(h11.EndOfMessage()) or b""))
-        return True
-
-    async def _work(self, connection: sockets.Connection, seconds: float) -> bool:
-        """Wait for the service time; False when the daemon closed meanwhile."""
-        until = trio.current_time() + seconds
-        while trio.current_time() < until:
-            await trio.sleep(min(0.1, until - trio.current_time()))
-            if connection.is_lost():
-                return False
-        return True
-
-
-async def _receive(connection: sockets.Connection, http: h11.Connection) -> object:
-    while True:
-        event = http.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        http.receive_data(await connection.receive())
-
-
 class Node(NamedTuple):
     """One endpoint of a site: daemon, upstream, and the link in front, if any."""
 
     settings: settings.Settings
     daemon: Daemon
-    upstream: FakeUpstream
+    upstream: upstreams.FakeUpstream
     scope: trio.CancelScope
     link: link.LinkStandIn | None
     lines: list[str]
@@ -249,10 +151,10 @@
         """Start one endpoint; with ``replaces`` at the addresses of an earlier one."""
         if replaces is not None:
             own = replaces.settings
-            upstream = FakeUpstream(replaces.upstream.address)
+            upstream = upstreams.FakeUpstream(replaces.upstream.address)
         else:
             own = self._build_settings(zone, region, has_link)
-            upstream = FakeUpstream(find_free_address())
+            upstream = upstreams.FakeUpstream(find_free_address())
         own = own._replace(seeds=seeds)
         logger = logging.Logger(f"node-{len(self.nodes)}")
         lines = _LineList()
@@ -374,7 +276,7 @@
     async def _run_node(
         self,
         daemon: Daemon,
-        upstream: FakeUpstream,
+        upstream: upstreams.FakeUpstream,
         standin: link.LinkStandIn | None,
         task_status: trio.TaskStatus[trio.CancelScope],
     ) -> None:
--- a/umberdrum_bench/store_server.py
+++ b/umberdrum_bench/store_server.py
@@ -12,7 +12,7 @@
 import trio
 
 from umberdrum import settings, sockets, store
-from umberdrum_bench import store_state
+from umberdrum_bench import http_server, store_state
 
 JsonObject = dict[str, Any]
 LEASE_CHECK_SECONDS = 0.2
@@ -65,11 +65,13 @@
     async def _serve_requests(self, connection: sockets.Connection) -> None:
         http = h11.Connection(h11.SERVER)
         while True:
-            head = await _receive_event(connection, http)
+            head = await http_server.receive_event(connection, http)
             if not isinstance(head, h11.Request):
                 return
             raw = b""
-            while isinstance(event := await _receive_event(connection, http), h11.Data):
+            while isinstance(
+                event := await http_server.receive_event(connection, http), h11.Data
+            ):
                 raw += bytes(event.data)
             path = bytes(head.target).decode("latin-1")
             await self._answer(connection, http, path, raw)
@@ -86,12 +88,12 @@
     ) -> None:
         if path == "/standin/faults":
             self.switch_faults(json.loads(raw))
-            await _send_json(connection, http, {"ok": True})
+            await http_server.send_json(connection, http, {"ok": True})
             return
         if path == "/standin/counts":
             counts: JsonObject = dict(self.n_calls)
             counts["open_watches"] = self.n_open_watches
-            await _send_json(connection, http, counts)
+            await http_server.send_json(connection, http, counts)
             return
         if self.faults.is_down:
             raise _ConnectionDroppedError
@@ -106,7 +108,7 @@
         if path in WRITE_PATHS and self.faults.n_lost_answers > 0:
             self.faults.n_lost_answers -= 1
             raise _ConnectionDroppedError
-        await _send_json(connection, http, answer)
+        await http_server.send_json(connection, http, answer)
 
     def switch_faults(self, body: JsonObject) -> None:
         """Switch faults on and off; fields that are left out stay as they are."""
@@ -232,30 +234,6 @@
         return changes[-1].revision + 1
 
 
-async def _receive_event(
-    connection: sockets.Connection, http: h11.Connection
-) -> object:
-    while True:
-        event = http.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        http.receive_data(await connection.receive())
-
-
-async def _send_json(
-    connection: sockets.Connection, http: h11.Connection, value: JsonObject
-) -> None:
-    body = json.dumps(value).encode()
-    headers = [
-        ("content-type", "application/json"),
-        ("content-length", str(len(body))),
-    ]
-    data = http.send(h11.Response(status_code=200, headers=headers)) or b""
-    data += http.send(h11.Data(data=body)) or b""
-    data += http.send(h11.EndOfMessage()) or b""
-    await connection.send(data)
-
-
 async def _send_line(
     connection: sockets.Connection, http: h11.Connection, result: JsonObject
 ) -> None:
--- a/umberdrum_bench/upstream.py
+++ b/umberdrum_bench/upstream.py
@@ -14,6 +14,7 @@
 import trio
 
 from umberdrum import settings, sockets
+from umberdrum_bench import http_server
 
 ANNOUNCE_SECONDS = 0.5
 MAX_CONNECTIONS = 1000
@@ -76,7 +77,7 @@
         """Serve one connection until it ends."""
         http = h11.Connection(h11.SERVER)
         while True:
-            head = await _receive_event(connection, http)
+            head = await http_server.receive_event(connection, http)
             if not isinstance(head, h11.Request):
                 return
             await self._serve_request(connection, http, head)
@@ -144,7 +145,7 @@
         raw = b""
         n_bytes = 0
         while True:
-            event = await _receive_event(connection, http)
+            event = await http_server.receive_event(connection, http)
             if not isinstance(event, h11.Data):
                 break
             hasher.update(event.data)
@@ -156,15 +157,15 @@
             return
         if is_control:
             self._switch(json.loads(raw or b"{}"))
-            await _send_answer(connection, http, 200, b"{}")
+            await http_server.send_json(connection, http, {})
             return
         if self.is_failing:
-            await _send_answer(connection, http, 500, b'{"error": "failing fast"}')
+            await http_server.send_json(connection, http, {"error": "failing"}, 500)
             return
         await self._work(path)
         answer = {"nonce": nonce, "n_bytes": n_bytes, "sha256": hasher.hexdigest()}
         self._write_record("end", request_id, nonce)
-        await _send_answer(connection, http, 200, json.dumps(answer).encode())
+        await http_server.send_json(connection, http, answer)
 
     async def _work(self, path: str) -> None:
         if self._options.is_instant:
@@ -188,29 +189,6 @@
             os.write(self._record, f"{event} {request_id} {nonce}\n".encode())
 
 
-async def _receive_event(
-    connection: sockets.Connection, http: h11.Connection
-) -> object:
-    while True:
-        event = http.next_event()
-        if event is not h11.NEED_DATA:
-            return event
-        http.receive_data(await connection.receive())
-
-
-async def _send_answer(
-    connection: sockets.Connection, http: h11.Connection, status: int, body: bytes
-) -> None:
-    headers = [
-        ("content-type", "application/json"),
-        ("content-length", str(len(body))),
-    ]
-    data = http.send(h11.Response(status_code=status, headers=headers)) or b""
-    data += http.send(h11.Data(data=body)) or b""
-    data += http.send(h11.EndOfMessage()) or b""
-    await connection.send(data)
-
-
 def _find_header(head: h11.Request, wanted: bytes) -> str:
     for name, value in head.headers:
         if name == wanted:
