--- a/umberdrum/commandline/_class_commands.py
+++ b/umberdrum/commandline/_class_commands.py
@@ -38,12 +38,10 @@
     arguments: argparse.Namespace, options: _options.ToolOptions
 ) -> OutputResult:
     """Run one ``class`` command and return its output."""
-    if not options.store_addresses:
-        detail = "expected --store or [tool] store, found neither"
-        return expression.Error(errors.fail(errors.ErrorKind.INVALID_SETTINGS, detail))
-    etcd = store.EtcdStore(
-        options.store_addresses, store.StoreCallCounter(), STORE_TIMEOUT_SECONDS
-    )
+    opened = open_store(options)
+    if opened.is_error():
+        return expression.Error(opened.error)
+    etcd = opened.ok
     repository = configuration.ClassRepository(etcd, options.prefix)
     try:
         if arguments.action == "create":
@@ -59,6 +57,19 @@
         etcd.close()
 
 
+def open_store(
+    options: _options.ToolOptions,
+) -> expression.Result[store.EtcdStore, errors.Failure]:
+    """Return a client of the store that the options name."""
+    if not options.store_addresses:
+        detail = "expected --store or [tool] store, found neither"
+        return expression.Error(errors.fail(errors.ErrorKind.INVALID_SETTINGS, detail))
+    etcd = store.EtcdStore(
+        options.store_addresses, store.StoreCallCounter(), STORE_TIMEOUT_SECONDS
+    )
+    return expression.Ok(etcd)
+
+
 async def _create(
     arguments: argparse.Namespace,
     options: _options.ToolOptions,
--- a/umberdrum/commandline/_parser.py
+++ b/umberdrum/commandline/_parser.py
@@ -9,6 +9,7 @@
       --path /cards --method GET --idempotent --target-ms 50 --percentile 99
   umberdrum --store 10.0.0.5:2379 class set lookups --target-ms 40
   umberdrum --store 10.0.0.5:2379 class list --json
+  umberdrum --store 10.0.0.5:2379 snapshot save classes.json
   umberdrum --admin 10.0.1.7:9901,10.0.2.7:9901 status
   umberdrum --admin 10.0.1.7:9901 drain
   umberdrum --admin 10.0.1.7:9901 explain cards GET /cards/17
@@ -33,6 +34,7 @@
     _add_common(parser, is_top=True)
     commands = parser.add_subparsers(dest="command", required=True, metavar="command")
     _add_class_commands(commands)
+    _add_snapshot_commands(commands)
     status = commands.add_parser("status", help="show classes and endpoints")
     status.add_argument(
         "--check", action="store_true", help="exit with 8 when a target is missed"
@@ -94,3 +96,24 @@
     delete.add_argument("name")
     delete.add_argument("--expect-revision", type=int, default=0)
     _add_common(delete)
+
+
+def _add_snapshot_commands(
+    commands: "argparse._SubParsersAction[argparse.ArgumentParser]",
+) -> None:
+    group = commands.add_parser("snapshot", help="save, compare and restore classes")
+    actions = group.add_subparsers(dest="action", required=True, metavar="action")
+    for name, text in (
+        ("save", "write all classes to a file"),
+        ("diff", "show how the store differs from a file"),
+        ("restore", "write the classes of a file that are missing"),
+    ):
+        action = actions.add_parser(name, help=text)
+        action.add_argument("file")
+        if name == "restore":
+            action.add_argument(
+                "--overwrite",
+                action="store_true",
+                help="also write classes that changed since the snapshot",
+            )
+        _add_common(action)
--- a/umberdrum/commandline/main.py
+++ b/umberdrum/commandline/main.py
@@ -12,6 +12,7 @@
     _exit_codes,
     _options,
     _parser,
+    _snapshot_commands,
 )
 
 
@@ -24,6 +25,8 @@
         return _report(options.error)
     if parsed.command == "class":
         result = trio.run(_class_commands.run_class_command, parsed, options.ok)
+    elif parsed.command == "snapshot":
+        result = trio.run(_snapshot_commands.run_snapshot_command, parsed, options.ok)
     else:
         result = trio.run(_daemon_commands.run_daemon_command, parsed, options.ok)
     if result.is_error():
--- a/umberdrum/commandline/tests/commandline.feature
+++ b/umberdrum/commandline/tests/commandline.feature
@@ -25,3 +25,9 @@
       | --store x class list                                             | up    | 2    | IP:PORT          |
       | status                                                           | up    | 2    | --admin          |
       | --admin 127.0.0.1:1 status                                       | up    | 7    | no daemon        |
+      | snapshot save /dev/null/x                                        | up    | 2    | /dev/null/x      |
+      | snapshot diff /nosuch                                            | up    | 2    | /nosuch          |
+      | snapshot save {folder}/s.json                                    | up    | 0    | 1 classes saved  |
+      | snapshot save {folder}/s.json                                    | down  | 5    | does not answer  |
+      | snapshot diff {folder}/look.json                                 | up    | 0    | none             |
+      | snapshot restore {folder}/look.json                              | up    | 0    | 0 classes written |
--- a/umberdrum/commandline/tests/commandline_steps.py
+++ b/umberdrum/commandline/tests/commandline_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import tempfile
 import threading
 
 import behave
@@ -45,7 +46,7 @@
 
 def _run_tool(context: runner.Context, arguments: str) -> None:
     output = io.StringIO()
-    words = arguments.split()
+    words = arguments.replace("{folder}", context.folder).split()
     if "--store" not in words:
         words = ["--store", str(context.store.address), *words]
     with contextlib.redirect_stdout(output), contextlib.redirect_stderr(output):
@@ -58,8 +59,13 @@
     context.store = StoreThread()
     context.store.start()
     context.add_cleanup(context.store.stop)
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
     _run_tool(context, "class create look --service cards --idempotent --target-ms 50")
     assert context.code == 0, context.output
+    _run_tool(context, "snapshot save {folder}/look.json")
+    assert context.code == 0, context.output
 
 
 @behave.when('the operator runs "{arguments}" while the store is "{state}"')
--- a/umberdrum/configuration/__init__.py
+++ b/umberdrum/configuration/__init__.py
@@ -6,6 +6,15 @@
     ClassRepository,
     StoredClass,
 )
+from umberdrum.configuration._snapshot import (
+    Difference,
+    DifferenceKind,
+    RestoreReport,
+    Snapshot,
+    SnapshotKeeper,
+    decode_snapshot,
+    encode_snapshot,
+)
 from umberdrum.configuration._watcher import ConfigurationWatcher
 
 __all__ = [
@@ -14,5 +23,12 @@
     "ConfigurationWatcher",
     "ContactKeeper",
     "ContactKeys",
+    "Difference",
+    "DifferenceKind",
+    "RestoreReport",
+    "Snapshot",
+    "SnapshotKeeper",
     "StoredClass",
+    "decode_snapshot",
+    "encode_snapshot",
 ]
--- a/umberdrum/configuration/tests/configuration_steps.py
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -12,7 +12,7 @@
 from umberdrum.tests import harness
 
 
-def _build_class(name: str, ms: int) -> classes.RequestClass:
+def build_class(name: str, ms: int) -> classes.RequestClass:
     target = classes.Target(ms, 99.0)
     return classes.RequestClass(
         name, "cards", (), "/", True, target, f"change-{name}-{ms}"
@@ -32,7 +32,7 @@
 ) -> None:
     event = context.event
     if event == "another operator changed it to 60":
-        await repository.write_class(_build_class("look", 60), revision)
+        await repository.write_class(build_class("look", 60), revision)
     elif event == "it was deleted":
         await repository.delete_class("look", revision)
     elif event == "the answer is lost":
@@ -58,7 +58,7 @@
         repository = site.build_repository()
         found = (await repository.get_class("look")).ok
         assert found is not None
-        written = await repository.write_class(_build_class("look", 60), found.revision)
+        written = await repository.write_class(build_class("look", 60), found.revision)
         assert written.is_ok()
     if context.go_down:
         site.faults.is_down = True
@@ -73,7 +73,7 @@
     async def run() -> None:
         async with harness.open_site() as site:
             repository = site.build_repository()
-            first = _build_class("look", context.first_ms)
+            first = build_class("look", context.first_ms)
             revision = (await repository.write_class(first, 0)).ok.revision
             await _prepare_event(context, site, repository, revision)
             repository = site.build_repository()
@@ -82,7 +82,7 @@
                 if is_delete:
                     context.told = await repository.delete_class("look", revision)
                 else:
-                    changed = _build_class("look", 80)
+                    changed = build_class("look", 80)
                     context.told = await repository.write_class(changed, revision)
             site.faults.is_down = False
             if context.hidden is not None:
@@ -155,7 +155,7 @@
             repository = site.build_repository()
             revisions = {}
             for name in context.names:
-                written = await repository.write_class(_build_class(name, 50), 0)
+                written = await repository.write_class(build_class(name, 50), 0)
                 revisions[name] = written.ok.revision
             context.watched = WatcherRun(site)
             nursery.start_soon(context.watched.watcher.run)
@@ -174,12 +174,12 @@
     old = watched.state.catalog.get_entry("b")
     assert old is not None
     if event.startswith("c is created"):
-        await repository.write_class(_build_class("c", 50), 0)
+        await repository.write_class(build_class("c", 50), 0)
         site.server.switch_faults({"down": True})
         site.server.switch_faults({"down": False})
         return
     if event.startswith("an old copy"):
-        await repository.write_class(_build_class("b", 70), b_revision)
+        await repository.write_class(build_class("b", 70), b_revision)
         await trio.sleep(1.0)
         watched.state.take_entries([old])
         return
@@ -193,7 +193,7 @@
     if "compacted" in event:
         site.server.switch_faults({"compact": True})
     if "created again" in event:
-        await repository.write_class(_build_class("b", 90), 0)
+        await repository.write_class(build_class("b", 90), 0)
     if "late" in event:
         await trio.sleep(1.0)
         watched.state.take_entries([old])
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -25,3 +25,4 @@
 importlib.import_module("umberdrum.tests.system_steps")
 for part in PARTS:
     importlib.import_module(f"umberdrum.{part}.tests.{part}_steps")
+importlib.import_module("umberdrum.configuration.tests.snapshot_steps")
