Use a bounded subset of a large service's endpoints

Cause: a daemon's peers, views and connections grew with the size of a service.

Change: each daemon ranks the endpoints of a service by a hash of both ids and uses at most 16, its own first, suspected ones last.

Measured, by test: 560 daemons on 200 endpoints: each endpoint is used by 20 to 75 daemons (mean 45); an endpoint that goes changes at most one member.

--- a/umberdrum/membership/_directory.py
+++ b/umberdrum/membership/_directory.py
@@ -5,13 +5,14 @@
 import trio
 
 from umberdrum import peerlink, routing
-from umberdrum.membership import _record, _table
+from umberdrum.membership import _record, _subset, _table
 
 UNREACHABLE_SECONDS = 1.0
+MAX_REMEMBERED_PEERS = 4096
 
 
 class MembershipDirectory:
-    """Endpoints of each service that take new calls.
+    """Endpoints of each service that take new calls, a subset of those of a large one.
 
     The lists are rebuilt only when the table changes. A daemon that did not answer a
     call counts as suspected here for ``UNREACHABLE_SECONDS``, before gossip knows.
@@ -65,24 +66,35 @@
             self._rebuild()
 
     def _rebuild(self) -> None:
-        own_id = self._table.own.endpoint_id
-        self._by_service = {}
-        peers: dict[str, peerlink.PeerAddress] = {}
+        by_service: dict[str, list[_record.EndpointRecord]] = {}
         for record in self._table.records:
             if record.state is not _record.RecordState.SERVING or record.is_final:
                 continue
-            is_suspected = record.is_suspected or record.key in self._unreachable_until
-            candidate = routing.Candidate(
-                record.key,
-                record.availability_zone,
-                record.region,
-                record.n_slots,
-                record.endpoint_id == own_id,
-                is_suspected,
-            )
-            self._by_service.setdefault(record.service, []).append(candidate)
-            peers[record.key] = peerlink.PeerAddress(record.address, record.process_id)
+            by_service.setdefault(record.service, []).append(record)
+        own_id = self._table.own.endpoint_id
+        self._by_service = {}
+        peers: dict[str, peerlink.PeerAddress] = {}
+        for service, records in by_service.items():
+            candidates: list[routing.Candidate] = []
+            for record in _subset.choose_subset(own_id, records):
+                candidates.append(self._build_candidate(record))
+                peers[record.key] = peerlink.PeerAddress(
+                    record.address, record.process_id
+                )
+            self._by_service[service] = candidates
         self._live_keys = frozenset(peers)
         # A call that chose an endpoint before this moment may still ask for its peer.
-        self._peers = {**self._peers, **peers} if len(self._peers) < 4096 else peers
+        earlier = self._peers if len(self._peers) < MAX_REMEMBERED_PEERS else {}
+        self._peers = {**earlier, **peers}
         self._generation = self._table.generation
+
+    def _build_candidate(self, record: _record.EndpointRecord) -> routing.Candidate:
+        is_suspected = record.is_suspected or record.key in self._unreachable_until
+        return routing.Candidate(
+            record.key,
+            record.availability_zone,
+            record.region,
+            record.n_slots,
+            record.endpoint_id == self._table.own.endpoint_id,
+            is_suspected,
+        )
--- a/umberdrum/membership/tests/membership.feature
+++ b/umberdrum/membership/tests/membership.feature
@@ -47,3 +47,21 @@
 
   Scenario: Damaged records never raise
     Then 2000 damaged record messages are refused or decode to a record
+
+  Scenario Outline: Subsets are bounded, even and stable
+    Given a service of <endpoints> endpoints used by 560 daemons
+    Then each daemon uses <used> of them
+    And each endpoint is used by <low> to <high> daemons
+    And an endpoint that goes changes at most one member of each subset
+
+    Examples:
+      | endpoints | used | low | high |
+      | 5         | 5    | 560 | 560  |
+      | 16        | 16   | 560 | 560  |
+      | 50        | 16   | 130 | 230  |
+      | 200       | 16   | 20  | 75   |
+
+  Scenario: Suspected endpoints give way in a subset
+    Given a service of 40 endpoints used by 560 daemons
+    When half of the endpoints are suspected
+    Then no subset holds a suspected endpoint
--- a/umberdrum/membership/tests/membership_steps.py
+++ b/umberdrum/membership/tests/membership_steps.py
@@ -1,5 +1,6 @@
 """Steps on membership."""
 
+import collections
 import random
 
 import behave
@@ -205,3 +206,53 @@
             n_decoded += 1
             assert decoded.ok.address is not None
     assert n_decoded > 0
+
+
+@behave.given("a service of {n_endpoints:d} endpoints used by {n_daemons:d} daemons")
+def build_service(context: runner.Context, n_endpoints: int, n_daemons: int) -> None:
+    context.endpoints = [
+        RECORD._replace(endpoint_id=f"10.0.{index // 250}.{index % 250}:7000")
+        for index in range(n_endpoints)
+    ]
+    context.daemons = [f"10.1.{n // 250}.{n % 250}:7000" for n in range(n_daemons)]
+
+
+@behave.then("each daemon uses {n_used:d} of them")
+def check_subset_size(context: runner.Context, n_used: int) -> None:
+    context.subsets = {
+        daemon: membership.choose_subset(daemon, context.endpoints)
+        for daemon in context.daemons
+    }
+    assert {len(rows) for rows in context.subsets.values()} == {n_used}
+
+
+@behave.then("each endpoint is used by {low:d} to {high:d} daemons")
+def check_subset_even(context: runner.Context, low: int, high: int) -> None:
+    counts = collections.Counter(
+        row.endpoint_id for rows in context.subsets.values() for row in rows
+    )
+    assert len(counts) == len(context.endpoints)
+    assert low <= min(counts.values()) <= max(counts.values()) <= high, counts
+
+
+@behave.then("an endpoint that goes changes at most one member of each subset")
+def check_subset_stable(context: runner.Context) -> None:
+    left = context.endpoints[1:]
+    for daemon, before in context.subsets.items():
+        after = set(membership.choose_subset(daemon, left))
+        assert len(set(before) - after) <= 1, daemon
+
+
+@behave.when("half of the endpoints are suspected")
+def suspect_half(context: runner.Context) -> None:
+    context.endpoints = [
+        row._replace(is_suspected=index % 2 == 0)
+        for index, row in enumerate(context.endpoints)
+    ]
+
+
+@behave.then("no subset holds a suspected endpoint")
+def check_subset_trusted(context: runner.Context) -> None:
+    for daemon in context.daemons:
+        rows = membership.choose_subset(daemon, context.endpoints)
+        assert not any(row.is_suspected for row in rows), daemon
--- a/umberdrum_bench/experiment.py
+++ b/umberdrum_bench/experiment.py
@@ -81,21 +81,25 @@
     )
 
 
-async def run_experiment(plan: ExperimentPlan) -> ExperimentResult:
+async def run_experiment(
+    plan: ExperimentPlan, base_port: int = BASE_PORT
+) -> ExperimentResult:
     """Run one experiment on a cluster of its own."""
     with tempfile.TemporaryDirectory() as directory:
-        return await _Run(plan, pathlib.Path(directory)).run()
+        return await _Run(plan, pathlib.Path(directory), base_port).run()
 
 
 class _Run:
     """One run of an experiment."""
 
-    def __init__(self, plan: ExperimentPlan, directory: pathlib.Path) -> None:
+    def __init__(
+        self, plan: ExperimentPlan, directory: pathlib.Path, base_port: int
+    ) -> None:
         self._plan = plan
         self._rng = random.Random(plan.seed)
         self._cluster = processes.Cluster(
             processes.ClusterOptions(
-                BASE_PORT,
+                base_port,
                 directory,
                 plan.measuring_bytes_per_second,
                 plan.policy,
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -86,7 +86,7 @@
         first_p99_ms = 0.0
         for plan in plans:
             seeded = plan._replace(seed=plan.seed + repeat)
-            row = trio.run(experiment.run_experiment, seeded)
+            row = trio.run(experiment.run_experiment, seeded, options.base_port)
             results.append(row)
             first_p99_ms = first_p99_ms or row.p99_ms
             print(
@@ -132,6 +132,7 @@
     runs = commands.add_parser("run", help="run experiments, interleaved")
     runs.add_argument("files", nargs="+", help="INI files of experiments")
     runs.add_argument("--repeats", type=int, default=1)
+    runs.add_argument("--base-port", type=int, default=experiment.BASE_PORT)
     runs.add_argument("--json", default="", help="file for the results")
     commands.add_parser("memory", help="memory of a daemon")
     return parser
