Try another endpoint when an upstream sheds an idempotent call

Cause: upstreams shed load; their 503 went to the caller although another endpoint could have answered.

Change: an upstream's 503 to an idempotent call is a failure of its own kind, with the upstream's Retry-After; the entry daemon tries elsewhere within budget and allowance. A 503 to a payment passes through as it came.

Measured: the scene and both rows of the table pass; not measured under load.

--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -16,10 +16,12 @@
     settings,
     sockets,
 )
-from umberdrum.callpath import _call, _recording, _sending, _upstream
+from umberdrum.callpath import _call, _recording, _sending, _sinks, _upstream
 
 MS_PER_SECOND = 1000.0
 LOAD_REPORT_BYTES = 12
+SHED_STATUS = 503
+DEFAULT_SHED_RETRY_MS = 1000
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
 
@@ -60,7 +62,8 @@
     It is the only way to that upstream, so its counts are exact and its refusals are
     truthful. A non-idempotent call that has begun runs to its end even when its caller
     or the link is gone, and its outcome is recorded. It never routes and never retries
-    a request whose bytes may have reached the upstream.
+    a request whose bytes may have reached the upstream. An upstream's 503 to an
+    idempotent call is reported as shedding, so that another endpoint may be tried.
     """
 
     def __init__(
@@ -311,6 +314,9 @@
         else:
             await upstream.send_request(call, body, remaining_ms)
             head = await _sending.StreamedExchange(body, upstream).run()
+        if call.is_idempotent and head.status == SHED_STATUS:
+            await upstream.relay_body(_sinks.DiscardingSink())
+            return expression.Error(_describe_shedding(head))
         now = trio.current_time()
         report = _call.CallReport(
             head.status, now - sent_at, queue_seconds, self.build_load_report(now)
@@ -326,6 +332,20 @@
         )
 
 
+def _describe_shedding(head: _call.AnswerHead) -> errors.Failure:
+    """Return the failure for an upstream that sheds; another endpoint may answer."""
+    retry_after_ms = DEFAULT_SHED_RETRY_MS
+    for name, value in head.headers:
+        if name == b"retry-after" and value.isdigit():
+            retry_after_ms = int(value) * int(MS_PER_SECOND)
+    return errors.Failure(
+        errors.ErrorKind.UPSTREAM_SHED,
+        errors.Execution.MAY_HAVE_RUN,
+        f"the upstream answered {head.status}",
+        retry_after_ms,
+    )
+
+
 def _describe(call: _call.Call) -> admission.AdmissionRequest:
     return admission.AdmissionRequest(
         call.class_name, call.target_latency_ms, call.max_queue_ms, call.deadline
--- a/umberdrum/callpath/_sinks.py
+++ b/umberdrum/callpath/_sinks.py
@@ -41,3 +41,19 @@
         self.is_started = True
         self.started_at = trio.current_time()
         await self._sink.start(head, report)
+
+
+class DiscardingSink:
+    """Takes an answer that nobody wants, so that its connection can be used again."""
+
+    async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
+        """Drop the head."""
+
+    async def write(self, data: bytes) -> None:
+        """Drop body bytes."""
+
+    async def flush(self) -> None:
+        """Do nothing."""
+
+    async def finish(self) -> None:
+        """Do nothing."""
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -74,3 +74,5 @@
       | look  | hang                | deadline-exceeded/may-have-run        | 1    |
       | look  | close-in-answer     | cut                                   | 1    |
       | look  | error               | 500                                   | 1    |
+      | pay   | shed                | 503                                   | 1    |
+      | look  | shed                | upstream-shed/may-have-run            | 1    |
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -58,6 +58,7 @@
     INVALID_ANNOUNCEMENT = 29
     CALLER_GONE = 30
     DAEMON_UNAVAILABLE = 31
+    UPSTREAM_SHED = 32
 
     @property
     def token(self) -> str:
@@ -113,6 +114,9 @@
     ErrorKind.UPSTREAM_UNREACHABLE: Answer(
         502, "The upstream accepted no connection", "connection_refused"
     ),
+    ErrorKind.UPSTREAM_SHED: Answer(
+        503, "The upstream sheds load", "destination_unavailable"
+    ),
     ErrorKind.UPSTREAM_BROKE_OFF: Answer(
         502, "The upstream closed before its answer was whole", "connection_terminated"
     ),
--- a/umberdrum/tests/scenes.feature
+++ b/umberdrum/tests/scenes.feature
@@ -22,3 +22,4 @@
       | one endpoint is left, then none |
       | two regions lose and find each other |
       | all daemons are replaced in turn |
+      | an upstream sheds load |
--- a/umberdrum/tests/scenes.py
+++ b/umberdrum/tests/scenes.py
@@ -352,6 +352,23 @@
         assert answer.execution == "not-run", answer
 
 
+async def leave_shedding_endpoint() -> None:
+    """Lookups that one upstream sheds are answered by another; payments are told."""
+    async with harness.open_site() as site:
+        entry = await _start_payments(site)
+        site.nodes[0].upstream.constant_fault = "shed"
+        for index in range(10):
+            answer = await site.call(entry, "payments", f"l{index}", "/look")
+            assert answer.status == 200, answer
+        statuses = set()
+        for index in range(10):
+            nonce = f"p{index}"
+            answer = await site.call(entry, "payments", nonce, "/pay", body=b"x")
+            statuses.add(answer.status)
+            assert site.count_runs(nonce) == 1
+        assert statuses == {200, 503}, statuses
+
+
 def _split_regions(site: harness.Site, is_split: bool) -> None:
     """Drop the datagrams between nodes of different regions, or pass them again."""
     for node in site.nodes:
@@ -443,6 +460,7 @@
     "forged bytes change nothing": survive_forgery,
     "a target changes without a restart": change_target_without_restart,
     "one endpoint is left, then none": serve_with_one_left,
+    "an upstream sheds load": leave_shedding_endpoint,
     "two regions lose and find each other": lose_and_find_regions,
     "all daemons are replaced in turn": replace_all_in_turn,
 }
--- a/umberdrum/tests/upstreams.py
+++ b/umberdrum/tests/upstreams.py
@@ -13,7 +13,7 @@
     """Upstream that records what it runs and misbehaves on request.
 
     The field ``x-fault`` of a request says how: ``hang``, ``close-before-answer``,
-    ``close-in-answer``, ``garbage``, ``slow`` (two seconds) or ``error``.
+    ``close-in-answer``, ``garbage``, ``slow`` (two seconds), ``error`` or ``shed``.
     """
 
     def __init__(self, address: settings.Address) -> None:
@@ -80,8 +80,9 @@
         self.ended.append(nonce)
         body = json.dumps({"nonce": nonce, "n_bytes": n_bytes}).encode()
         n_length = len(body) + (10 if fault == "close-in-answer" else 0)
+        statuses = {"error": 500, "shed": 503}
         response = h11.Response(
-            status_code=500 if fault == "error" else 200,
+            status_code=statuses.get(fault, 200),
             headers=[("content-length", str(n_length))],
         )
         data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
