Measure the loss of a tenth of a fleet at once; flush logs less often

Change: fleet kills a share of the daemons at once. Log lines are flushed 0.25 s after the first; the stamp of a line is made once a second. Bench processes keep their garbage collector quiet, for all ways alike.

--- a/umberdrum/logs/_writer.py
+++ b/umberdrum/logs/_writer.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 MAX_BUFFERED_BYTES = 1 << 20
-FLUSH_INTERVAL_SECONDS = 0.05
+FLUSH_INTERVAL_SECONDS = 0.25
 
 
 class LineWriter(logging.Handler):
@@ -22,6 +22,8 @@
         self._descriptor = descriptor
         self._lines: list[bytes] = []
         self._n_buffered_bytes = 0
+        self._second = -1
+        self._stamp = ""
         self._announce_first_line: Callable[[], None] | None = None
         self.n_dropped = 0
 
@@ -36,9 +38,12 @@
 
     def emit(self, record: logging.LogRecord) -> None:
         """Buffer one line, or count it as dropped when the buffer is full."""
-        stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(record.created))
+        second = int(record.created)
+        if second != self._second:
+            self._second = second
+            self._stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
         text = (
-            f"time={stamp}.{int(record.msecs):03d}Z "
+            f"time={self._stamp}.{int(record.msecs):03d}Z "
             f"level={record.levelname.lower()} {record.getMessage()}\n"
         )
         line = text.encode("utf-8", "backslashreplace")
--- a/umberdrum/peerlink/_channel.py
+++ b/umberdrum/peerlink/_channel.py
@@ -139,7 +139,8 @@
         n_frame = _HEADER.size + n_rest
         if len(buffer) < n_frame:
             return None
-        raw = bytes(buffer[:n_frame])
+        with memoryview(buffer) as view:
+            raw = bytes(view[:n_frame])
         del buffer[:n_frame]
         body_at = _HEADER.size + n_head
         header = raw[: _HEADER.size]
--- a/umberdrum_bench/fleet.py
+++ b/umberdrum_bench/fleet.py
@@ -18,6 +18,7 @@
 N_ZONES = 10
 QUIET_SECONDS = 20.0
 SETTLE_SECONDS = 4.0
+LOSS_SECONDS = 30.0
 N_SAMPLED = 20
 _STAMP = re.compile(r"^time=(\S+)Z ")
 
@@ -29,6 +30,7 @@
     n_changes: int
     n_leaves: int
     n_deaths: int
+    n_lost_at_once: int
     with_store_down: bool
 
 
@@ -44,6 +46,7 @@
     change_seconds: float
     leave_seconds: float
     death_seconds: float
+    loss_seconds: float
     worst_bytes_per_second: float
 
 
@@ -69,15 +72,17 @@
             if options.with_store_down:
                 await self.cluster.switch_store_faults(down=True)
             leave_seconds = await self._measure_exits(options.n_leaves, signal.SIGTERM)
+            death_seconds = await self._measure_exits(options.n_deaths, signal.SIGKILL)
             before = await self._sum_bytes()
             began_at = trio.current_time()
-            death_seconds = await self._measure_exits(options.n_deaths, signal.SIGKILL)
+            loss_seconds = await self._measure_loss(options.n_lost_at_once)
             seconds = max(1.0, trio.current_time() - began_at)
             worst = (await self._sum_bytes() - before) / seconds
             return quiet._replace(
                 change_seconds=change_seconds,
                 leave_seconds=leave_seconds,
                 death_seconds=death_seconds,
+                loss_seconds=loss_seconds,
                 worst_bytes_per_second=worst,
             )
         finally:
@@ -121,6 +126,7 @@
             0.0,
             0.0,
             0.0,
+            0.0,
         )
 
     async def _sum_bytes(self) -> float:
@@ -193,6 +199,26 @@
             longest = max(longest, max(times) - at)
         return longest
 
+    async def _measure_loss(self, n_lost: int) -> float:
+        """Kill many daemons at once; return the time until all others know all."""
+        running = [
+            row for row in self.cluster.endpoints if row.daemon_process.poll() is None
+        ]
+        victims = running[len(running) - n_lost :]
+        at = _now()
+        for victim in victims:
+            victim.daemon_process.kill()
+        await trio.sleep(LOSS_SECONDS)
+        longest = 0.0
+        for victim in victims:
+            times = self._find_times(
+                f"event=endpoint_changed .*endpoint={victim.peer} .*suspected=yes"
+            )
+            if len(times) < len(running) - n_lost:
+                return float("inf")
+            longest = max(longest, max(times) - at)
+        return longest
+
     def _find_times(self, pattern: str) -> list[float]:
         """Return when each daemon logged the first line that matches."""
         done = subprocess.run(
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -1,6 +1,7 @@
 """Program ``umberdrum-bench``: measurements on real processes."""
 
 import argparse
+import gc
 import json
 import pathlib
 import sys
@@ -10,10 +11,14 @@
 
 from umberdrum_bench import added, cost, experiment, fleet
 
+GC_THRESHOLDS = (50_000, 20, 50)
+
 
 def run_program(arguments: Sequence[str] | None = None) -> int:
     """Run one measurement and print its figures."""
     options = _build_parser().parse_args(arguments)
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     if options.command == "added":
         return _run_added(options)
     if options.command == "cost":
@@ -55,13 +60,14 @@
 def _run_fleet(options: argparse.Namespace) -> int:
     print(f"{'daemons':>8}{'B/s':>7}{'cpu %':>7}{'MB':>7}{'store/s':>9}", end="")
     print(f"{'watches':>8}{'change s':>10}{'leave s':>9}{'death s':>9}", end="")
-    print(f"{'worst B/s':>11}", flush=True)
+    print(f"{'loss s':>8}{'worst B/s':>11}", flush=True)
     for size in options.sizes.split(","):
         wanted = fleet.FleetOptions(
             int(size),
             options.changes,
             options.leaves,
             options.deaths,
+            int(int(size) * options.lost_share),
             options.store_down,
         )
         row = trio.run(fleet.measure_fleet, wanted)
@@ -70,7 +76,8 @@
             f"{row.cpu_percent:7.2f}{row.memory_mb:7.1f}"
             f"{row.store_calls_per_second:9.2f}{row.n_store_watches:8}"
             f"{row.change_seconds:10.2f}{row.leave_seconds:9.2f}"
-            f"{row.death_seconds:9.2f}{row.worst_bytes_per_second:11.0f}",
+            f"{row.death_seconds:9.2f}{row.loss_seconds:8.2f}"
+            f"{row.worst_bytes_per_second:11.0f}",
             flush=True,
         )
     return 0
@@ -128,6 +135,7 @@
     control.add_argument("--changes", type=int, default=30)
     control.add_argument("--leaves", type=int, default=5)
     control.add_argument("--deaths", type=int, default=5)
+    control.add_argument("--lost-share", type=float, default=0.1, help="at once")
     control.add_argument("--store-down", action="store_true", help="for the exits")
     runs = commands.add_parser("run", help="run experiments, interleaved")
     runs.add_argument("files", nargs="+", help="INI files of experiments")
--- a/umberdrum_bench/upstream.py
+++ b/umberdrum_bench/upstream.py
@@ -1,6 +1,7 @@
 """Upstream stand-in: a small HTTP server with slots, service times and a run record."""
 
 import argparse
+import gc
 import hashlib
 import json
 import os
@@ -18,6 +19,7 @@
 
 ANNOUNCE_SECONDS = 0.5
 MAX_CONNECTIONS = 1000
+GC_THRESHOLDS = (50_000, 20, 50)
 
 
 class WorkKind(NamedTuple):
@@ -227,6 +229,8 @@
     parser.add_argument("--mean-ms", type=float, default=0.0)
     parser.add_argument("--instant", action="store_true")
     options = parser.parse_args(arguments)
+    gc.freeze()
+    gc.set_threshold(*GC_THRESHOLDS)
     trio.run(
         run_upstream,
         UpstreamOptions(
