Let load reports fade within the typical time of a call

A report is some 60 ms old when it is used and was trusted with a time constant of 100 ms, while the calls that it counted take 20 ms.

Change: the time constant is the class's typical time, at least 5 ms.

--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -87,7 +87,7 @@
     ) -> float:
         view = self._get_candidate_view(candidate, now)
         n_slots = _get_slot_limit(view, candidate)
-        load = view.estimate_load(now, self._usual_others)
+        load = view.estimate_load(now, self._usual_others, typical)
         occupancy = (load + 1.0) / n_slots
         waiting_factor = max(1.0, occupancy) + BUSY_SHARE * min(1.0, occupancy)
         slowness = view.get_slowness(now)
--- a/umberdrum/routing/_view.py
+++ b/umberdrum/routing/_view.py
@@ -6,7 +6,7 @@
 SLOWNESS_WEIGHT = 0.3
 SLOWNESS_HALF_LIFE_SECONDS = 2.0
 NETWORK_WEIGHT = 0.1
-REPORT_TIME_CONSTANT_SECONDS = 0.1
+MIN_REPORT_SECONDS = 0.005
 ERROR_SLOWNESS = 50.0
 RAMP_SECONDS = 5.0
 MIN_WARM_SHARE = 0.1
@@ -121,7 +121,9 @@
             return 1.0
         return max(MIN_WARM_SHARE, age / ramp_seconds)
 
-    def estimate_load(self, now: float, usual_others: float) -> float:
+    def estimate_load(
+        self, now: float, usual_others: float, typical_seconds: float
+    ) -> float:
         """Return the expected number of calls at the endpoint, running and queued.
 
         ``usual_others`` is the usual load that other daemons put on one endpoint; an
@@ -131,7 +133,9 @@
             return self.n_outstanding + usual_others
         reported = self._report.n_running + self._report.n_queued
         others = max(0, reported - self._report_own)
-        weight = math.exp((self._report_at - now) / REPORT_TIME_CONSTANT_SECONDS)
+        weight = math.exp(
+            (self._report_at - now) / max(typical_seconds, MIN_REPORT_SECONDS)
+        )
         return self.n_outstanding + weight * others + (1.0 - weight) * usual_others
 
     def _get_decayed_slowness(self, now: float) -> float:
--- a/umberdrum/routing/tests/routing_steps.py
+++ b/umberdrum/routing/tests/routing_steps.py
@@ -200,5 +200,5 @@
 
 @behave.then("its load is {load:d} at once and the usual {usual:d} after 2 s")
 def check_fading(context: runner.Context, load: int, usual: int) -> None:
-    assert context.view.estimate_load(10.0, float(usual)) == load
-    assert abs(context.view.estimate_load(12.0, float(usual)) - usual) < 0.01
+    assert context.view.estimate_load(10.0, float(usual), 0.02) == load
+    assert abs(context.view.estimate_load(12.0, float(usual), 0.02) - usual) < 0.01
