Name the end of an attempt instead of three flags

Cause: an observation for the router was built from three unnamed booleans in a row, which a reader had to count.

Change: one enumeration of the ends; time and report have defaults.

Measured: the routing scenarios and the hedging scene pass (11).

Conclusion: no behaviour changed.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -218,22 +218,22 @@
 ) -> routing.Observation:
     """Return what an attempt tells of its endpoint; None stands for a cancelled one."""
     if result is None:
-        return routing.Observation(total_seconds, 0.0, False, False, True, None)
-    if result.is_ok():
-        report = result.ok
-        is_error = report.status >= MIN_SERVER_ERROR
-        return routing.Observation(
-            total_seconds - report.queue_seconds,
-            report.upstream_seconds,
-            is_error,
-            False,
-            False,
-            report.load,
-        )
-    kind = result.error.kind
-    is_error = kind in ENDPOINT_FAULT_KINDS
-    is_refused = not is_error
-    return routing.Observation(total_seconds, 0.0, is_error, is_refused, False, None)
+        return routing.Observation(routing.AttemptEnd.ABANDONED, total_seconds)
+    if result.is_error():
+        end = routing.AttemptEnd.REFUSED
+        if result.error.kind in ENDPOINT_FAULT_KINDS:
+            end = routing.AttemptEnd.FAILED
+        return routing.Observation(end, total_seconds)
+    report = result.ok
+    end = routing.AttemptEnd.ANSWERED
+    if report.status >= MIN_SERVER_ERROR:
+        end = routing.AttemptEnd.FAILED
+    return routing.Observation(
+        end,
+        total_seconds - report.queue_seconds,
+        report.upstream_seconds,
+        report.load,
+    )
 
 
 def _describe_result(result: "_endpoint.CallResult | None") -> str:
--- a/umberdrum/routing/_router.py
+++ b/umberdrum/routing/_router.py
@@ -1,5 +1,6 @@
 """Interface of routers and the values that pass through it."""
 
+import enum
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
@@ -41,20 +42,31 @@
     call_number: int
 
 
+class AttemptEnd(enum.Enum):
+    """How an attempt ended, as far as it tells of its endpoint.
+
+    ``ABANDONED`` is an attempt whose answer was no longer wanted: it tells only that
+    the endpoint took longer than that. ``REFUSED`` tells nothing of the endpoint's
+    speed.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    REFUSED = "refused"
+    ABANDONED = "abandoned"
+
+
 class Observation(NamedTuple):
     """What an attempt showed when it ended.
 
     ``upstream_seconds`` is the time at the upstream as its daemon measured it, 0 when
-    it is not known. ``is_abandoned`` marks an attempt whose answer was no longer
-    wanted; it tells only that the endpoint took longer than that.
+    it is not known. ``report`` is the load that came with the answer, if any did.
     """
 
+    end: AttemptEnd
     total_seconds: float
-    upstream_seconds: float
-    is_error: bool
-    is_refused: bool
-    is_abandoned: bool
-    report: _view.LoadReport | None
+    upstream_seconds: float = 0.0
+    report: _view.LoadReport | None = None
 
 
 class Router(Protocol):
--- a/umberdrum/routing/_tracking.py
+++ b/umberdrum/routing/_tracking.py
@@ -51,15 +51,15 @@
         view.end(call.call_number)
         if seen.report is not None:
             view.take_report(seen.report, now)
-        if seen.is_abandoned:
+        if seen.end is _router.AttemptEnd.ABANDONED:
             slowness = seen.total_seconds / self._get_class_seconds(call.class_name)
             if slowness > view.get_slowness(now):
                 view.observe_slowness(slowness, now)
             return
-        if seen.is_error:
+        if seen.end is _router.AttemptEnd.FAILED:
             view.observe_error(now)
             return
-        if seen.is_refused:
+        if seen.end is _router.AttemptEnd.REFUSED:
             return
         seconds = seen.upstream_seconds or seen.total_seconds
         typical = self._learn_class_seconds(call.class_name, seconds)
--- a/umberdrum/routing/tests/routing_steps.py
+++ b/umberdrum/routing/tests/routing_steps.py
@@ -60,9 +60,10 @@
             report = None
             if call.key in self.lying:
                 report = routing.LoadReport(0, 0, 100)
-            seen = routing.Observation(
-                seconds, seconds, call.key in self.failing, False, False, report
-            )
+            end = routing.AttemptEnd.ANSWERED
+            if call.key in self.failing:
+                end = routing.AttemptEnd.FAILED
+            seen = routing.Observation(end, seconds, seconds, report)
             self.router.end(call, seen, at)
 
 
@@ -101,7 +102,7 @@
     router = context.run.router
     busy = router.begin("e1", CLASS_NAME, 1.0)
     idle = router.begin("e2", CLASS_NAME, 1.0)
-    seen = routing.Observation(0.01, 0.01, False, False, False, None)
+    seen = routing.Observation(routing.AttemptEnd.ANSWERED, 0.01, 0.01)
     router.end(idle, seen, 2.0)
     router.forget(frozenset())
     assert router.get_view("e2") is None
