Decode only the class that changed, and match within a service

Cause: each change of configuration decoded every class anew, and a request was matched against the classes of all services.

Change: the catalog keeps decoded rows and groups them by service. A scene shows that a reloaded measuring budget of 0 ends load reports.

--- a/umberdrum/classes/_catalog.py
+++ b/umberdrum/classes/_catalog.py
@@ -36,9 +36,10 @@
     never decides what is accepted: only a commit in the store does.
     """
 
-    def __init__(self, entries: dict[str, CatalogEntry] | None = None) -> None:
-        self._entries = dict(entries or {})
-        self._rows = self._build_rows()
+    def __init__(self) -> None:
+        self._entries: dict[str, CatalogEntry] = {}
+        self._rows: dict[str, CatalogRow] = {}
+        self._rows_by_service: dict[str, list[CatalogRow]] = {}
         self.digest = self._compute_digest()
 
     @property
@@ -57,21 +58,23 @@
 
     def list_classes(self) -> list[_request_class.RequestClass]:
         """Return the classes in force in the order of names."""
-        by_name = {row.request_class.name: row.request_class for row in self._rows}
-        return [by_name[name] for name in sorted(by_name)]
+        return [self._rows[name].request_class for name in sorted(self._rows)]
 
     def merge(self, news: list[CatalogEntry]) -> "Catalog":
         """Return a catalog that also holds ``news`` where their revision is higher."""
-        accepted = [entry for entry in news if self.is_news(entry)]
-        if not accepted:
+        merged = Catalog()
+        merged._entries = dict(self._entries)
+        merged._rows = dict(self._rows)
+        is_changed = False
+        for entry in news:
+            if merged.is_news(entry):
+                merged._put(entry)
+                is_changed = True
+        if not is_changed:
             return self
-        entries = dict(self._entries)
-        for entry in accepted:
-            held = entries.get(entry.name)
-            if held is not None and held.revision >= entry.revision:
-                continue
-            entries[entry.name] = entry
-        return Catalog(entries)
+        merged._rows_by_service = merged._group_rows()
+        merged.digest = merged._compute_digest()
+        return merged
 
     def is_news(self, entry: CatalogEntry) -> bool:
         """Return whether ``entry`` is newer than what the catalog holds."""
@@ -80,27 +83,32 @@
 
     def has_service(self, service: str) -> bool:
         """Return whether any class in force names ``service``."""
-        return any(row.request_class.service == service for row in self._rows)
+        return service in self._rows_by_service
 
     def match(self, service: str, method: str, path: str) -> CatalogRow | None:
         """Return the class with the longest matching path prefix, with its policy."""
-        for row in self._rows:
+        for row in self._rows_by_service.get(service, ()):
             if row.request_class.matches(service, method, path):
                 return row
         return None
 
-    def _build_rows(self) -> list[CatalogRow]:
-        rows: list[CatalogRow] = []
-        for entry in self.entries:
-            if entry.is_deleted:
-                continue
-            decoded = _document.decode_document(entry.document)
-            if decoded.is_error():
-                continue
-            request_class = decoded.ok
-            rows.append(CatalogRow(request_class, _policy.derive_policy(request_class)))
-        rows.sort(key=_order_for_matching)
-        return rows
+    def _put(self, entry: CatalogEntry) -> None:
+        """Take one entry; one that can't be decoded is kept and matches nothing."""
+        self._entries[entry.name] = entry
+        self._rows.pop(entry.name, None)
+        if entry.is_deleted:
+            return
+        decoded = _document.decode_document(entry.document)
+        if decoded.is_ok():
+            policy = _policy.derive_policy(decoded.ok)
+            self._rows[entry.name] = CatalogRow(decoded.ok, policy)
+
+    def _group_rows(self) -> dict[str, list[CatalogRow]]:
+        """Return the rows of each service in the order in which they are matched."""
+        grouped: dict[str, list[CatalogRow]] = {}
+        for row in sorted(self._rows.values(), key=_order_for_matching):
+            grouped.setdefault(row.request_class.service, []).append(row)
+        return grouped
 
     def _compute_digest(self) -> int:
         hasher = hashlib.blake2b(digest_size=8)
--- a/umberdrum/tests/scenes.feature
+++ b/umberdrum/tests/scenes.feature
@@ -23,3 +23,4 @@
       | two regions lose and find each other |
       | all daemons are replaced in turn |
       | an upstream sheds load |
+      | the measuring budget is reloaded |
--- a/umberdrum/tests/scenes.py
+++ b/umberdrum/tests/scenes.py
@@ -369,6 +369,28 @@
         assert statuses == {200, 503}, statuses
 
 
+async def reload_measuring_cap() -> None:
+    """A measuring budget of 0, taken by a reload, ends reports; calls still work."""
+    async with harness.open_site() as site:
+        entry = await _start_payments(site, n_nodes=1)
+        parts = entry.daemon.parts
+        assert parts is not None
+        node = site.nodes[0]
+        key = parts.directory.list_candidates("payments")[0].key
+        reports = []
+        for cap in (1000, 0):
+            changed = node.settings._replace(measuring_bytes_per_second=cap)
+            node.daemon.reload(changed)
+            await trio.sleep(1.5)
+            answer = await site.call(entry, "payments", f"n{cap}", "/look")
+            assert answer.status == 200, answer
+            view = parts.entry.router.get_view(key)
+            assert view is not None
+            reports.append(view.report)
+        assert reports[0] is not None
+        assert reports[1] is reports[0], "a report came without a budget"
+
+
 def _split_regions(site: harness.Site, is_split: bool) -> None:
     """Drop the datagrams between nodes of different regions, or pass them again."""
     for node in site.nodes:
@@ -460,6 +482,7 @@
     "forged bytes change nothing": survive_forgery,
     "a target changes without a restart": change_target_without_restart,
     "one endpoint is left, then none": serve_with_one_left,
+    "the measuring budget is reloaded": reload_measuring_cap,
     "an upstream sheds load": leave_shedding_endpoint,
     "two regions lose and find each other": lose_and_find_regions,
     "all daemons are replaced in turn": replace_all_in_turn,
