--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -349,7 +349,6 @@
         size_factor = max(1.0, math.log2(len(self._state.table) + 1) / 4)
         jitter = self._rng.uniform(0.5, 1.5)
         self._next_sync_at = now + self._sync_interval * size_factor * jitter
-        self._sync_interval = min(SYNC_MAX_INTERVAL_SECONDS, self._sync_interval * 2)
         self._n_mismatches = 0
         return True
 
@@ -357,12 +356,16 @@
         """Synchronise with the peer whose digests differed last."""
         if self._sync_peer is None:
             return
-        is_done = await self._synchronizer.sync_with(
+        result = await self._synchronizer.sync_with(
             self._sync_peer, trio.current_time()
         )
-        if not is_done:
+        if not result.is_done:
             # Another peer may be reachable; try as soon as one differs.
             self._next_sync_at = trio.current_time() + SYNC_RETRY_SECONDS
+        if result.n_newer_records:
+            self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
+            return
+        self._sync_interval = min(SYNC_MAX_INTERVAL_SECONDS, self._sync_interval * 2)
 
     async def _forget_forever(self) -> None:
         while True:
--- a/umberdrum/gossip/_state.py
+++ b/umberdrum/gossip/_state.py
@@ -34,8 +34,8 @@
         messages: Iterable[wire.messages.EndpointRecord],
         now: float,
         is_news: bool = True,
-    ) -> None:
-        """Merge records that came from another daemon.
+    ) -> int:
+        """Merge records that came from another daemon; return how many were newer.
 
         Those of a synchronisation are no news to others: they are not passed on.
         """
@@ -44,9 +44,11 @@
             decoded = membership.decode_record(message)
             if decoded.is_ok():
                 records.append(decoded.ok)
-        for record in self.table.merge(records, now):
+        changed = self.table.merge(records, now)
+        for record in changed:
             is_own = record.endpoint_id == self.table.own.endpoint_id
             self._note_change(record, is_news or is_own)
+        return len(changed)
 
     def suspect(self, endpoint_id: str, process_id: int, now: float) -> None:
         """Spread the suspicion that a daemon does not answer."""
--- a/umberdrum/gossip/_synchronizer.py
+++ b/umberdrum/gossip/_synchronizer.py
@@ -1,5 +1,7 @@
 """Full synchronisation of two daemons over a peer link."""
 
+from typing import NamedTuple
+
 from google.protobuf import message as protobuf_message
 
 from umberdrum import membership, peerlink, sockets, wire
@@ -8,6 +10,13 @@
 SYNC_TIMEOUT_SECONDS = 2.0
 
 
+class SyncResult(NamedTuple):
+    """End of a synchronisation: whether the peer answered, and what was newer there."""
+
+    is_done: bool
+    n_newer_records: int
+
+
 class PeerSynchronizer:
     """Exchanges with one peer all that digests show to be different.
 
@@ -21,24 +30,24 @@
         self.n_syncs = 0
         self.n_bytes = 0
 
-    async def sync_with(self, peer: peerlink.PeerAddress, now: float) -> bool:
-        """Synchronise with ``peer``; False when it could not be reached."""
+    async def sync_with(self, peer: peerlink.PeerAddress, now: float) -> SyncResult:
+        """Synchronise with ``peer``."""
         try:
             link = await self._pool.open(peer)
         except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError):
-            return False
+            return SyncResult(False, 0)
         try:
             reply = await self._exchange(link)
         except (sockets.ConnectionLostError, peerlink.FrameError):
-            return False
+            return SyncResult(False, 0)
         finally:
             link.close()
         if reply is None:
-            return False
+            return SyncResult(False, 0)
         self.n_syncs += 1
-        self._state.take_records(reply.records, now, is_news=False)
+        n_newer = self._state.take_records(reply.records, now, is_news=False)
         self._state.take_messages_of_entries(reply.classes, is_news=False)
-        return True
+        return SyncResult(True, n_newer)
 
     async def _exchange(
         self, link: peerlink.PeerLink
