Give the sizes of the capacity page by a command: umberdrum-bench sizes

Cause: the page named figures of a script that was not in the repository.

Change: the command builds a table, a catalog and a record of ids at the size to come and traces their memory.

--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -9,7 +9,7 @@
 
 import trio
 
-from umberdrum_bench import added, cost, experiment, fleet
+from umberdrum_bench import added, cost, experiment, fleet, sizes
 
 GC_THRESHOLDS = (50_000, 20, 50)
 
@@ -25,6 +25,8 @@
         return _run_cost(options)
     if options.command == "run":
         return _run_experiments(options)
+    if options.command == "sizes":
+        return _run_sizes()
     if options.command == "fleet":
         return _run_fleet(options)
     return _run_memory()
@@ -110,6 +112,12 @@
     return 0
 
 
+def _run_sizes() -> int:
+    for row in sizes.measure_sizes():
+        print(f"{row.what:24}{row.n_bytes:9.0f} B")
+    return 0
+
+
 def _run_memory() -> int:
     use = trio.run(cost.measure_memory)
     print(f"idle: {use.idle_mb:.1f} MB, {use.idle_cpu_percent:.2f} % of a core")
@@ -146,6 +154,7 @@
     runs.add_argument("--repeats", type=int, default=1)
     runs.add_argument("--base-port", type=int, default=experiment.BASE_PORT)
     runs.add_argument("--json", default="", help="file for the results")
+    commands.add_parser("sizes", help="sizes in memory and on the wire")
     commands.add_parser("memory", help="memory of a daemon")
     return parser
 
