--- a/umberdrum/routing/_baselines.py
+++ b/umberdrum/routing/_baselines.py
@@ -6,12 +6,10 @@
 from umberdrum.routing import _router, _tracking
 
 
-class RoundRobinRouter(_tracking.TrackingRouter):
-    """Takes the endpoints of a list in turn."""
+class BaselineRouter(_tracking.TrackingRouter):
+    """Base of the baselines, which differ only in how they pick an endpoint."""
 
-    def __init__(self, place: _tracking.Place) -> None:
-        super().__init__(place)
-        self._n_choices = 0
+    policy = ""
 
     def choose(
         self,
@@ -20,61 +18,51 @@
         excluded: frozenset[str],
         now: float,
     ) -> _router.RoutingDecision | None:
-        """Return the next candidate."""
+        """Return the candidate that the policy picks, or None when none is allowed."""
         allowed = _tracking.filter_candidates(candidates, excluded)
         if not allowed:
             return None
+        chosen = self._pick(allowed, now)
+        return _router.RoutingDecision(chosen, 0.0, len(allowed), self.policy)
+
+    def _pick(self, allowed: list[_router.Candidate], now: float) -> _router.Candidate:
+        raise NotImplementedError
+
+
+class RoundRobinRouter(BaselineRouter):
+    """Takes the endpoints of a list in turn."""
+
+    policy = "round_robin"
+
+    def __init__(self, place: _tracking.Place) -> None:
+        super().__init__(place)
+        self._n_choices = 0
+
+    def _pick(self, allowed: list[_router.Candidate], now: float) -> _router.Candidate:
         chosen = allowed[self._n_choices % len(allowed)]
         self._n_choices += 1
-        return _router.RoutingDecision(chosen, 0.0, len(allowed), "round_robin")
+        return chosen
 
 
-class RandomRouter(_tracking.TrackingRouter):
+class RandomRouter(BaselineRouter):
     """Takes any endpoint with equal chance."""
 
+    policy = "random"
+
     def __init__(self, place: _tracking.Place, rng: random.Random) -> None:
         super().__init__(place)
         self._rng = rng
 
-    def choose(
-        self,
-        class_name: str,
-        candidates: Sequence[_router.Candidate],
-        excluded: frozenset[str],
-        now: float,
-    ) -> _router.RoutingDecision | None:
-        """Return a random candidate."""
-        allowed = _tracking.filter_candidates(candidates, excluded)
-        if not allowed:
-            return None
-        chosen = self._rng.choice(allowed)
-        return _router.RoutingDecision(chosen, 0.0, len(allowed), "random")
-
+    def _pick(self, allowed: list[_router.Candidate], now: float) -> _router.Candidate:
+        return self._rng.choice(allowed)
 
-class LeastOutstandingRouter(_tracking.TrackingRouter):
-    """Takes the endpoint with the fewest own outstanding calls of all."""
 
-    def __init__(self, place: _tracking.Place, rng: random.Random) -> None:
-        super().__init__(place)
-        self._rng = rng
+class LeastOutstandingRouter(RandomRouter):
+    """Takes an endpoint with the fewest own outstanding calls; ties by chance."""
 
-    def choose(
-        self,
-        class_name: str,
-        candidates: Sequence[_router.Candidate],
-        excluded: frozenset[str],
-        now: float,
-    ) -> _router.RoutingDecision | None:
-        """Return a candidate with the fewest outstanding calls; ties by chance."""
-        allowed = _tracking.filter_candidates(candidates, excluded)
-        if not allowed:
-            return None
-        chosen = self._pick_least_outstanding(allowed, now)
-        return _router.RoutingDecision(chosen, 0.0, len(allowed), "least_outstanding")
+    policy = "least_outstanding"
 
-    def _pick_least_outstanding(
-        self, allowed: list[_router.Candidate], now: float
-    ) -> _router.Candidate:
+    def _pick(self, allowed: list[_router.Candidate], now: float) -> _router.Candidate:
         fewest: list[_router.Candidate] = []
         n_fewest = 0
         for candidate in allowed:
@@ -91,17 +79,8 @@
 class TwoChoicesRouter(LeastOutstandingRouter):
     """Draws two endpoints by chance and takes the one with fewer outstanding calls."""
 
-    def choose(
-        self,
-        class_name: str,
-        candidates: Sequence[_router.Candidate],
-        excluded: frozenset[str],
-        now: float,
-    ) -> _router.RoutingDecision | None:
-        """Return the better of two random candidates."""
-        allowed = _tracking.filter_candidates(candidates, excluded)
-        if not allowed:
-            return None
+    policy = "two_choices"
+
+    def _pick(self, allowed: list[_router.Candidate], now: float) -> _router.Candidate:
         drawn = self._rng.sample(allowed, min(2, len(allowed)))
-        chosen = self._pick_least_outstanding(drawn, now)
-        return _router.RoutingDecision(chosen, 0.0, len(drawn), "two_choices")
+        return super()._pick(drawn, now)
