--- /dev/null
+++ b/umberdrum/tests/call_scenes.py
@@ -0,0 +1,230 @@
+"""Scenes of calls on whole daemons, each with the promise that it proves."""
+
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from umberdrum import classes
+from umberdrum.tests import harness, payment_site
+
+CHANGE_SECONDS = 4.0
+
+
+async def settle_silent_payment() -> None:
+    """A payment whose link goes silent is settled: whole answer, run once."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1)
+        node = site.nodes[0]
+        node.upstream.service_seconds = 1.0
+        async with trio.open_nursery() as nursery:
+
+            async def silence() -> None:
+                await trio.sleep(0.3)
+                assert node.link is not None
+                node.link.silence()
+
+            nursery.start_soon(silence)
+            answer = await site.call(entry, "payments", "p1", "/pay", body=b"x")
+        assert answer.status == 200 and answer.nonce == "p1", answer
+        assert site.count_runs("p1") == 1
+        parts = entry.daemon.parts
+        assert parts is not None
+        assert (parts.peer_leg.n_silent_links, parts.peer_leg.n_settled) == (1, 1)
+
+
+async def bar_late_payment() -> None:
+    """A payment that never arrived is barred and may run elsewhere, once in all."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site)
+        for node in site.nodes[:2]:
+            assert node.link is not None
+            # Connections that are open when a call comes swallow it.
+            await site.call(entry, "payments", f"warm-{id(node)}", "/pay", body=b"x")
+        for node in site.nodes[:2]:
+            assert node.link is not None
+            node.link.silence()
+        answers = [
+            await site.call(entry, "payments", f"p{index}", "/pay", body=b"x")
+            for index in range(4)
+        ]
+        assert all(answer.status == 200 for answer in answers), answers
+        assert all(site.count_runs(f"p{index}") == 1 for index in range(4))
+
+
+async def lose_endpoint_in_payment() -> None:
+    """A payment whose daemon dies is of unknown outcome, at once, never retried."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site)
+        for node in site.nodes[:2]:
+            node.upstream.service_seconds = 2.0
+        async with trio.open_nursery() as nursery:
+
+            async def kill_busy() -> None:
+                await trio.sleep(0.5)
+                for node in site.nodes[:2]:
+                    if "p1" in node.upstream.begun:
+                        site.kill(node)
+
+            nursery.start_soon(kill_busy)
+            began_at = trio.current_time()
+            answer = await site.call(entry, "payments", "p1", "/pay", body=b"x")
+            seconds = trio.current_time() - began_at
+        assert (answer.kind, answer.execution) == ("outcome-unknown", "may-have-run")
+        assert site.count_runs("p1") == 1
+        assert seconds < 2.0, seconds
+
+
+async def stop_without_cut() -> None:
+    """A stopped daemon ends uploads in progress and refuses new work."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_slots=10)
+        node = site.nodes[0]
+        for row in site.nodes[:2]:
+            row.upstream.service_seconds = 3.0
+        answers = []
+        async with trio.open_nursery() as nursery:
+
+            async def upload(nonce: str) -> None:
+                body = bytes(300_000)
+                answers.append(
+                    await site.call(entry, "payments", nonce, "/pay", body=body)
+                )
+
+            for index in range(4):
+                nursery.start_soon(upload, f"u{index}")
+            await trio.sleep(0.5)
+            n_begun = len(node.upstream.begun)
+            assert n_begun > 0
+            node.daemon.stop()
+            await trio.sleep(0.5)
+            for index in range(4, 8):
+                nursery.start_soon(upload, f"u{index}")
+            await node.daemon.wait_stopped()
+        assert [answer.status for answer in answers] == [200] * 8, answers
+        assert len(node.upstream.begun) == n_begun
+        assert not node.upstream.cancelled
+
+
+async def hedge_slow_lookup() -> None:
+    """A lookup at a stalled endpoint is answered by another; the loser is cancelled."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site)
+        slow = site.nodes[0]
+        slow.upstream.service_seconds = 50.0
+        answers = [
+            await site.call(entry, "payments", f"l{index}", "/look")
+            for index in range(10)
+        ]
+        assert all(answer.status == 200 for answer in answers), answers
+        assert max(answer.seconds for answer in answers) < 0.4, answers
+        await trio.sleep(1.0)
+        assert slow.upstream.begun and slow.upstream.n_running == 0
+        assert len(slow.upstream.cancelled) == len(slow.upstream.begun)
+
+
+async def cancel_left_lookup() -> None:
+    """A lookup whose caller leaves is cancelled at the upstream; a payment is not."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1)
+        node = site.nodes[0]
+        node.upstream.service_seconds = 3.0
+        for path, body in (("/look", b""), ("/pay", b"x")):
+            with trio.move_on_after(0.5):
+                await site.call(entry, "payments", path, path, body=body)
+        await trio.sleep(5.0)
+        assert node.upstream.cancelled == ["/look"], node.upstream.cancelled
+        assert node.upstream.ended == ["/pay"], node.upstream.ended
+
+
+async def refuse_overload() -> None:
+    """Calls beyond slots and queue are refused at once, truthfully as not run."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1)
+        site.nodes[0].upstream.service_seconds = 0.1
+        await site.call(entry, "payments", "warm", "/pay", body=b"x")
+        answers = []
+        async with trio.open_nursery() as nursery:
+
+            async def pay(nonce: str) -> None:
+                answers.append(
+                    await site.call(entry, "payments", nonce, "/pay", body=b"x")
+                )
+
+            for index in range(60):
+                nursery.start_soon(pay, f"p{index}")
+        refused = [answer for answer in answers if answer.kind]
+        assert 10 <= len(refused) < 40, len(refused)
+        assert {row.kind for row in refused} == {"overloaded"}, refused
+        assert {row.execution for row in refused} == {"not-run"}, refused
+        assert max(row.seconds for row in refused) < 0.2, refused
+        assert len(site.nodes[0].upstream.begun) == 1 + 60 - len(refused)
+
+
+async def change_target_without_restart() -> None:
+    """A changed target changes the deadline of the next calls."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1)
+        repository = site.build_repository()
+        found = (await repository.get_class("pay")).ok
+        assert found is not None
+        target = classes.Target(1000, 99.0)
+        changed = found.request_class._replace(target=target, change_id="next")
+        assert (await repository.write_class(changed, found.revision)).is_ok()
+        await trio.sleep(CHANGE_SECONDS)
+        began_at = trio.current_time()
+        answer = await site.call(entry, "payments", "p1", "/pay", "hang", b"x")
+        assert answer.kind == "deadline-exceeded", answer
+        assert 7.9 <= trio.current_time() - began_at <= 8.3
+
+
+async def leave_shedding_endpoint() -> None:
+    """Lookups that one upstream sheds are answered by another; payments are told."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site)
+        site.nodes[0].upstream.constant_fault = "shed"
+        for index in range(10):
+            answer = await site.call(entry, "payments", f"l{index}", "/look")
+            assert answer.status == 200, answer
+        statuses = set()
+        for index in range(10):
+            nonce = f"p{index}"
+            answer = await site.call(entry, "payments", nonce, "/pay", body=b"x")
+            statuses.add(answer.status)
+            assert site.count_runs(nonce) == 1
+        assert statuses == {200, 503}, statuses
+
+
+async def reload_measuring_cap() -> None:
+    """A measuring budget of 0, taken by a reload, ends reports; calls still work."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1)
+        parts = entry.daemon.parts
+        assert parts is not None
+        node = site.nodes[0]
+        key = parts.directory.list_candidates("payments")[0].key
+        reports = []
+        for cap in (1000, 0):
+            changed = node.settings._replace(measuring_bytes_per_second=cap)
+            node.daemon.reload(changed)
+            await trio.sleep(1.5)
+            answer = await site.call(entry, "payments", f"n{cap}", "/look")
+            assert answer.status == 200, answer
+            view = parts.entry.router.get_view(key)
+            assert view is not None
+            reports.append(view.report)
+        assert reports[0] is not None
+        assert reports[1] is reports[0], "a report came without a budget"
+
+
+SCENES: dict[str, Callable[[], Awaitable[None]]] = {
+    "a silent payment is settled": settle_silent_payment,
+    "a payment that never arrived is barred": bar_late_payment,
+    "an endpoint is lost in a payment": lose_endpoint_in_payment,
+    "a stop cuts nothing": stop_without_cut,
+    "a slow lookup is hedged": hedge_slow_lookup,
+    "a caller leaves": cancel_left_lookup,
+    "overload is refused": refuse_overload,
+    "a target changes without a restart": change_target_without_restart,
+    "the measuring budget is reloaded": reload_measuring_cap,
+    "an upstream sheds load": leave_shedding_endpoint,
+}
--- a/umberdrum/tests/system_steps.py
+++ b/umberdrum/tests/system_steps.py
@@ -3,7 +3,9 @@
 import behave
 from behave import runner
 
-from umberdrum.tests import harness, matrix, scenes
+from umberdrum.tests import call_scenes, fleet_scenes, harness, matrix
+
+SCENES = {**call_scenes.SCENES, **fleet_scenes.SCENES}
 
 
 @behave.when('"{faults}" meets the step "{step}"')
@@ -24,4 +26,4 @@
 
 @behave.then('the scene "{name}" holds')
 def run_scene(context: runner.Context, name: str) -> None:
-    harness.run_on_virtual_clock(scenes.SCENES[name])
+    harness.run_on_virtual_clock(SCENES[name])
