Survive requests that can't be rendered for the upstream

Cause: read once more: an HTTP/1.0 request without a host, its service named by the service field, raised in the client side of h11, and the exception ended the whole daemon. A new row of the table showed it (LocalProtocolError: Missing mandatory Host header).

Change: such a request gets the service as its host; what h11 can't render is a failure of its own, not run before a byte was sent; an unforeseen fault in the handler of one connection is logged and ends that connection only.

Conclusion: a caller can no longer end a daemon this way. Faults in detached payments and hedges still end the daemon; no way to cause one is known.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -203,7 +203,7 @@
         class_name=request_class.name,
         method=request.method,
         target=request.target,
-        headers=_headers.filter_request_headers(request.headers),
+        headers=_headers.filter_request_headers(request.headers, fields.service),
         deadline=request.received_at + deadline_ms / MS_PER_SECOND,
         n_extra_attempts=n_extra,
         is_idempotent=request_class.is_idempotent,
--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -101,10 +101,15 @@
     )
 
 
-def filter_request_headers(headers: HeaderFields) -> HeaderFields:
-    """Return the fields that pass to the upstream, without hop-by-hop and own ones."""
+def filter_request_headers(headers: HeaderFields, service: str) -> HeaderFields:
+    """Return the fields that pass to the upstream, without hop-by-hop and own ones.
+
+    A request of HTTP/1.0 may lack a host, which HTTP/1.1 needs: it gets ``service``.
+    """
     nominated = _list_nominated(headers)
     kept: HeaderFields = []
+    if not any(name == b"host" for name, _ in headers):
+        kept.append((b"host", service.encode("ascii", "replace")))
     for name, value in headers:
         if name in _HOP_BY_HOP or name in _OWN or name in nominated:
             continue
--- a/umberdrum/callpath/_sending.py
+++ b/umberdrum/callpath/_sending.py
@@ -37,7 +37,7 @@
     async def _send(self, scope: trio.CancelScope) -> None:
         try:
             await self._upstream.send_rest_of_body(self._body)
-        except _call.BodyLostError as fault:
+        except (_call.BodyLostError, _upstream.UpstreamFailureError) as fault:
             self._fault = fault
             scope.cancel()
         except sockets.ConnectionLostError:
--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -67,12 +67,17 @@
             headers.append((b"transfer-encoding", b"chunked"))
         elif body.is_complete and body.initial and call.content_length is None:
             headers.append((b"content-length", b"%d" % len(body.initial)))
-        request = h11.Request(method=call.method, target=call.target, headers=headers)
-        data = self._http.send(request) or b""
-        if body.initial:
-            data += self._http.send(h11.Data(data=body.initial)) or b""
-        if body.is_complete:
-            data += self._http.send(h11.EndOfMessage()) or b""
+        try:
+            request = h11.Request(
+                method=call.method, target=call.target, headers=headers
+            )
+            data = self._http.send(request) or b""
+            if body.initial:
+                data += self._http.send(h11.Data(data=body.initial)) or b""
+            if body.is_complete:
+                data += self._http.send(h11.EndOfMessage()) or b""
+        except h11.LocalProtocolError as fault:
+            raise _invalid_request(str(fault), errors.Execution.NOT_RUN) from None
         self.has_sent = True
         await self._connection.send(data)
 
@@ -80,11 +85,17 @@
         """Send the body bytes after the initial ones, then the end of the request."""
         while True:
             data = await body.receive()
+            event: h11.Event = h11.Data(data=data) if data else h11.EndOfMessage()
+            try:
+                rendered = self._http.send(event) or b""
+            except h11.LocalProtocolError as fault:
+                raise _invalid_request(
+                    str(fault), errors.Execution.MAY_HAVE_RUN
+                ) from None
+            await self._connection.send(rendered)
             if not data:
-                break
-            await self._connection.send(self._http.send(h11.Data(data=data)) or b"")
+                return
             await trio.lowlevel.checkpoint()
-        await self._connection.send(self._http.send(h11.EndOfMessage()) or b"")
 
     async def receive_head(self) -> _call.AnswerHead:
         """Return the head of the final answer; interim answers are passed over."""
@@ -211,6 +222,12 @@
         self.n_open -= 1
 
 
+def _invalid_request(detail: str, execution: errors.Execution) -> UpstreamFailureError:
+    return UpstreamFailureError(
+        errors.fail(errors.ErrorKind.MALFORMED_REQUEST, detail, execution)
+    )
+
+
 def _broke_off(detail: str) -> UpstreamFailureError:
     return UpstreamFailureError(
         errors.fail(
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -47,6 +47,7 @@
       | GET /look HTTP/1.1~Host: x~umberdrum-service: pay~Connection: close~~   | 0       |
       | GET http://pay/look HTTP/1.1~Host: pay~Connection: close~~              | 0       |
       | GET /look HTTP/1.0~Host: pay~~                                          | 0       |
+      | GET /look HTTP/1.0~umberdrum-service: pay~~                             | 0       |
       | POST /look HTTP/1.1~Host: pay~Connection: close~Content-Length: 5~~hello | 5      |
       | POST /look HTTP/1.1~Host: pay~Connection: close~Transfer-Encoding: chunked~~5~hello~0~~ | 5 |
       | POST /look HTTP/1.1~Host: pay~Connection: close~Expect: 100-continue~Content-Length: 5~~hello | 5 |
--- a/umberdrum/sockets/_listener.py
+++ b/umberdrum/sockets/_listener.py
@@ -1,18 +1,21 @@
 """Listening TCP sockets and the loop that accepts from them."""
 
 import errno
+import logging
 import socket
 from collections.abc import Awaitable, Callable
 
 import trio
 
-from umberdrum import settings
+from umberdrum import logs, settings
 from umberdrum.sockets import _connection
 
 BACKLOG = 1024
 ACCEPT_RETRY_SECONDS = 0.1
 _RESOURCE_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
+_LOGGER = logging.getLogger("umberdrum.sockets")
+
 ConnectionHandler = Callable[[_connection.Connection], Awaitable[None]]
 
 
@@ -92,6 +95,9 @@
         await handler(connection)
     except _connection.ConnectionLostError:
         pass
+    except Exception as fault:
+        # What one connection brings must not end the daemon with all its calls.
+        _LOGGER.error(logs.format_line("connection_failed", {"reason": repr(fault)}))
     finally:
         connection.close()
         places.release_on_behalf_of(ticket)
--- a/umberdrum/tests/call_scenes.py
+++ b/umberdrum/tests/call_scenes.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from umberdrum import classes
+from umberdrum import classes, sockets
 from umberdrum.tests import harness, payment_site
 
 CHANGE_SECONDS = 4.0
@@ -216,7 +216,27 @@
         assert reports[1] is reports[0], "a report came without a budget"
 
 
+async def fail_one_connection() -> None:
+    """A fault in the handler of one connection ends that connection only."""
+    async with harness.open_site() as site:
+        address = harness.find_free_address()
+
+        async def handle(connection: sockets.Connection) -> None:
+            if await connection.receive() == b"bad":
+                raise ValueError("not foreseen")
+            await connection.send(b"served")
+
+        async with trio.open_nursery() as nursery:
+            listener = sockets.bind_tcp(address)
+            nursery.start_soon(sockets.accept_connections, listener, handle, 10)
+            assert await site.send_raw(address, b"bad") == b""
+            assert await site.send_raw(address, b"good") == b"served"
+            nursery.cancel_scope.cancel()
+        listener.close()
+
+
 SCENES: dict[str, Callable[[], Awaitable[None]]] = {
+    "one connection fails": fail_one_connection,
     "a silent payment is settled": settle_silent_payment,
     "a payment that never arrived is barred": bar_late_payment,
     "an endpoint is lost in a payment": lose_endpoint_in_payment,
--- a/umberdrum/tests/scenes.feature
+++ b/umberdrum/tests/scenes.feature
@@ -24,3 +24,4 @@
       | all daemons are replaced in turn |
       | an upstream sheds load |
       | the measuring budget is reloaded |
+      | one connection fails |
