--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -24,13 +24,15 @@
     """What the gate needs to know of a call.
 
     ``deadline`` is in seconds of the daemon's monotonic clock. ``target_latency_ms``
-    orders the queue; ``max_queue_ms`` bounds the wait.
+    orders the queue; ``max_queue_ms`` bounds the wait. ``priority`` is its rank, 0
+    first.
     """
 
     class_name: str
     target_latency_ms: int
     max_queue_ms: int
     deadline: float
+    priority: int = 0
 
 
 class SlotTicket(NamedTuple):
--- a/umberdrum/announcements/_desk.py
+++ b/umberdrum/announcements/_desk.py
@@ -7,6 +7,7 @@
 
 CHECK_INTERVAL_SECONDS = 0.5
 UPSTREAM_PATH = "/v1/upstream"
+MAX_ENDED_RUNS = 1000
 
 
 class AnnouncementDesk:
@@ -14,8 +15,10 @@
 
     The upstream repeats its announcement with ``PUT /v1/upstream``; when it has been
     silent for the timeout it counts as gone. ``DELETE`` says that it is gone at once
-    and ``GET`` shows the last announcement. A drain that an operator asked for
-    outweighs what the upstream announces until it is lifted.
+    and ``GET`` shows the last announcement. Where announcements name the run of the
+    upstream, one of an older run or an earlier one of the same run changes nothing,
+    and a run that has said that it leaves never serves again. A drain that an operator
+    asked for outweighs what the upstream announces until it is lifted.
     """
 
     def __init__(
@@ -29,6 +32,7 @@
         self._log = log
         self._last: callpath.UpstreamAnnouncement | None = None
         self._last_at = 0.0
+        self._ended: set[tuple[str, int]] = set()
         self._announced = trio.Event()
         self.is_drain_ordered = False
 
@@ -77,20 +81,74 @@
         parsed = _document.parse_announcement(body)
         if parsed.is_error():
             return controlhttp.answer_failure(parsed.error)
-        announcement = parsed.ok
+        self.take(parsed.ok)
+        return self._show()
+
+    def take(self, announcement: callpath.UpstreamAnnouncement) -> None:
+        """Use what the upstream says of itself unless it is outdated."""
+        if self._is_outdated(announcement):
+            return
+        run = (announcement.instance_id, announcement.born_ms)
+        if announcement.instance_id and run in self._ended:
+            leaving = callpath.EndpointState.DRAINING
+            announcement = announcement._replace(state=leaving)
+        if announcement.state is callpath.EndpointState.DRAINING:
+            self._note_end(announcement)
         self._last_at = trio.current_time()
         self._announced.set()
-        if announcement != self._last:
+        last = self._last
+        self._last = announcement
+        if (
+            last is None
+            or announcement._replace(
+                sequence=last.sequence, cold_seconds=last.cold_seconds
+            )
+            != last
+        ):
             self._log.write(
                 "announcement",
                 service=announcement.service,
                 address=str(announcement.address),
                 slots=announcement.n_slots,
                 state=announcement.state.value,
+                instance=announcement.instance_id or None,
+                born_ms=announcement.born_ms,
+                sequence=announcement.sequence,
             )
-            self._last = announcement
             self._tell_listener(announcement)
-        return self._show()
+
+    def withdraw(self, instance_id: str) -> None:
+        """Take note that the run ``instance_id`` of the upstream leaves."""
+        last = self._last
+        if last is None or last.instance_id != instance_id:
+            self._log.write("withdrawal_ignored", instance=instance_id)
+            return
+        self._note_end(last)
+        self._drop("withdrawn")
+
+    def drop(self, reason: str) -> None:
+        """Take the upstream for gone until it announces itself again."""
+        self._drop(reason)
+
+    def _is_outdated(self, announcement: callpath.UpstreamAnnouncement) -> bool:
+        """Return whether a later announcement than this one was taken already."""
+        last = self._last
+        if last is None or not announcement.instance_id:
+            return False
+        if announcement.born_ms < last.born_ms:
+            return True
+        is_same_run = (
+            announcement.instance_id == last.instance_id
+            and announcement.born_ms == last.born_ms
+        )
+        return is_same_run and announcement.sequence < last.sequence
+
+    def _note_end(self, announcement: callpath.UpstreamAnnouncement) -> None:
+        if not announcement.instance_id:
+            return
+        if len(self._ended) >= MAX_ENDED_RUNS:
+            self._ended.clear()
+        self._ended.add((announcement.instance_id, announcement.born_ms))
 
     def _drop(self, reason: str) -> None:
         if self._last is None:
--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -11,6 +11,7 @@
     WholeBody,
 )
 from umberdrum.callpath._caller import CallerLimits, CallerServer
+from umberdrum.callpath._dialect import OWN_DIALECT, Dialect
 from umberdrum.callpath._directory import EndpointDirectory
 from umberdrum.callpath._endpoint import (
     EndpointService,
@@ -25,6 +26,7 @@
     read_call_fields,
 )
 from umberdrum.callpath._liveness import LivenessWatch
+from umberdrum.callpath._matching import CallMatcher, ClassMatcher, RouteMatcher
 from umberdrum.callpath._paths import normalize_path
 from umberdrum.callpath._peer_leg import PeerLeg
 from umberdrum.callpath._peer_server import PeerServer
@@ -34,16 +36,20 @@
 from umberdrum.callpath._upstream import UpstreamPool
 
 __all__ = [
+    "OWN_DIALECT",
     "AnswerHead",
     "AnswerSink",
     "BodyLostError",
     "Call",
     "CallFields",
+    "CallMatcher",
     "CallReport",
     "CallStatistics",
     "CallerLimits",
     "CallerServer",
+    "ClassMatcher",
     "CountingSink",
+    "Dialect",
     "EndpointDirectory",
     "EndpointService",
     "EndpointState",
@@ -55,6 +61,7 @@
     "PeerLeg",
     "PeerServer",
     "RequestBody",
+    "RouteMatcher",
     "SinkLostError",
     "Synchronizer",
     "TargetReport",
--- a/umberdrum/callpath/_call.py
+++ b/umberdrum/callpath/_call.py
@@ -11,6 +11,8 @@
 
     ``deadline`` is in seconds of this daemon's monotonic clock; between daemons only
     the remaining time travels. ``content_length`` is None for a body of unknown length.
+    ``service`` is the one that must run the call, and ``priority`` ranks it among calls
+    that wait, 0 first.
     """
 
     request_id: str
@@ -24,6 +26,8 @@
     target_latency_ms: int
     max_queue_ms: int
     content_length: int | None
+    service: str = ""
+    priority: int = 0
 
 
 class AnswerHead(NamedTuple):
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -1,14 +1,16 @@
 """Callers' connections: HTTP/1.1 on the outer side of an entry daemon."""
 
+from collections.abc import Callable
 from typing import NamedTuple
 
 import h11
 import trio
 
 from umberdrum import errors, sockets
-from umberdrum.callpath import _call, _entry, _headers, _liveness
+from umberdrum.callpath import _call, _dialect, _entry, _headers, _liveness
 
 MAX_BUFFERED_BODY_BYTES = 65_536
+MAX_BODY_BYTES = 1 << 40
 OUTPUT_BUFFER_BYTES = 65_536
 FIELD_OVERHEAD_BYTES = 4
 LINGER_SECONDS = 1.0
@@ -23,6 +25,10 @@
     head_timeout: float
     body_idle_timeout: float
     idle_timeout: float
+    max_body_bytes: int = MAX_BODY_BYTES
+
+
+LimitsSource = Callable[[], CallerLimits]
 
 
 class CallerServer:
@@ -37,13 +43,16 @@
         self,
         entry: _entry.EntryService,
         watch: _liveness.LivenessWatch,
-        limits: CallerLimits,
+        get_limits: LimitsSource,
         daemon_id: str,
+        dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
     ) -> None:
+        self._dialect = dialect
         self._entry = entry
         self._watch = watch
-        self._limits = limits
+        self._get_limits = get_limits
         self._daemon_id = daemon_id
+        self.is_leaving = False
         self.is_closing = False
         self._idle_connections: set[sockets.Connection] = set()
         self._n_serving = 0
@@ -51,7 +60,9 @@
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Serve the requests of one connection until it ends."""
-        exchange = _CallerExchange(connection, self._limits, self._daemon_id)
+        exchange = _CallerExchange(
+            connection, self._get_limits, self._daemon_id, self._dialect
+        )
         while not self.is_closing:
             self._idle_connections.add(connection)
             try:
@@ -74,8 +85,13 @@
             self._idle_event = trio.Event()
             await self._idle_event.wait()
 
+    def start_leaving(self) -> None:
+        """Close each connection after its next answer."""
+        self.is_leaving = True
+
     def start_closing(self) -> None:
         """Close idle connections now and the others after their present exchange."""
+        self.is_leaving = True
         self.is_closing = True
         for connection in list(self._idle_connections):
             connection.close()
@@ -91,7 +107,7 @@
             await exchange.refuse(fault.failure, "")
             return False
         connection = exchange.connection
-        sink = CallerSink(exchange, self.is_closing)
+        sink = CallerSink(exchange, self.is_leaving)
         with trio.CancelScope() as scope, self._watch.watch(connection, scope):
             outcome = await self._entry.handle(request, body, sink)
         if scope.cancelled_caught:
@@ -101,32 +117,47 @@
                 # The answer was cut; only closing tells the caller so.
                 return False
             await exchange.refuse(outcome.result.error, outcome.request_id)
-        return exchange.start_next() and not self.is_closing
+        elif not exchange.has_read_request:
+            # The upstream answered before it took the whole body.
+            await exchange.linger()
+        return exchange.start_next() and not self.is_leaving
 
 
 class _CallerExchange:
     """HTTP state of one caller's connection."""
 
     def __init__(
-        self, connection: sockets.Connection, limits: CallerLimits, daemon_id: str
+        self,
+        connection: sockets.Connection,
+        get_limits: LimitsSource,
+        daemon_id: str,
+        dialect: _dialect.Dialect,
     ) -> None:
         self.connection = connection
-        self._limits = limits
+        self._get_limits = get_limits
+        self._limits = get_limits()
         self._daemon_id = daemon_id
+        self._dialect = dialect
         self._is_head_request = False
+        self._n_body_bytes = 0
         self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.max_head_bytes
+            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
         )
 
     async def wait_for_first_byte(self) -> bool:
         """Return whether the caller began another request in time."""
         if self.http.trailing_data[0]:
             return True
-        with trio.move_on_after(self._limits.idle_timeout):
-            data = await self.connection.receive()
-            self.http.receive_data(data)
-            return bool(data)
-        return False
+        idle_since = trio.current_time()
+        while True:
+            # The bound may have been raised while the connection was idle.
+            close_at = idle_since + self._get_limits().idle_timeout
+            if trio.current_time() >= close_at:
+                return False
+            with trio.move_on_at(close_at):
+                data = await self.connection.receive()
+                self.http.receive_data(data)
+                return bool(data)
 
     async def receive_request(self) -> _entry.IncomingRequest | None:
         """Return the next request, or None when the caller has closed.
@@ -134,6 +165,8 @@
         Raises ``BodyLostError`` for a head that is malformed, too large or too slow.
         """
         received_at = trio.current_time()
+        self._limits = self._get_limits()
+        self._n_body_bytes = 0
         event: object = self._take_event()
         if event is h11.NEED_DATA:
             with trio.move_on_after(self._limits.head_timeout):
@@ -148,7 +181,7 @@
         self._is_head_request = event.method == b"HEAD"
         headers = list(event.headers)
         self._check_head_size(event, headers)
-        fields = _headers.read_call_fields(headers)
+        fields = _headers.read_call_fields(headers, self._dialect)
         if fields.is_error():
             raise _call.BodyLostError(fields.error)
         if event.method == b"CONNECT":
@@ -198,6 +231,12 @@
                 f"no body bytes within {self._limits.body_idle_timeout:g} s",
             )
         if isinstance(event, h11.Data):
+            self._n_body_bytes += len(event.data)
+            if self._n_body_bytes > self._limits.max_body_bytes:
+                raise _lose_body(
+                    errors.ErrorKind.BODY_TOO_LARGE,
+                    f"expected at most {self._limits.max_body_bytes} body bytes",
+                )
             return bytes(event.data)
         if isinstance(event, h11.EndOfMessage):
             return b""
@@ -207,7 +246,12 @@
         """Send the answer for ``failure``; close afterwards if the body is unread."""
         if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        problem = errors.render_problem(failure, self._daemon_id, request_id)
+        problem = errors.render_problem(
+            failure,
+            self._daemon_id,
+            request_id,
+            self._dialect.retry_after_has_fractions,
+        )
         headers = list(problem.headers)
         if self.http.their_state is not h11.DONE:
             headers.append((b"connection", b"close"))
@@ -218,7 +262,12 @@
         data += self.http.send(h11.EndOfMessage()) or b""
         await self.connection.send(data)
         if self.http.their_state is not h11.DONE:
-            await self._linger()
+            await self.linger()
+
+    @property
+    def has_read_request(self) -> bool:
+        """Whether the present request was received to its end."""
+        return self.http.their_state is h11.DONE
 
     def start_next(self) -> bool:
         """Make ready for another request; False when the connection must close."""
@@ -227,7 +276,7 @@
         self.http.start_next_cycle()
         return True
 
-    async def _linger(self) -> None:
+    async def linger(self) -> None:
         """Read on for a moment, so that unread bytes don't destroy the answer."""
         self.connection.finish_sending()
         n_bytes = 0
@@ -306,7 +355,7 @@
     async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
         """Render the head; it goes out with the next flush."""
         headers = head.headers
-        if self._must_close:
+        if self._must_close or not self._exchange.has_read_request:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(
             status_code=head.status, headers=headers, reason=head.reason
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -1,6 +1,7 @@
 """Endpoint service: admits calls to the upstream beside this daemon and runs them."""
 
 import enum
+from collections.abc import Callable
 from typing import NamedTuple
 
 import expression
@@ -16,11 +17,21 @@
     settings,
     sockets,
 )
-from umberdrum.callpath import _call, _recording, _sending, _sinks, _upstream
+from umberdrum.callpath import (
+    _call,
+    _dialect,
+    _headers,
+    _recording,
+    _sending,
+    _sinks,
+    _upstream,
+)
 
 MS_PER_SECOND = 1000.0
 LOAD_REPORT_BYTES = 12
 SHED_STATUS = 503
+MISDIRECTED_STATUS = 421
+MAX_HELD_ANSWER_BYTES = 65_536
 DEFAULT_SHED_RETRY_MS = 1000
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
@@ -39,6 +50,10 @@
     """What an upstream says of itself to the daemon beside it.
 
     ``load_path`` is the path of its load endpoint, empty when it has none.
+    ``instance_id`` names this run of the upstream where it has a name, ``born_ms`` is
+    the start of the run in Unix milliseconds and ``sequence`` counts its announcements;
+    both are 0 where the upstream states none. ``cold_seconds`` is how much longer it
+    stays slow after its start.
     """
 
     service: str
@@ -46,6 +61,10 @@
     n_slots: int
     state: EndpointState
     load_path: str
+    instance_id: str = ""
+    born_ms: int = 0
+    sequence: int = 0
+    cold_seconds: float = 0.0
 
 
 class _DetachedCall:
@@ -74,7 +93,12 @@
         budget: measuring.MeasuringBudget,
         log: logs.EventLog,
         nursery: trio.Nursery,
+        dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
     ) -> None:
+        self._dialect = dialect
+        self.service = ""
+        self.instance_id = ""
+        self.on_misdirected: Callable[[], None] | None = None
         self.gate = gate
         self.record = record
         self.pool = pool
@@ -103,6 +127,11 @@
         """
         if self.state is not EndpointState.SERVING:
             return expression.Error(self._refuse_leaving())
+        if call.service and self.service and call.service != self.service:
+            detail = f"expected service {call.service}, found {self.service}"
+            return expression.Error(
+                errors.fail(errors.ErrorKind.STALE_INCARNATION, detail)
+            )
         self.n_in_progress += 1
         try:
             if call.is_idempotent:
@@ -308,31 +337,58 @@
             return expression.Error(
                 errors.fail(errors.ErrorKind.DEADLINE_EXCEEDED, detail)
             )
+        await upstream.send_request(call, body, remaining_ms, self.instance_id)
         if body.is_complete:
-            await upstream.send_request(call, body, remaining_ms)
-            head = await upstream.receive_head()
+            head = await upstream.receive_head(call.request_id)
         else:
-            await upstream.send_request(call, body, remaining_ms)
-            head = await _sending.StreamedExchange(body, upstream).run()
-        if call.is_idempotent and head.status == SHED_STATUS:
+            exchange = _sending.StreamedExchange(body, upstream, call.request_id)
+            head = await exchange.run()
+        refusal = self._find_upstream_refusal(call, head)
+        if refusal is not None:
             await upstream.relay_body(_sinks.DiscardingSink())
-            return expression.Error(_describe_shedding(head))
+            return expression.Error(refusal)
         now = trio.current_time()
         report = _call.CallReport(
             head.status, now - sent_at, queue_seconds, self.build_load_report(now)
         )
         await sink.start(head, report)
-        await upstream.relay_body(sink)
+        await upstream.relay_body(sink, _is_short(head))
         await sink.finish()
         return expression.Ok(report)
 
+    def _find_upstream_refusal(
+        self, call: _call.Call, head: _call.AnswerHead
+    ) -> errors.Failure | None:
+        """Return the failure for an answer that says the request was not run."""
+        marker = self._dialect.not_run
+        if not marker:
+            if call.is_idempotent and head.status == SHED_STATUS:
+                return _describe_shedding(head, errors.Execution.MAY_HAVE_RUN)
+            return None
+        if head.status == MISDIRECTED_STATUS:
+            if self.on_misdirected is not None:
+                self.on_misdirected()
+            detail = f"another upstream than {self.instance_id} has the address"
+            return errors.fail(errors.ErrorKind.STALE_INCARNATION, detail)
+        if _headers.get_header(head.headers, marker) is not None:
+            return _describe_shedding(head, errors.Execution.NOT_RUN)
+        return None
+
     def _refuse_leaving(self) -> errors.Failure:
         return errors.fail(
             errors.ErrorKind.ENDPOINT_LEAVING, f"the endpoint is {self.state.value}"
         )
 
 
-def _describe_shedding(head: _call.AnswerHead) -> errors.Failure:
+def _is_short(head: _call.AnswerHead) -> bool:
+    """Return whether the whole answer fits into the bytes that are held back."""
+    length = _headers.get_header(head.headers, b"content-length")
+    return length is not None and int(length) <= MAX_HELD_ANSWER_BYTES
+
+
+def _describe_shedding(
+    head: _call.AnswerHead, execution: errors.Execution
+) -> errors.Failure:
     """Return the failure for an upstream that sheds; another endpoint may answer."""
     retry_after_ms = DEFAULT_SHED_RETRY_MS
     for name, value in head.headers:
@@ -340,7 +396,7 @@
             retry_after_ms = int(value) * int(MS_PER_SECOND)
     return errors.Failure(
         errors.ErrorKind.UPSTREAM_SHED,
-        errors.Execution.MAY_HAVE_RUN,
+        execution,
         f"the upstream answered {head.status}",
         retry_after_ms,
     )
@@ -348,5 +404,9 @@
 
 def _describe(call: _call.Call) -> admission.AdmissionRequest:
     return admission.AdmissionRequest(
-        call.class_name, call.target_latency_ms, call.max_queue_ms, call.deadline
+        call.class_name,
+        call.target_latency_ms,
+        call.max_queue_ms,
+        call.deadline,
+        call.priority,
     )
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -9,12 +9,13 @@
 from umberdrum import classes, errors, logs, retries, routing
 from umberdrum.callpath import (
     _call,
+    _dialect,
     _directory,
     _endpoint,
     _headers,
     _hedging,
     _journey,
-    _paths,
+    _matching,
     _peer_leg,
     _sinks,
     _statistics,
@@ -69,15 +70,21 @@
         statistics: _statistics.CallStatistics,
         log: logs.EventLog,
         nursery: trio.Nursery,
+        matcher: _matching.CallMatcher,
+        budgets: retries.BudgetSource,
+        dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
+        caller_service: str = "",
     ) -> None:
-        self.catalog = classes.Catalog()
+        self._matcher = matcher
+        self._budgets = budgets
+        self._dialect = dialect
+        self.caller_service = caller_service
         self.router = router
         self.statistics = statistics
         self._directory = directory
         self._endpoint = endpoint
         self._peer_leg = peer_leg
         self._log = log
-        self._budgets: dict[str, retries.RetryBudget] = {}
         self.hedger = _hedging.Hedger(nursery)
 
     async def handle(
@@ -89,14 +96,21 @@
         """Answer one request, or say why it is not answered."""
         fields = request.fields
         request_id = fields.request_id or secrets.token_hex(REQUEST_ID_BYTES)
-        path = _paths.normalize_path(request.target)
         method = request.method.decode("ascii")
-        row = self.catalog.match(fields.service, method, path)
-        if row is None:
-            failure = self._explain_no_class(fields.service, method, path)
+        matched = self._matcher.match(fields, method, request.target)
+        if matched.is_error():
+            failure = matched.error
             self.statistics.count_unmatched(failure.kind)
+            self._log.write(
+                "refused",
+                request=request_id,
+                kind=failure.kind.token,
+                execution=failure.execution.token,
+                detail=failure.detail,
+            )
             return EntryOutcome(expression.Error(failure), False, request_id)
-        call = _build_call(request, request_id, row.request_class, row.policy)
+        row = matched.ok
+        call = self._build_call(request, request_id, row)
         counting = _sinks.CountingSink(sink)
         journey = _journey.Journey(self, row, call, body, counting)
         result = await journey.run()
@@ -107,10 +121,7 @@
 
     def get_budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget towards ``service``."""
-        budget = self._budgets.get(service)
-        if budget is None:
-            budget = self._budgets[service] = retries.RetryBudget()
-        return budget
+        return self._budgets.get_budget(service)
 
     def choose(
         self, service: str, class_name: str, excluded: frozenset[str]
@@ -177,40 +188,40 @@
             ms=seconds * MS_PER_SECOND,
         )
 
-    def _explain_no_class(self, service: str, method: str, path: str) -> errors.Failure:
-        if not self.catalog.has_service(service):
-            detail = f"no class names the service {service!r}"
-            return errors.fail(errors.ErrorKind.UNKNOWN_SERVICE, detail)
-        detail = f"no class of {service!r} matches {method} {path[:200]}"
-        return errors.fail(errors.ErrorKind.UNKNOWN_CLASS, detail)
-
-
-def _build_call(
-    request: IncomingRequest,
-    request_id: str,
-    request_class: classes.RequestClass,
-    policy: classes.CallPolicy,
-) -> _call.Call:
-    fields = request.fields
-    deadline_ms = policy.deadline_ms
-    if fields.deadline_ms > 0:
-        deadline_ms = min(fields.deadline_ms, classes.MAX_DEADLINE_MS)
-    n_extra = retries.DEFAULT_EXTRA_ATTEMPTS
-    if fields.n_extra_attempts >= 0:
-        n_extra = min(fields.n_extra_attempts, retries.MAX_EXTRA_ATTEMPTS)
-    return _call.Call(
-        request_id=request_id,
-        class_name=request_class.name,
-        method=request.method,
-        target=request.target,
-        headers=_headers.filter_request_headers(request.headers, fields.service),
-        deadline=request.received_at + deadline_ms / MS_PER_SECOND,
-        n_extra_attempts=n_extra,
-        is_idempotent=request_class.is_idempotent,
-        target_latency_ms=request_class.target.latency_ms,
-        max_queue_ms=policy.max_queue_ms,
-        content_length=fields.content_length,
-    )
+    def _build_call(
+        self, request: IncomingRequest, request_id: str, row: classes.CatalogRow
+    ) -> _call.Call:
+        fields = request.fields
+        request_class, policy = row
+        deadline_ms = policy.deadline_ms
+        if fields.deadline_ms > 0:
+            deadline_ms = min(fields.deadline_ms, classes.MAX_DEADLINE_MS)
+        if policy.timeout_ms:
+            deadline_ms = min(deadline_ms, policy.timeout_ms)
+        n_extra = retries.DEFAULT_EXTRA_ATTEMPTS
+        if fields.n_extra_attempts >= 0:
+            n_extra = min(fields.n_extra_attempts, retries.MAX_EXTRA_ATTEMPTS)
+        headers = _headers.filter_request_headers(
+            request.headers, fields.service, self._dialect
+        )
+        if self._dialect.caller_service and self.caller_service:
+            service = self.caller_service.encode()
+            headers.append((self._dialect.caller_service, service))
+        return _call.Call(
+            request_id=request_id,
+            class_name=request_class.name,
+            method=request.method,
+            target=request.target,
+            headers=headers,
+            deadline=request.received_at + deadline_ms / MS_PER_SECOND,
+            n_extra_attempts=n_extra,
+            is_idempotent=request_class.is_idempotent,
+            target_latency_ms=request_class.target.latency_ms,
+            max_queue_ms=policy.max_queue_ms,
+            content_length=fields.content_length,
+            service=request_class.service,
+            priority=policy.priority,
+        )
 
 
 def _observe(
--- a/umberdrum/callpath/_frames.py
+++ b/umberdrum/callpath/_frames.py
@@ -34,6 +34,8 @@
         max_queue_ms=call.max_queue_ms,
         content_length=call.content_length or 0,
         has_content_length=has_length,
+        service=call.service,
+        priority=call.priority,
     ).SerializeToString()
 
 
@@ -51,6 +53,8 @@
         target_latency_ms=max(1, head.target_latency_ms),
         max_queue_ms=head.max_queue_ms,
         content_length=head.content_length if head.has_content_length else None,
+        service=head.service,
+        priority=head.priority,
     )
 
 
--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -6,15 +6,10 @@
 import expression
 
 from umberdrum import errors
+from umberdrum.callpath import _dialect
 
 HeaderFields = list[tuple[bytes, bytes]]
 
-REQUEST_ID = b"umberdrum-request-id"
-DEADLINE_MS = b"umberdrum-deadline-ms"
-ATTEMPTS = b"umberdrum-attempts"
-SERVICE = b"umberdrum-service"
-VIA_TOKEN = b"1.1 umberdrum"
-
 MAX_DEADLINE_MS = 900_000
 _REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
 _HOP_BY_HOP = frozenset(
@@ -31,7 +26,6 @@
         b"expect",
     )
 )
-_OWN = frozenset((REQUEST_ID, DEADLINE_MS, ATTEMPTS, SERVICE))
 
 
 class CallFields(NamedTuple):
@@ -50,7 +44,7 @@
 
 
 def read_call_fields(
-    headers: HeaderFields,
+    headers: HeaderFields, dialect: _dialect.Dialect = _dialect.OWN_DIALECT
 ) -> expression.Result[CallFields, errors.Failure]:
     """Return what ``headers`` (names in lower case) say to the daemons.
 
@@ -67,20 +61,20 @@
     for name, value in headers:
         if name == b"host":
             host = value
-        elif name == SERVICE:
+        elif name == dialect.service:
             service = value
-        elif name == REQUEST_ID:
+        elif name == dialect.request_id:
             if not _REQUEST_ID_PATTERN.fullmatch(value):
-                return _report(REQUEST_ID, "1 to 128 visible characters", value)
+                return _report(name, "1 to 128 visible characters", value)
             request_id = value
-        elif name == DEADLINE_MS:
+        elif name == dialect.deadline_ms:
             deadline_ms = _parse_number(value, MAX_DEADLINE_MS)
             if deadline_ms < 1:
-                return _report(DEADLINE_MS, f"1 to {MAX_DEADLINE_MS} ms", value)
-        elif name == ATTEMPTS:
+                return _report(name, f"1 to {MAX_DEADLINE_MS} ms", value)
+        elif name == dialect.extra_attempts:
             n_extra_attempts = _parse_number(value, 1000)
             if n_extra_attempts < 0:
-                return _report(ATTEMPTS, "a count of extra attempts", value)
+                return _report(name, "a count of extra attempts", value)
         elif name == b"content-length":
             content_length = int(value)
         elif name == b"transfer-encoding":
@@ -101,17 +95,22 @@
     )
 
 
-def filter_request_headers(headers: HeaderFields, service: str) -> HeaderFields:
+def filter_request_headers(
+    headers: HeaderFields,
+    service: str,
+    dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
+) -> HeaderFields:
     """Return the fields that pass to the upstream, without hop-by-hop and own ones.
 
     A request of HTTP/1.0 may lack a host, which HTTP/1.1 needs: it gets ``service``.
     """
     nominated = _list_nominated(headers)
+    own = dialect.own_names
     kept: HeaderFields = []
     if not any(name == b"host" for name, _ in headers):
         kept.append((b"host", service.encode("ascii", "replace")))
     for name, value in headers:
-        if name in _HOP_BY_HOP or name in _OWN or name in nominated:
+        if name in _HOP_BY_HOP or name in own or name in nominated:
             continue
         kept.append((name, value))
     return kept
@@ -129,15 +128,32 @@
 
 
 def build_own_headers(
-    request_id: str, remaining_ms: int, n_extra_attempts: int
+    request_id: str,
+    remaining_ms: int,
+    n_extra_attempts: int,
+    instance_id: str = "",
+    dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
 ) -> HeaderFields:
     """Return the fields that carry id, deadline and allowance to the upstream."""
-    return [
-        (REQUEST_ID, request_id.encode()),
-        (DEADLINE_MS, b"%d" % max(1, remaining_ms)),
-        (ATTEMPTS, b"%d" % n_extra_attempts),
-        (b"via", VIA_TOKEN),
+    fields = [
+        (dialect.request_id, request_id.encode()),
+        (dialect.deadline_ms, b"%d" % max(1, remaining_ms)),
     ]
+    if dialect.extra_attempts:
+        fields.append((dialect.extra_attempts, b"%d" % n_extra_attempts))
+    if dialect.expected_instance and instance_id:
+        fields.append((dialect.expected_instance, instance_id.encode()))
+    if dialect.sends_via:
+        fields.append((b"via", _dialect.VIA_TOKEN))
+    return fields
+
+
+def get_header(headers: HeaderFields, name: bytes) -> bytes | None:
+    """Return the value of the first field ``name``, or None if there is none."""
+    for field_name, value in headers:
+        if field_name == name:
+            return value
+    return None
 
 
 def _list_nominated(headers: HeaderFields) -> frozenset[bytes]:
--- a/umberdrum/callpath/_journey.py
+++ b/umberdrum/callpath/_journey.py
@@ -10,8 +10,17 @@
 
 MS_PER_SECOND = 1000.0
 NO_ENDPOINT_RETRY_MS = 1000
-FREE_RETRY_KINDS = frozenset(
-    (errors.ErrorKind.ENDPOINT_LEAVING, errors.ErrorKind.STALE_INCARNATION)
+MAX_DETOURS = 3
+DETOUR_KINDS = frozenset(
+    (
+        errors.ErrorKind.ENDPOINT_LEAVING,
+        errors.ErrorKind.STALE_INCARNATION,
+        errors.ErrorKind.LINK_BROKE,
+        errors.ErrorKind.UPSTREAM_UNREACHABLE,
+        errors.ErrorKind.OVERLOADED,
+        errors.ErrorKind.DEADLINE_UNREACHABLE,
+        errors.ErrorKind.RECORD_FULL,
+    )
 )
 
 
@@ -62,6 +71,7 @@
         self._allowance = retries.AttemptAllowance(n_extra)
         self._tried: set[str] = set()
         self._n_attempts = 0
+        self._n_detours = 0
         self._may_have_run = False
 
     async def run(self) -> _endpoint.CallResult:
@@ -160,7 +170,10 @@
             return False
         if trio.current_time() >= self._call.deadline:
             return False
-        if failure.kind in FREE_RETRY_KINDS:
+        if _is_detour(failure) and self._n_detours < MAX_DETOURS:
+            # No upstream has seen the request: it costs neither allowance nor budget.
+            self._n_detours += 1
+            self._n_attempts -= 1
             return True
         if not self._allowance.allows(self._n_attempts):
             return False
@@ -177,3 +190,10 @@
             detail,
             NO_ENDPOINT_RETRY_MS,
         )
+
+
+def _is_detour(failure: errors.Failure) -> bool:
+    """Return whether the attempt ended before its request reached an upstream."""
+    return (
+        failure.kind in DETOUR_KINDS and failure.execution is errors.Execution.NOT_RUN
+    )
--- /dev/null
+++ b/umberdrum/callpath/_matching.py
@@ -0,0 +1,123 @@
+"""Finding what the operator asks for a call: by class of work or by route."""
+
+import random
+from typing import Protocol
+
+import expression
+
+from umberdrum import classes, errors, routetable
+from umberdrum.callpath import _headers, _paths
+
+NO_ROUTES_RETRY_MS = 500
+QUEUE_SHARE_OF_TARGET = 0.5
+HEDGE_SHARE_OF_TARGET = 0.5
+ROUTE_PERCENTILE = 99.0
+
+MatchResult = expression.Result[classes.CatalogRow, errors.Failure]
+
+
+class CallMatcher(Protocol):
+    """Finds the class, target and policy of a call."""
+
+    def match(
+        self, fields: _headers.CallFields, method: str, target: bytes
+    ) -> MatchResult:
+        """Return the class of the call with its policy, or why there is none."""
+
+
+class ClassMatcher:
+    """Matches calls with the classes of the catalog, by service, method and path."""
+
+    def __init__(self) -> None:
+        self.catalog = classes.Catalog()
+
+    def match(
+        self, fields: _headers.CallFields, method: str, target: bytes
+    ) -> MatchResult:
+        """Return the class of the call with its policy, or why there is none."""
+        path = _paths.normalize_path(target)
+        service = fields.service
+        row = self.catalog.match(service, method, path)
+        if row is not None:
+            return expression.Ok(row)
+        if not self.catalog.has_service(service):
+            detail = f"no class names the service {service!r}"
+            return expression.Error(
+                errors.fail(errors.ErrorKind.UNKNOWN_SERVICE, detail)
+            )
+        detail = f"no class of {service!r} matches {method} {path[:200]}"
+        return expression.Error(errors.fail(errors.ErrorKind.UNKNOWN_CLASS, detail))
+
+
+class RouteMatcher:
+    """Matches calls with the route table in force, by host and path.
+
+    Each call of a split route draws its service in proportion to the weights, so that
+    every daemon keeps the proportions without agreeing on them.
+    """
+
+    def __init__(self, source: routetable.RouteTableSource, rng: random.Random) -> None:
+        self._source = source
+        self._rng = rng
+        self._table: routetable.RouteTable | None = None
+        self._rows: dict[routetable.Route, list[classes.CatalogRow]] = {}
+
+    def match(
+        self, fields: _headers.CallFields, method: str, target: bytes
+    ) -> MatchResult:
+        """Return the route of the call as a class with its policy."""
+        table = self._source.table
+        if table is None:
+            return expression.Error(
+                errors.Failure(
+                    errors.ErrorKind.NO_ROUTES_YET,
+                    errors.Execution.NOT_RUN,
+                    "no route table was received yet",
+                    NO_ROUTES_RETRY_MS,
+                )
+            )
+        if table is not self._table:
+            self._table = table
+            self._rows.clear()
+        path = target.split(b"?", 1)[0].decode("latin-1")
+        route = table.match(fields.service, path)
+        if route is None:
+            detail = (
+                f"version {table.version} has no route for {fields.service}{path[:200]}"
+            )
+            return expression.Error(errors.fail(errors.ErrorKind.UNKNOWN_ROUTE, detail))
+        rows = self._rows.get(route)
+        if rows is None:
+            rows = self._rows[route] = _build_rows(route)
+        if len(rows) == 1:
+            return expression.Ok(rows[0])
+        weights = [share.weight for share in route.shares]
+        return expression.Ok(self._rng.choices(rows, weights)[0])
+
+
+def _build_rows(route: routetable.Route) -> list[classes.CatalogRow]:
+    """Return one row for each service that takes calls of the route."""
+    hedge_after_ms = 0
+    if route.is_idempotent:
+        hedge_after_ms = max(1, int(route.target_latency_ms * HEDGE_SHARE_OF_TARGET))
+    policy = classes.CallPolicy(
+        deadline_ms=route.timeout_ms,
+        max_attempts=route.max_attempts,
+        hedge_after_ms=hedge_after_ms,
+        max_queue_ms=max(1, int(route.target_latency_ms * QUEUE_SHARE_OF_TARGET)),
+        timeout_ms=route.timeout_ms,
+        priority=route.priority,
+    )
+    rows: list[classes.CatalogRow] = []
+    for share in route.shares:
+        request_class = classes.RequestClass(
+            name=route.name,
+            service=share.service,
+            methods=(),
+            path_prefix=route.path_prefix,
+            is_idempotent=route.is_idempotent,
+            target=classes.Target(route.target_latency_ms, ROUTE_PERCENTILE),
+            change_id="",
+        )
+        rows.append(classes.CatalogRow(request_class, policy))
+    return rows
--- a/umberdrum/callpath/_sending.py
+++ b/umberdrum/callpath/_sending.py
@@ -10,9 +10,13 @@
     """Sends the rest of a body to the upstream while the answer is awaited."""
 
     def __init__(
-        self, body: _call.RequestBody, upstream: _upstream.UpstreamConnection
+        self,
+        body: _call.RequestBody,
+        upstream: _upstream.UpstreamConnection,
+        request_id: str = "",
     ) -> None:
         self._body = body
+        self._request_id = request_id
         self._upstream = upstream
         self._fault: Exception | None = None
         self._head: _call.AnswerHead | None = None
@@ -22,7 +26,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send, nursery.cancel_scope)
             try:
-                self._head = await self._upstream.receive_head()
+                self._head = await self._upstream.receive_head(self._request_id)
             except _upstream.UpstreamFailureError as fault:
                 self._fault = self._fault or fault
             nursery.cancel_scope.cancel()
--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -1,16 +1,20 @@
 """Connections from an endpoint daemon to its upstream, one exchange at a time."""
 
 import collections
+import re
 
 import h11
 import trio
 
 from umberdrum import errors, settings, sockets
-from umberdrum.callpath import _call, _headers
+from umberdrum.callpath import _call, _dialect, _headers
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_IDLE_SECONDS = 30.0
 MAX_HEAD_BYTES = 65_536
+MAX_STRAY_ANSWERS = 4
+IDLE_MARGIN_SECONDS = 0.5
+_TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d{1,6})")
 
 
 class UpstreamFailureError(Exception):
@@ -28,14 +32,18 @@
     has run nothing of it.
     """
 
-    def __init__(self, connection: sockets.Connection) -> None:
+    def __init__(
+        self, connection: sockets.Connection, dialect: _dialect.Dialect
+    ) -> None:
         self._connection = connection
-        self._http = h11.Connection(
-            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
-        )
+        self._dialect = dialect
+        self._http = _build_parser()
+        self._request: h11.Request | None = None
+        self._is_request_whole = False
         self._is_ended = False
         self.has_sent = False
         self.idle_since = 0.0
+        self.max_idle_seconds = MAX_IDLE_SECONDS
 
     def close(self) -> None:
         """Close the connection, which cancels a request in progress."""
@@ -52,16 +60,27 @@
             or self._http.their_state is not h11.DONE
         ):
             return False
+        if self._http.trailing_data[0]:
+            # Bytes after a complete answer belong to no request.
+            return False
         self._http.start_next_cycle()
         self.has_sent = False
         return True
 
     async def send_request(
-        self, call: _call.Call, body: _call.RequestBody, remaining_ms: int
+        self,
+        call: _call.Call,
+        body: _call.RequestBody,
+        remaining_ms: int,
+        instance_id: str = "",
     ) -> None:
         """Send the head and what is at hand of the body, the end too if that is all."""
         headers = call.headers + _headers.build_own_headers(
-            call.request_id, remaining_ms, call.n_extra_attempts
+            call.request_id,
+            remaining_ms,
+            call.n_extra_attempts,
+            instance_id,
+            self._dialect,
         )
         if call.content_length is None and not body.is_complete:
             headers.append((b"transfer-encoding", b"chunked"))
@@ -78,6 +97,8 @@
                 data += self._http.send(h11.EndOfMessage()) or b""
         except h11.LocalProtocolError as fault:
             raise _invalid_request(str(fault), errors.Execution.NOT_RUN) from None
+        self._request = request
+        self._is_request_whole = body.is_complete
         self.has_sent = True
         await self._connection.send(data)
 
@@ -97,8 +118,43 @@
                 return
             await trio.lowlevel.checkpoint()
 
-    async def receive_head(self) -> _call.AnswerHead:
-        """Return the head of the final answer; interim answers are passed over."""
+    async def receive_head(self, request_id: str = "") -> _call.AnswerHead:
+        """Return the head of the final answer; interim answers are passed over.
+
+        An answer that repeats the id of another request is passed over too.
+        """
+        for _ in range(MAX_STRAY_ANSWERS):
+            head = await self._receive_any_head()
+            if not (request_id and self._dialect.echoes_request_id):
+                return head
+            found = _headers.get_header(head.headers, self._dialect.request_id)
+            if found == request_id.encode():
+                return head
+            if found is None or not self._is_request_whole:
+                break
+            await self._skip_stray_answer()
+        raise _invalid_answer(f"expected the answer to request {request_id}")
+
+    async def _skip_stray_answer(self) -> None:
+        """Read an answer that belongs to no open request and expect the next one."""
+        while not isinstance(await self._receive_event(), h11.EndOfMessage):
+            continue
+        rest, _ = self._http.trailing_data
+        if self._request is None or self._http.their_state is not h11.DONE:
+            raise _broke_off("closed after an answer to another request")
+        parser = _build_parser()
+        parser.send(self._request)
+        if parser.our_state is h11.SEND_BODY:
+            # The body went out before; this parser only has to expect an answer.
+            length = _headers.get_header(list(self._request.headers), b"content-length")
+            if length is not None:
+                parser.send(h11.Data(data=bytes(int(length))))
+            parser.send(h11.EndOfMessage())
+        if rest:
+            parser.receive_data(rest)
+        self._http = parser
+
+    async def _receive_any_head(self) -> _call.AnswerHead:
         while True:
             event = await self._receive_event()
             if isinstance(event, h11.InformationalResponse):
@@ -106,16 +162,33 @@
                     raise _invalid_answer("expected no protocol switch, found 101")
                 continue
             if isinstance(event, h11.Response):
+                self._note_idle_limit(list(event.headers))
                 fields = _headers.filter_response_headers(list(event.headers))
                 return _call.AnswerHead(event.status_code, bytes(event.reason), fields)
             raise _broke_off("closed before the head of its answer")
 
-    async def relay_body(self, sink: _call.AnswerSink) -> None:
-        """Write the body of the answer to ``sink`` as it arrives, then finish it."""
+    def _note_idle_limit(self, headers: _headers.HeaderFields) -> None:
+        """Learn after how long the upstream closes a connection that is idle."""
+        value = _headers.get_header(headers, b"keep-alive")
+        found = _TIMEOUT_PARAMETER.search(value) if value is not None else None
+        if found is None:
+            return
+        seconds = float(found.group(1)) - IDLE_MARGIN_SECONDS
+        self.max_idle_seconds = min(MAX_IDLE_SECONDS, max(0.0, seconds))
+
+    async def relay_body(
+        self, sink: _call.AnswerSink, is_whole_wanted: bool = False
+    ) -> None:
+        """Write the body of the answer to ``sink`` as it arrives, then finish it.
+
+        With ``is_whole_wanted`` nothing is flushed before the end, so that an answer
+        that breaks off can still be replaced.
+        """
         while True:
             event = self._take_event()
             if event is h11.NEED_DATA:
-                await sink.flush()
+                if not is_whole_wanted:
+                    await sink.flush()
                 await self._receive_more()
                 continue
             if isinstance(event, h11.Data):
@@ -156,7 +229,8 @@
     whenever none is idle. Idle connections are checked before reuse.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, dialect: _dialect.Dialect = _dialect.OWN_DIALECT) -> None:
+        self._dialect = dialect
         self._idle: collections.deque[UpstreamConnection] = collections.deque()
         self._address: settings.Address | None = None
         self.n_open = 0
@@ -178,7 +252,8 @@
         """Return an idle connection or a new one; raises ``UpstreamFailureError``."""
         while self._idle:
             upstream = self._idle.pop()
-            if not upstream.is_lost():
+            idle_seconds = trio.current_time() - upstream.idle_since
+            if idle_seconds <= upstream.max_idle_seconds and not upstream.is_lost():
                 return upstream
             self._discard(upstream)
         return await self.open()
@@ -197,7 +272,7 @@
                 errors.fail(errors.ErrorKind.UPSTREAM_UNREACHABLE, str(fault))
             ) from None
         self.n_open += 1
-        return UpstreamConnection(connection)
+        return UpstreamConnection(connection, self._dialect)
 
     def release(self, upstream: UpstreamConnection, is_clean: bool) -> None:
         """Keep the connection if its exchange ended cleanly, else close it."""
@@ -222,6 +297,10 @@
         self.n_open -= 1
 
 
+def _build_parser() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
+
+
 def _invalid_request(detail: str, execution: errors.Execution) -> UpstreamFailureError:
     return UpstreamFailureError(
         errors.fail(errors.ErrorKind.MALFORMED_REQUEST, detail, execution)
--- a/umberdrum/classes/_policy.py
+++ b/umberdrum/classes/_policy.py
@@ -18,12 +18,16 @@
 
     ``deadline_ms`` applies when the caller states none. ``hedge_after_ms`` is 0 for
     classes that must not be hedged. ``max_queue_ms`` bounds the wait for a slot.
+    ``timeout_ms`` bounds the deadline that a caller states, unless it is 0.
+    ``priority`` ranks calls that wait for a slot, 0 first.
     """
 
     deadline_ms: int
     max_attempts: int
     hedge_after_ms: int
     max_queue_ms: int
+    timeout_ms: int = 0
+    priority: int = 0
 
 
 def derive_policy(request_class: _request_class.RequestClass) -> CallPolicy:
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -11,8 +11,9 @@
 
 
 class ConfigurationWatcher:
-    """Follows the classes in the store and hands them to the shared state.
+    """Follows the documents in the store and hands them to the shared state.
 
+    Every key below ``documents_prefix`` is one document, named by the rest of its key.
     It lists the prefix, then watches from the next revision; after a compaction or a
     lost watch it lists again. The catalog itself refuses anything older than it holds,
     so re-ordered or repeated changes do no harm.
@@ -21,13 +22,13 @@
     def __init__(
         self,
         target_store: store.Store,
-        prefix: str,
+        documents_prefix: str,
         state: gossip.SharedState,
         rng: random.Random,
         log: logs.EventLog,
     ) -> None:
         self._store = target_store
-        self._prefix = prefix + "/classes/"
+        self._prefix = documents_prefix
         self._state = state
         self._rng = rng
         self._log = log
--- a/umberdrum/configuration/tests/configuration_steps.py
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -126,7 +126,7 @@
         table = membership.MembershipTable(membership_steps.OWN)
         self.state = gossip.SharedState(table, log)
         self.watcher = configuration.ConfigurationWatcher(
-            site.build_store(), "umberdrum", self.state, random.Random(1), log
+            site.build_store(), "umberdrum/classes/", self.state, random.Random(1), log
         )
         self.n_lowered = 0
         self._revisions: dict[str, int] = {}
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -14,7 +14,7 @@
     settings,
     sockets,
 )
-from umberdrum.daemon import _parts
+from umberdrum.daemon import _integration, _parts
 
 MAX_CONTROL_CONNECTIONS = 64
 MAX_PEER_CONNECTIONS = 4096
@@ -32,6 +32,7 @@
     peer: socket.socket
     admin: socket.socket
     announce: socket.socket
+    ready: socket.socket | None
 
 
 class Daemon:
@@ -48,7 +49,9 @@
         logger: logging.Logger,
         writer: logs.LineWriter,
         rng: random.Random | None = None,
+        integration: _integration.Integration | None = None,
     ) -> None:
+        self._integration = integration or _integration.build_own_integration()
         self._settings = own_settings
         self._logger = logger
         self._writer = writer
@@ -91,7 +94,8 @@
             await self._serve(listeners, task_status)
         finally:
             for listener in listeners:
-                sockets.close_listener(listener)
+                if listener is not None:
+                    sockets.close_listener(listener)
             if self.parts is not None:
                 self.parts.close()
         self._log.write("stopped")
@@ -109,6 +113,7 @@
                 self._log,
                 self._writer,
                 nursery,
+                self._integration,
             )
             self.parts = parts
             await parts.exchange.bind()
@@ -132,6 +137,7 @@
             sockets.bind_tcp(own.peer_listen),
             sockets.bind_tcp(own.admin_listen),
             sockets.bind_tcp(own.announce_listen),
+            sockets.bind_tcp(own.ready_listen) if own.ready_listen else None,
         )
 
     def _start_tasks(
@@ -151,6 +157,10 @@
         nursery.start_soon(
             accept, listeners.announce, parts.serve_announce, MAX_CONTROL_CONNECTIONS
         )
+        if listeners.ready is not None:
+            nursery.start_soon(
+                accept, listeners.ready, parts.serve_ready, MAX_CONTROL_CONNECTIONS
+            )
         nursery.start_soon(parts.exchange.run)
         nursery.start_soon(parts.keeper.run)
         nursery.start_soon(parts.desk.watch_timeout)
@@ -172,10 +182,15 @@
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
         parts.state_keeper.leave()
+        leave_until = trio.current_time() + FINAL_NEWS_SECONDS
+        grace_until = trio.current_time() + self._settings.grace_ms / MS_PER_SECOND
+        if self._settings.leave_accept_ms:
+            # Callers still come until they have noticed that this daemon leaves.
+            parts.caller_server.start_leaving()
+            await trio.sleep(self._settings.leave_accept_ms / MS_PER_SECOND)
         sockets.close_listener(listeners.caller)
         parts.caller_server.start_closing()
-        leave_until = trio.current_time() + FINAL_NEWS_SECONDS
-        with trio.move_on_after(self._settings.grace_ms / MS_PER_SECOND) as scope:
+        with trio.move_on_at(grace_until) as scope:
             await parts.endpoint.wait_until_idle()
             await parts.caller_server.wait_until_idle()
         if scope.cancelled_caught:
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -19,15 +19,18 @@
     membership,
     outcomes,
     peerlink,
+    retries,
+    routetable,
     routing,
     settings,
     sockets,
     store,
 )
-from umberdrum.daemon import _endpoint_state, _metrics, _view
+from umberdrum.daemon import _endpoint_state, _integration, _metrics, _view
 
 INITIAL_SLOTS = 1
-STORE_TIMEOUT_SECONDS = 2.0
+RETRY_SAFETY = 0.5
+PUSH_PEERS = 5
 MS_PER_SECOND = 1000.0
 
 
@@ -43,8 +46,12 @@
         log: logs.EventLog,
         writer: logs.LineWriter,
         nursery: trio.Nursery,
+        integration: _integration.Integration,
     ) -> None:
         key = own_settings.cluster_key
+        dialect = integration.dialect
+        self._nursery = nursery
+        self._settings = own_settings
         self.registry = prometheus_client.CollectorRegistry()
         self.table = membership.MembershipTable(_build_record(own_settings, identity))
         self.state = gossip.SharedState(self.table, log)
@@ -62,7 +69,7 @@
             self.table, self.exchange.request_probe
         )
         self.watch = callpath.LivenessWatch()
-        self.upstream_pool = callpath.UpstreamPool()
+        self.upstream_pool = callpath.UpstreamPool(dialect)
         self.endpoint = callpath.EndpointService(
             admission.AdmissionGate(admission.LatencySlotLimit(INITIAL_SLOTS)),
             outcomes.OutcomeRecord(),
@@ -70,7 +77,13 @@
             budget,
             log,
             nursery,
+            dialect,
         )
+        self.routes = _build_routes(integration, log)
+        self._class_matcher = callpath.ClassMatcher()
+        self.matcher: callpath.CallMatcher = self._class_matcher
+        if self.routes is not None:
+            self.matcher = callpath.RouteMatcher(self.routes, rng)
         self.peer_leg = callpath.PeerLeg(self.peer_pool, self.watch)
         self.entry = callpath.EntryService(
             self.directory,
@@ -85,13 +98,19 @@
             callpath.CallStatistics(self.registry),
             log,
             nursery,
+            self.matcher,
+            retries.BudgetSource(
+                _build_allowance(own_settings), lambda: len(self.table)
+            ),
+            dialect,
+            own_settings.own_service,
         )
         self.state.add_catalog_listener(self._use_catalog)
         self.peer_server = callpath.PeerServer(
             identity, key, self.endpoint, self.watch, self.synchronizer, log
         )
         self.caller_server = callpath.CallerServer(
-            self.entry, self.watch, _build_limits(own_settings), identity.daemon_id
+            self.entry, self.watch, self._get_limits, identity.daemon_id, dialect
         )
         self.state_keeper = _endpoint_state.EndpointStateKeeper(
             self.endpoint, self.upstream_pool, self.state, self.exchange, nursery
@@ -102,10 +121,13 @@
             log,
         )
         counter = store.StoreCallCounter()
-        self._store = store.EtcdStore(
-            own_settings.store_addresses, counter, STORE_TIMEOUT_SECONDS
-        )
+        self.endpoint.on_misdirected = self._drop_misdirected
+        self._handle_announcement = integration.build_announcement_handler(self.desk)
+        self._store = integration.build_store(own_settings, counter)
         prefix = own_settings.store_prefix
+        documents_prefix = f"{prefix}/classes/"
+        if integration.routes is not None:
+            documents_prefix = integration.routes.keys_prefix
         self.keeper = configuration.ContactKeeper(
             self._store,
             configuration.ContactKeys(
@@ -116,7 +138,7 @@
             self.state,
             self.exchange,
             configuration.ConfigurationWatcher(
-                self._store, prefix, self.state, rng, log
+                self._store, documents_prefix, self.state, rng, log
             ),
             own_settings.seeds,
             rng,
@@ -132,7 +154,13 @@
             self.desk,
             budget,
             counter,
+            self.routes,
         )
+        self._handle_readiness: controlhttp.ControlHandler | None = None
+        if integration.build_readiness_handler is not None:
+            self._handle_readiness = integration.build_readiness_handler(
+                self.reporter.is_ready
+            )
         self._admin_desk = admin.AdminDesk(self.reporter, self.registry)
         _metrics.register_metrics(
             _metrics.MetricSources(
@@ -157,7 +185,12 @@
 
     async def serve_announce(self, connection: sockets.Connection) -> None:
         """Serve one connection of the announcement address."""
-        await controlhttp.serve_control(connection, self.desk.handle)
+        await controlhttp.serve_control(connection, self._handle_announcement)
+
+    async def serve_ready(self, connection: sockets.Connection) -> None:
+        """Serve one connection of the address on which readiness is asked for."""
+        if self._handle_readiness is not None:
+            await controlhttp.serve_control(connection, self._handle_readiness)
 
     def close(self) -> None:
         """Close what is bound or kept open between calls."""
@@ -167,7 +200,32 @@
         self._store.close()
 
     def _use_catalog(self, catalog: classes.Catalog) -> None:
-        self.entry.catalog = catalog
+        self._class_matcher.catalog = catalog
+        if self.routes is not None:
+            self.routes.take_catalog(catalog)
+        self._nursery.start_soon(self.exchange.push_news, PUSH_PEERS)
+
+    def _drop_misdirected(self) -> None:
+        self.desk.drop("misdirected")
+
+    def _get_limits(self) -> callpath.CallerLimits:
+        """Return the bounds on callers: those of the operators, else the settings'."""
+        own = self._settings
+        limits = callpath.CallerLimits(
+            own.max_head_bytes,
+            own.head_timeout_ms / MS_PER_SECOND,
+            own.body_idle_timeout_ms / MS_PER_SECOND,
+            own.idle_timeout_ms / MS_PER_SECOND,
+        )
+        if self.routes is None or self.routes.table is None:
+            return limits
+        bounds = self.routes.table.bounds
+        return limits._replace(
+            max_head_bytes=bounds.max_head_bytes,
+            head_timeout=bounds.head_timeout_ms / MS_PER_SECOND,
+            idle_timeout=bounds.idle_timeout_ms / MS_PER_SECOND,
+            max_body_bytes=bounds.max_body_bytes,
+        )
 
 
 def _build_record(
@@ -189,10 +247,20 @@
     )
 
 
-def _build_limits(own_settings: settings.Settings) -> callpath.CallerLimits:
-    return callpath.CallerLimits(
-        own_settings.max_head_bytes,
-        own_settings.head_timeout_ms / MS_PER_SECOND,
-        own_settings.body_idle_timeout_ms / MS_PER_SECOND,
-        own_settings.idle_timeout_ms / MS_PER_SECOND,
+def _build_routes(
+    integration: _integration.Integration, log: logs.EventLog
+) -> routetable.RouteTableSource | None:
+    document = integration.routes
+    if document is None:
+        return None
+    return routetable.RouteTableSource(document.name, document.read, log)
+
+
+def _build_allowance(
+    own_settings: settings.Settings,
+) -> retries.SharedAllowance | None:
+    if not own_settings.shared_retries:
+        return None
+    return retries.SharedAllowance(
+        own_settings.shared_retries, own_settings.shared_retry_share, RETRY_SAFETY
     )
--- a/umberdrum/daemon/_view.py
+++ b/umberdrum/daemon/_view.py
@@ -12,6 +12,7 @@
     gossip,
     measuring,
     membership,
+    routetable,
     settings,
     store,
 )
@@ -33,7 +34,9 @@
         desk: announcements.AnnouncementDesk,
         budget: measuring.MeasuringBudget,
         counter: store.StoreCallCounter,
+        routes: routetable.RouteTableSource | None,
     ) -> None:
+        self._routes = routes
         self._settings = own_settings
         self._state = state
         self._exchange = exchange
@@ -46,8 +49,12 @@
         self.is_stopping = False
 
     def is_ready(self) -> bool:
-        """Return whether this daemon knows classes and is not stopping."""
-        return bool(self._state.catalog.list_classes()) and not self.is_stopping
+        """Return whether this daemon knows what to route and is not stopping."""
+        if self.is_stopping:
+            return False
+        if self._routes is not None:
+            return self._routes.table is not None
+        return bool(self._state.catalog.list_classes())
 
     def order_drain(self, is_ordered: bool) -> None:
         """Drain the upstream beside this daemon, or lift that order."""
--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -12,13 +12,14 @@
 
 import umberdrum
 from umberdrum import logs, settings
-from umberdrum.daemon import _daemon
+from umberdrum.daemon import _daemon, _integration
 
 EXIT_OK = 0
 EXIT_FAILED = 1
 EXIT_INVALID_SETTINGS = 2
 LOGGER_NAME = "umberdrum"
 STDOUT = 1
+SETTINGS_POLL_SECONDS = 2.0
 GC_THRESHOLDS = (50_000, 20, 50)
 
 EXAMPLES = """examples:
@@ -29,8 +30,14 @@
 """
 
 
-def run_program(arguments: Sequence[str] | None = None) -> int:
-    """Run the daemon until it is stopped and return its exit code."""
+def run_program(
+    arguments: Sequence[str] | None = None,
+    integration: _integration.Integration | None = None,
+) -> int:
+    """Run the daemon until it is stopped and return its exit code.
+
+    Without an ``integration`` it speaks the project's own protocols.
+    """
     options = _build_parser().parse_args(arguments)
     path = pathlib.Path(options.settings)
     loaded = settings.read_settings_file(path)
@@ -49,7 +56,7 @@
     logger.propagate = False
     exit_code = EXIT_OK
     try:
-        trio.run(_run_daemon, loaded.ok, path, logger, writer)
+        trio.run(_run_daemon, loaded.ok, path, logger, writer, integration)
     except* OSError as faults:
         sys.stderr.write(f"umberdrumd: {faults.exceptions[0]}\n")
         exit_code = EXIT_FAILED
@@ -63,10 +70,12 @@
     path: pathlib.Path,
     logger: logging.Logger,
     writer: logs.LineWriter,
+    integration: _integration.Integration | None,
 ) -> None:
-    daemon = _daemon.Daemon(own_settings, logger, writer)
+    daemon = _daemon.Daemon(own_settings, logger, writer, integration=integration)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, daemon, path)
+        nursery.start_soon(_follow_settings_file, daemon, path)
         nursery.start_soon(_LineFlusher(writer).run)
         await daemon.run()
         nursery.cancel_scope.cancel()
@@ -80,11 +89,34 @@
             if number != signal.SIGHUP:
                 daemon.stop()
                 continue
-            loaded = settings.read_settings_file(path)
-            if loaded.is_error():
-                _print_faults(loaded.error)
-                continue
-            daemon.reload(loaded.ok)
+            _reload(daemon, path)
+
+
+async def _follow_settings_file(daemon: _daemon.Daemon, path: pathlib.Path) -> None:
+    """Reload settings that change without a signal."""
+    known = _get_modified_ns(path)
+    while True:
+        await trio.sleep(SETTINGS_POLL_SECONDS)
+        found = _get_modified_ns(path)
+        if found != known:
+            known = found
+            _reload(daemon, path)
+
+
+def _get_modified_ns(path: pathlib.Path) -> int:
+    """Return the time of the file's last change, 0 while it can't be read."""
+    try:
+        return path.stat().st_mtime_ns
+    except OSError:
+        return 0
+
+
+def _reload(daemon: _daemon.Daemon, path: pathlib.Path) -> None:
+    loaded = settings.read_settings_file(path)
+    if loaded.is_error():
+        _print_faults(loaded.error)
+        return
+    daemon.reload(loaded.ok)
 
 
 class _LineFlusher:
--- a/umberdrum/errors/__init__.py
+++ b/umberdrum/errors/__init__.py
@@ -6,6 +6,7 @@
     Answer,
     ErrorKind,
     Execution,
+    get_answer,
     is_proven_not_run,
 )
 from umberdrum.errors._problem import (
@@ -25,6 +26,7 @@
     "Failure",
     "ProblemAnswer",
     "fail",
+    "get_answer",
     "is_proven_not_run",
     "render_problem",
 ]
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -59,6 +59,10 @@
     CALLER_GONE = 30
     DAEMON_UNAVAILABLE = 31
     UPSTREAM_SHED = 32
+    INVALID_ROUTES = 33
+    NO_ROUTES_YET = 34
+    UNKNOWN_ROUTE = 35
+    BODY_TOO_LARGE = 36
 
     @property
     def token(self) -> str:
@@ -160,6 +164,18 @@
     ErrorKind.INVALID_SETTINGS: Answer(
         400, "The settings are not valid", "http_request_error"
     ),
+    ErrorKind.INVALID_ROUTES: Answer(
+        400, "The route table is not valid", "http_request_error"
+    ),
+    ErrorKind.NO_ROUTES_YET: Answer(
+        503, "No route table is known yet", "destination_unavailable"
+    ),
+    ErrorKind.UNKNOWN_ROUTE: Answer(
+        404, "No route matches the request", "destination_not_found"
+    ),
+    ErrorKind.BODY_TOO_LARGE: Answer(
+        413, "The request body is too large", "http_request_error"
+    ),
     ErrorKind.NOT_FOUND: Answer(404, "Not found", "destination_not_found"),
     ErrorKind.INVALID_ANNOUNCEMENT: Answer(
         400, "The announcement is not valid", "http_request_error"
@@ -173,6 +189,30 @@
 }
 
 
+_NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
+_OPEN_STATUSES = frozenset((502, 504))
+UNAVAILABLE_STATUS = 503
+BAD_GATEWAY_STATUS = 502
+
+
+def get_answer(kind: ErrorKind, execution: Execution) -> Answer:
+    """Return what a caller is told of a failure of ``kind``.
+
+    Callers take 408, 421, 429 and 503 as a promise that the request was not run, so
+    such a status is never given for a request that may have run. A request that is
+    proven not run gets 503 in place of 502 or 504, since its caller may safely repeat
+    it.
+    """
+    answer = ANSWERS[kind]
+    if execution is Execution.NOT_RUN:
+        if answer.status in _OPEN_STATUSES:
+            return answer._replace(status=UNAVAILABLE_STATUS)
+        return answer
+    if answer.status in _NOT_RUN_STATUSES:
+        return answer._replace(status=BAD_GATEWAY_STATUS)
+    return answer
+
+
 def is_proven_not_run(execution: Execution) -> bool:
     """Return whether a request may be sent to another endpoint without doubling it."""
     return execution is Execution.NOT_RUN
--- a/umberdrum/errors/_problem.py
+++ b/umberdrum/errors/_problem.py
@@ -20,13 +20,18 @@
 
 
 def render_problem(
-    failure: _failure.Failure, daemon_id: str, request_id: str
+    failure: _failure.Failure,
+    daemon_id: str,
+    request_id: str,
+    has_fractions: bool = False,
 ) -> ProblemAnswer:
     """Return the HTTP answer that tells the caller of ``failure``.
 
-    The status comes from the table of kinds. The body is ``application/problem+json``.
+    The status comes from the table of kinds and from what is known of the execution.
+    The body is ``application/problem+json``. Retry-After has whole seconds, as HTTP
+    defines it, unless the caller is known to take ``has_fractions``.
     """
-    answer = _kinds.ANSWERS[failure.kind]
+    answer = _kinds.get_answer(failure.kind, failure.execution)
     body = json.dumps(
         {
             "type": f"urn:umberdrum:error:{failure.kind.token}",
@@ -49,6 +54,7 @@
     if request_id:
         headers.append((b"umberdrum-request-id", request_id.encode()))
     if failure.retry_after_ms:
-        n_seconds = math.ceil(failure.retry_after_ms / MS_PER_SECOND)
-        headers.append((b"retry-after", str(n_seconds).encode()))
+        seconds = failure.retry_after_ms / MS_PER_SECOND
+        text = f"{seconds:.3f}" if has_fractions else str(math.ceil(seconds))
+        headers.append((b"retry-after", text.encode()))
     return ProblemAnswer(answer.status, headers, body)
--- a/umberdrum/gossip/_convert.py
+++ b/umberdrum/gossip/_convert.py
@@ -13,6 +13,13 @@
     )
 
 
+def encode_stub(entry: classes.CatalogEntry) -> wire.messages.ClassEntry:
+    """Return the message that only names the revision of an entry."""
+    return wire.messages.ClassEntry(
+        name=entry.name, revision=entry.revision, is_stub=True
+    )
+
+
 def decode_entry(message: wire.messages.ClassEntry) -> classes.CatalogEntry:
     """Return the catalog entry of a message."""
     return classes.CatalogEntry(
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -24,6 +24,7 @@
 SUSPECTED_PROBE_SHARE = 0.1
 BASE_MESSAGE_BYTES = 160
 FORGET_INTERVAL_SECONDS = 5.0
+PUSH_PEERS = 5
 
 
 class _Probe(NamedTuple):
@@ -67,6 +68,8 @@
         self._urgent: set[str] = set()
         self._n_mismatches = 0
         self._sync_peer: peerlink.PeerAddress | None = None
+        self._fetch_peer: peerlink.PeerAddress | None = None
+        self._is_fetching = False
         self._next_sync_at = 0.0
         self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
         self._budget = _budget.ControlBudget(0.0)
@@ -125,6 +128,8 @@
             await self._ask(record.address, record.process_id, record, None)
         if self._should_sync(now):
             nursery.start_soon(self._sync)
+        if self._fetch_peer is not None and not self._is_fetching:
+            nursery.start_soon(self._fetch, self._fetch_peer)
 
     def _draw_period(self) -> float:
         jitter = self._rng.uniform(0.8, 1.2)
@@ -252,6 +257,8 @@
         self._state.take_records(message.records, now)
         self._state.take_messages_of_entries(message.classes)
         try:
+            if self._state.lacks_named_entry(message.classes):
+                self._fetch_from(message)
             self._compare_digests(message)
         except ValueError:
             # The sender gave no address; it can't be synchronised with.
@@ -343,6 +350,12 @@
             self._n_mismatches = MISMATCHES_BEFORE_SYNC
             self._wake.set()
 
+    def _fetch_from(self, message: wire.messages.Gossip) -> None:
+        """Synchronise soon with a daemon that has a document which is news here."""
+        address = settings.parse_address(message.sender_id)
+        self._fetch_peer = peerlink.PeerAddress(address, message.sender_process_id)
+        self._wake.set()
+
     def _should_sync(self, now: float) -> bool:
         if self._n_mismatches < MISMATCHES_BEFORE_SYNC or now < self._next_sync_at:
             return False
@@ -367,6 +380,17 @@
             return
         self._sync_interval = min(SYNC_MAX_INTERVAL_SECONDS, self._sync_interval * 2)
 
+    async def _fetch(self, peer: peerlink.PeerAddress) -> None:
+        """Get a document that ``peer`` has named, and pass its name on."""
+        self._is_fetching = True
+        try:
+            await self._synchronizer.sync_with(peer, trio.current_time())
+        finally:
+            self._is_fetching = False
+            if self._fetch_peer == peer:
+                self._fetch_peer = None
+        await self.push_news(PUSH_PEERS)
+
     async def _forget_forever(self) -> None:
         while True:
             await trio.sleep(FORGET_INTERVAL_SECONDS)
--- a/umberdrum/gossip/_news.py
+++ b/umberdrum/gossip/_news.py
@@ -7,6 +7,7 @@
 from umberdrum.gossip import _convert
 
 SENDS_PER_LOG2 = 3
+MAX_INLINE_BYTES = 400
 
 
 class NewsBatch(NamedTuple):
@@ -58,8 +59,13 @@
         self._items["endpoint " + record.endpoint_id] = _Item(message, None)
 
     def add_entry(self, entry: classes.CatalogEntry) -> None:
-        """Queue a class that has changed."""
+        """Queue a class that has changed; a long one is only named.
+
+        Who lacks a named revision fetches it over a peer link.
+        """
         message = _convert.encode_entry(entry)
+        if len(entry.document) > MAX_INLINE_BYTES:
+            message = _convert.encode_stub(entry)
         self._items["class " + entry.name] = _Item(None, message)
 
     def take_batch(self, max_bytes: int, n_endpoints: int) -> NewsBatch:
--- a/umberdrum/gossip/_synchronizer.py
+++ b/umberdrum/gossip/_synchronizer.py
@@ -20,8 +20,10 @@
 class PeerSynchronizer:
     """Exchanges with one peer all that digests show to be different.
 
-    It is used when a daemon joins and, rarely, when deltas were lost. Only buckets
-    whose digests differ are sent.
+    It is used when a daemon joins, when another one names a document that is news and,
+    rarely, when deltas were lost. Only buckets whose digests differ and documents of
+    which the other side has an older revision are sent. The side that is asked fetches
+    what it lacks itself in an exchange of its own.
     """
 
     def __init__(self, state: _state.SharedState, pool: peerlink.PeerLinkPool) -> None:
@@ -46,7 +48,7 @@
             return SyncResult(False, 0)
         self.n_syncs += 1
         n_newer = self._state.take_records(reply.records, now, is_news=False)
-        self._state.take_messages_of_entries(reply.classes, is_news=False)
+        self._state.take_messages_of_entries(reply.classes)
         return SyncResult(True, n_newer)
 
     async def _exchange(
@@ -56,7 +58,7 @@
             bucket_digests=self._state.table.bucket_digests,
             catalog_digest=self._state.catalog.digest,
             records=[membership.encode_record(self._state.table.own)],
-            classes=[_convert.encode_entry(row) for row in self._state.catalog.entries],
+            classes=[_convert.encode_stub(row) for row in self._state.catalog.entries],
         )
         encoded = request.SerializeToString()
         await link.channel.send(peerlink.FrameKind.SYNC_REQUEST, encoded)
@@ -79,8 +81,10 @@
             for record in table.list_bucket(bucket):
                 reply.records.append(membership.encode_record(record))
         if request.catalog_digest != self._state.catalog.digest:
+            known = {row.name: row.revision for row in request.classes}
             for entry in self._state.catalog.entries:
-                reply.classes.append(_convert.encode_entry(entry))
+                if entry.revision > known.get(entry.name, 0):
+                    reply.classes.append(_convert.encode_entry(entry))
         self._state.take_records(request.records, now)
         self._state.take_messages_of_entries(request.classes)
         return reply
--- a/umberdrum/jsonclient/_client.py
+++ b/umberdrum/jsonclient/_client.py
@@ -30,6 +30,16 @@
     unknown: errors.ErrorKind
 
 
+class JsonAnswer(NamedTuple):
+    """Answer with its status, where more than one status is expected."""
+
+    status: int
+    body: JsonObject
+
+
+AnswerResult = expression.Result[JsonAnswer, errors.Failure]
+
+
 class _ExchangeError(Exception):
     """An exchange failed; ``is_sent`` tells whether the server may have seen it."""
 
@@ -66,14 +76,14 @@
 
     async def send(self, method: str, path: str, body: bytes) -> None:
         """Send one request."""
-        headers = [
-            ("host", str(self.address)),
-            ("content-type", "application/json"),
-            ("content-length", str(len(body))),
-        ]
+        headers = [("host", str(self.address))]
+        if body:
+            headers.append(("content-type", "application/json"))
+            headers.append(("content-length", str(len(body))))
         request = h11.Request(method=method, target=path, headers=headers)
         data = self._http.send(request) or b""
-        data += self._http.send(h11.Data(data=body)) or b""
+        if body:
+            data += self._http.send(h11.Data(data=body)) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._connection.send(data)
 
@@ -138,19 +148,39 @@
     async def request(
         self, method: str, path: str, body: Mapping[str, object], is_write: bool
     ) -> JsonResult:
-        """Return the answer to one request."""
-        encoded = json.dumps(body).encode()
+        """Return the answer to one request, for which only status 200 is expected."""
+        answer = await self.exchange(method, path, body, is_write, (200,))
+        if answer.is_error():
+            return expression.Error(answer.error)
+        return expression.Ok(answer.ok.body)
+
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, object] | None,
+        is_write: bool,
+        statuses: tuple[int, ...],
+    ) -> AnswerResult:
+        """Return the answer to one request; any status but ``statuses`` is a failure.
+
+        Statuses of 500 and more leave the outcome of a write open.
+        """
+        encoded = b"" if body is None else json.dumps(body).encode()
         is_sent = False
         try:
             with trio.fail_after(self._timeout_seconds):
                 link = await self._open_link()
                 is_sent = True
-                return await self._exchange(link, method, path, encoded, is_write)
+                return await self._exchange(
+                    link, method, path, encoded, is_write, statuses
+                )
         except trio.TooSlowError:
             detail = f"{path}: no answer within {self._timeout_seconds:g} s"
-            return self._fail(detail, is_write and is_sent)
+            return expression.Error(self._describe(detail, is_write and is_sent))
         except _ExchangeError as fault:
-            return self._fail(f"{path}: {fault}", is_write and fault.is_sent)
+            detail = f"{path}: {fault}"
+            return expression.Error(self._describe(detail, is_write and fault.is_sent))
 
     @contextlib.asynccontextmanager
     async def open_stream(
@@ -185,7 +215,8 @@
         path: str,
         encoded: bytes,
         is_write: bool,
-    ) -> JsonResult:
+        statuses: tuple[int, ...],
+    ) -> AnswerResult:
         is_clean = False
         try:
             await self._send(link, method, path, encoded)
@@ -197,14 +228,18 @@
                 self._keep(link)
             else:
                 link.close()
-        if status != 200:
-            detail = f"{path}: expected status 200, found {status}: {raw[:200]!r}"
+        if status not in statuses:
+            expected = " or ".join(str(row) for row in statuses)
+            detail = (
+                f"{path}: expected status {expected}, found {status}: {raw[:200]!r}"
+            )
             # 4xx states that the request was refused; 5xx leaves a write open.
-            return self._fail(detail, is_write and status >= 500)
+            is_open = is_write and status >= 500
+            return expression.Error(self._describe(detail, is_open))
         try:
-            return expression.Ok(_decode_object(raw))
+            return expression.Ok(JsonAnswer(status, _decode_object(raw)))
         except ValueError as fault:
-            return self._fail(f"{path}: {fault}", is_write)
+            return expression.Error(self._describe(f"{path}: {fault}", is_write))
 
     async def _send(
         self, link: _HttpLink, method: str, path: str, encoded: bytes
@@ -236,8 +271,8 @@
             return _HttpLink(connection, address)
         raise _ExchangeError("; ".join(details), False)
 
-    def _fail(self, detail: str, is_outcome_unknown: bool) -> JsonResult:
-        return expression.Error(_describe(self._kinds, detail, is_outcome_unknown))
+    def _describe(self, detail: str, is_outcome_unknown: bool) -> errors.Failure:
+        return _describe(self._kinds, detail, is_outcome_unknown)
 
     def _keep(self, link: _HttpLink) -> None:
         if self._kept is not None:
@@ -297,7 +332,7 @@
 
 
 def _decode_object(raw: bytes) -> JsonObject:
-    value = json.loads(raw)
+    value = json.loads(raw) if raw.strip() else {}
     if not isinstance(value, dict):
         raise ValueError(f"expected a JSON object, found {type(value).__name__}")
     return value
--- /dev/null
+++ b/umberdrum/routetable/_source.py
@@ -0,0 +1,63 @@
+"""Route table in force at one daemon, taken from the shared catalog."""
+
+from typing import Protocol
+
+import expression
+
+from umberdrum import classes, errors, logs
+from umberdrum.routetable import _table
+
+
+class RouteTableReader(Protocol):
+    """Decodes the stored form of a route table."""
+
+    def __call__(
+        self, document: bytes
+    ) -> expression.Result[_table.RouteTable, errors.Failure]:
+        """Return the table, or a failure that says what is wrong with the document."""
+
+
+class RouteTableSource:
+    """Keeps the newest valid table that the catalog has brought.
+
+    A table never gives way to one of a lower version, whatever order the documents
+    arrive in, and an invalid document changes nothing.
+    """
+
+    def __init__(
+        self, entry_name: str, read: RouteTableReader, log: logs.EventLog
+    ) -> None:
+        self._entry_name = entry_name
+        self._read = read
+        self._log = log
+        self._revision = 0
+        self.table: _table.RouteTable | None = None
+
+    def take_catalog(self, catalog: classes.Catalog) -> None:
+        """Use the table in ``catalog`` if it is newer than the one in force."""
+        entry = catalog.get_entry(self._entry_name)
+        if entry is None or entry.is_deleted or entry.revision <= self._revision:
+            return
+        self._revision = entry.revision
+        read = self._read(entry.document)
+        if read.is_error():
+            self._log.warn(
+                "routes_invalid", revision=entry.revision, reason=read.error.detail
+            )
+            return
+        table = read.ok
+        if self.table is not None and table.version <= self.table.version:
+            self._log.warn(
+                "routes_outdated",
+                revision=entry.revision,
+                version=table.version,
+                in_force=self.table.version,
+            )
+            return
+        self.table = table
+        self._log.write(
+            "routes_in_force",
+            version=table.version,
+            revision=entry.revision,
+            routes=len(table.routes),
+        )
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -80,11 +80,31 @@
     return text
 
 
+def _parse_optional_name(text: str) -> str:
+    return _parse_name(text) if text else ""
+
+
+def _parse_optional_address(text: str) -> _address.Address | None:
+    return _address.parse_address(text) if text else None
+
+
+def _number(low: float, high: float) -> _Parser:
+    def parse(text: str) -> float:
+        value = float(text)
+        if not low <= value <= high:
+            raise ValueError
+        return value
+
+    return _Parser(f"a number of {low:g} to {high:g}", parse)
+
+
 _NAME = _Parser("letters, digits, '-', '_' or '.'", _parse_name)
 _ADDRESS = _Parser("an address IP:PORT", _address.parse_address)
 _ADDRESSES = _Parser("addresses IP:PORT, separated by commas", _parse_addresses)
 _KEY = _Parser(f"at least {MIN_KEY_BYTES} bytes in hexadecimal", _parse_key)
 _PREFIX = _Parser("a key prefix without a slash at its ends", _parse_prefix)
+_OPTIONAL_NAME = _Parser("a name or nothing", _parse_optional_name)
+_OPTIONAL_ADDRESS = _Parser("an address IP:PORT or nothing", _parse_optional_address)
 _TIMEOUT_MS = _whole_number(10, 3_600_000)
 
 _FIELDS = (
@@ -140,6 +160,13 @@
         _one_of(ROUTING_POLICIES),
         "finish_time",
     ),
+    _Field("own_service", "instance", "service", _OPTIONAL_NAME, ""),
+    _Field("ready_listen", "listen", "ready", _OPTIONAL_ADDRESS, ""),
+    _Field(
+        "leave_accept_ms", "limits", "leave_accept_ms", _whole_number(0, 600_000), "0"
+    ),
+    _Field("shared_retries", "retries", "shared", _number(0, 1e6), "0"),
+    _Field("shared_retry_share", "retries", "shared_share", _number(0, 1), "0"),
 )
 
 Faults = list[_fields.SettingsFault]
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -76,6 +76,9 @@
     sent fails with ``STORE_UNAVAILABLE`` as not run. An adapter never retries a write.
     """
 
+    def close(self) -> None:
+        """Close kept connections."""
+
     async def get(self, key: str) -> expression.Result[KeyValue | None, errors.Failure]:
         """Return the key, or None if it does not exist."""
 
