Admit calls by their target and by the pace of the upstream

Change: TargetGate (order by target and rank, late calls last, refusal at once of what can't be served, staggered returns), KneeSlotLimit, PaceTracker with probes inside the measuring budget, load reports that carry the pace, and detours to other endpoints that cost neither allowance nor budget.

--- a/umberdrum/admission/__init__.py
+++ b/umberdrum/admission/__init__.py
@@ -1,17 +1,29 @@
 """Admission of calls to the slots of one endpoint."""
 
-from umberdrum.admission._gate import AdmissionGate, AdmissionRequest, SlotTicket
+from umberdrum.admission._gate import (
+    AdmissionGate,
+    AdmissionRequest,
+    Gate,
+    SlotTicket,
+)
+from umberdrum.admission._knee_limit import KneeSlotLimit
 from umberdrum.admission._limit import (
     FixedSlotLimit,
     LatencySlotLimit,
     SlotLimit,
 )
+from umberdrum.admission._pace import PaceTracker
+from umberdrum.admission._target_gate import TargetGate
 
 __all__ = [
     "AdmissionGate",
     "AdmissionRequest",
     "FixedSlotLimit",
+    "Gate",
+    "KneeSlotLimit",
     "LatencySlotLimit",
+    "PaceTracker",
     "SlotLimit",
     "SlotTicket",
+    "TargetGate",
 ]
--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -2,7 +2,7 @@
 
 import heapq
 import itertools
-from typing import NamedTuple
+from typing import NamedTuple, Protocol
 
 import expression
 import trio
@@ -25,7 +25,8 @@
 
     ``deadline`` is in seconds of the daemon's monotonic clock. ``target_latency_ms``
     orders the queue; ``max_queue_ms`` bounds the wait. ``priority`` is its rank, 0
-    first.
+    first, ``target_at`` the moment at which the target is missed. ``is_last_resort``
+    says that no other endpoint is left to try.
     """
 
     class_name: str
@@ -33,13 +34,21 @@
     max_queue_ms: int
     deadline: float
     priority: int = 0
+    target_at: float = 0.0
+    is_last_resort: bool = True
 
 
 class SlotTicket(NamedTuple):
-    """Right to run one call; given back with ``AdmissionGate.release``."""
+    """Right to run one call; given back with ``Gate.release``.
+
+    ``n_running`` counts the calls that ran when it began, itself included, and ``pace``
+    is how long work took then, as a multiple of the usual time.
+    """
 
     class_name: str
     began_at: float
+    n_running: int = 0
+    pace: float = 1.0
 
 
 class _Waiter:
@@ -66,6 +75,40 @@
         self.last_seen_at = 0.0
 
 
+class Gate(Protocol):
+    """Decides which calls run at an endpoint, and when."""
+
+    slot_limit: _limit.SlotLimit
+    n_running: int
+
+    @property
+    def n_queued(self) -> int:
+        """Calls that wait for a slot."""
+
+    async def acquire(
+        self, request: AdmissionRequest
+    ) -> expression.Result[SlotTicket, errors.Failure]:
+        """Return a ticket once the call may run, or the reason why it is refused."""
+
+    def release(self, ticket: SlotTicket, is_observed: bool) -> None:
+        """Give the slot back; ``is_observed`` says whether its time tells of load."""
+
+    def note_pace(self, pace: float, now: float) -> None:
+        """Learn how long work takes at the upstream now, as a multiple of usual."""
+
+    def get_pace(self) -> float:
+        """Return how long work is expected to take now, as a multiple of usual."""
+
+    def is_slowed(self) -> bool:
+        """Return whether a call that begins now is expected to be slow."""
+
+    def has_fresh_pace(self) -> bool:
+        """Return whether nothing more needs to be learnt about the pace now."""
+
+    def refuse_all(self, failure: errors.Failure) -> None:
+        """Refuse every queued call with ``failure``, for an endpoint that leaves."""
+
+
 class AdmissionGate:
     """Aggregate that decides which calls run at an endpoint, and when.
 
@@ -126,6 +169,21 @@
             self._observe(state, now - ticket.began_at)
         self._wake_waiters(now)
 
+    def note_pace(self, pace: float, now: float) -> None:
+        """Ignore how long work takes at the upstream now."""
+
+    def get_pace(self) -> float:
+        """Return the usual pace, because this gate learns no other."""
+        return 1.0
+
+    def is_slowed(self) -> bool:
+        """Return False, because this gate knows of no slow episodes."""
+        return False
+
+    def has_fresh_pace(self) -> bool:
+        """Return True, because this gate makes no use of the pace."""
+        return True
+
     def refuse_all(self, failure: errors.Failure) -> None:
         """Refuse every queued call with ``failure``, for an endpoint that leaves."""
         for _, _, waiter in self._queue:
@@ -269,7 +327,9 @@
     def _observe(self, state: _ClassState, seconds: float) -> None:
         if state.mean_seconds == 0.0:
             state.mean_seconds = seconds
-        self.slot_limit.observe(seconds / max(state.mean_seconds, 1e-6))
+        self.slot_limit.observe(
+            seconds / max(state.mean_seconds, 1e-6), self.n_running + 1
+        )
         state.mean_seconds += MEAN_WEIGHT * (seconds - state.mean_seconds)
         if self._mean_seconds == 0.0:
             self._mean_seconds = seconds
--- /dev/null
+++ b/umberdrum/admission/_knee_limit.py
@@ -0,0 +1,67 @@
+"""Slot limit that finds the point beyond which more calls at once finish fewer."""
+
+FULL_SHARE = 0.8
+FULL_SLOWNESS = 1.5
+OBSERVATION_WEIGHT = 0.05
+MAX_SLOWNESS = 4.0
+TRIAL_INTERVAL = 16
+
+
+class KneeSlotLimit:
+    """Limit at which the upstream finishes the most calls a second.
+
+    For every number of calls that run at once it learns how slow they are; the limit is
+    the number with the best ratio of calls to slowness. Load pattern: a burst that
+    fills all slots of an upstream which slows down when nearly full. Up to
+    ``FULL_SHARE`` of the slots calls are taken for undisturbed until they are seen to
+    be slow; beyond it, one call in ``TRIAL_INTERVAL`` that finds others waiting shows
+    whether a larger limit would do.
+    """
+
+    def __init__(self, n_slots: int) -> None:
+        self._n_slots = 0
+        self._slowness: list[float] = []
+        self._limit = 1
+        self._n_since_trial = 0
+        self.set_slots(n_slots)
+
+    def get_limit(self) -> int:
+        """Return the number of calls that may run at once."""
+        return self._limit
+
+    def may_try_more(self) -> bool:
+        """Return whether this call may run beyond the limit, to learn from it."""
+        if self._limit >= self._n_slots:
+            return False
+        self._n_since_trial += 1
+        if self._n_since_trial < TRIAL_INTERVAL:
+            return False
+        self._n_since_trial = 0
+        return True
+
+    def set_slots(self, n_slots: int) -> None:
+        """Take the slot count that the upstream announced."""
+        n_slots = max(1, n_slots)
+        if n_slots == self._n_slots:
+            return
+        self._n_slots = n_slots
+        self._slowness = [1.0]
+        for n_running in range(1, n_slots + 1):
+            is_full = n_running > n_slots * FULL_SHARE
+            self._slowness.append(FULL_SLOWNESS if is_full else 1.0)
+        self._choose_limit()
+
+    def observe(self, slowness: float, n_running: int) -> None:
+        """Learn from a finished call that began as the last of ``n_running``."""
+        index = max(1, min(n_running, self._n_slots))
+        seen = min(slowness, MAX_SLOWNESS)
+        self._slowness[index] += OBSERVATION_WEIGHT * (seen - self._slowness[index])
+        self._choose_limit()
+
+    def _choose_limit(self) -> None:
+        best = 1
+        for n_running in range(2, self._n_slots + 1):
+            rate = n_running / self._slowness[n_running]
+            if rate > best / self._slowness[best]:
+                best = n_running
+        self._limit = best
--- a/umberdrum/admission/_limit.py
+++ b/umberdrum/admission/_limit.py
@@ -16,8 +16,11 @@
     def get_limit(self) -> int:
         """Return the number of calls that may run at once, at least 1."""
 
-    def observe(self, slowness: float) -> None:
-        """Learn from a call; ``slowness`` is its time over the mean of its class."""
+    def observe(self, slowness: float, n_running: int) -> None:
+        """Learn from a call; ``slowness`` is its time over the mean of its class.
+
+        ``n_running`` counts the calls that ran when it began, itself included.
+        """
 
     def set_slots(self, n_slots: int) -> None:
         """Take the slot count that the upstream announced."""
@@ -33,7 +36,7 @@
         """Return the announced slot count."""
         return self._n_slots
 
-    def observe(self, slowness: float) -> None:
+    def observe(self, slowness: float, n_running: int) -> None:
         """Ignore the observation."""
 
     def set_slots(self, n_slots: int) -> None:
@@ -68,7 +71,7 @@
         self._n_slots = max(1, n_slots)
         self._limit = float(self._n_slots)
 
-    def observe(self, slowness: float) -> None:
+    def observe(self, slowness: float, n_running: int) -> None:
         """Learn from a finished call."""
         if self._long_term == 0.0:
             self._long_term = slowness
--- /dev/null
+++ b/umberdrum/admission/_target_gate.py
@@ -0,0 +1,346 @@
+"""Gate that serves the calls which can still meet their target."""
+
+from typing import Protocol
+
+import expression
+import trio
+
+from umberdrum import errors
+from umberdrum.admission import _gate, _limit, _pace
+
+MAX_QUEUED_PER_SLOT = 8
+MEAN_WEIGHT = 0.1
+INITIAL_SECONDS = 0.02
+RANK_SECONDS = 0.03
+LATE_WAIT_SHARE = 0.3
+LONG_CLASS_RATIO = 4.0
+LONG_CLASS_SLOT_SHARE = 0.67
+CLASS_ACTIVE_SECONDS = 10.0
+MIN_RETRY_AFTER_SECONDS = 0.05
+MAX_RETRY_AFTER_SHARE = 0.33
+RECHECK_SECONDS = 0.1
+MS_PER_SECOND = 1000.0
+
+AcquireResult = expression.Result[_gate.SlotTicket, errors.Failure]
+
+
+class TrialLimit(Protocol):
+    """Slot limit that now and then lets one call run beyond it."""
+
+    def may_try_more(self) -> bool:
+        """Return whether this call may run beyond the limit, to learn from it."""
+
+
+class _Waiter:
+    """One queued call, woken when it gets a slot or is refused."""
+
+    __slots__ = ("event", "failure", "request", "ticket")
+
+    def __init__(self, request: _gate.AdmissionRequest) -> None:
+        self.request = request
+        self.event = trio.Event()
+        self.failure: errors.Failure | None = None
+        self.ticket: _gate.SlotTicket | None = None
+
+
+class _ClassState:
+    """Running count and undisturbed service time of one class at this endpoint."""
+
+    __slots__ = ("last_seen_at", "mean_seconds", "n_running", "target_latency_ms")
+
+    def __init__(self, target_latency_ms: int) -> None:
+        self.n_running = 0
+        self.mean_seconds = 0.0
+        self.target_latency_ms = target_latency_ms
+        self.last_seen_at = 0.0
+
+
+class TargetGate:
+    """Aggregate that decides which calls run at an endpoint, and when.
+
+    Load patterns and what answers them:
+
+    - More calls than slots: those that can still meet their target run first, in the
+      order in which their targets would be missed, moved by rank. Those that can't run
+      when no other waits, or are refused when that would take long.
+    - Neighbours slow the upstream for moments: a call is refused as not run while
+      another endpoint can be tried; the last one waits for the end of the episode if
+      that is expected to be faster than running slowly.
+    - A call that can't meet its deadline any more is refused at once, also when it has
+      begun to wait.
+    - Refused callers are told to come back in the order of refusal, at the pace at
+      which slots become free, so that they don't return together.
+    - A class with long targets never holds every slot while one with short targets is
+      active.
+
+    Its counts are exact, since every call to the upstream passes through it. It never
+    sends anything and knows nothing of connections.
+    """
+
+    def __init__(
+        self, slot_limit: _limit.SlotLimit, trials: TrialLimit | None = None
+    ) -> None:
+        self.slot_limit = slot_limit
+        self.pace = _pace.PaceTracker()
+        self.n_running = 0
+        self._trials = trials
+        self._queue: list[_Waiter] = []
+        self._classes: dict[str, _ClassState] = {}
+        self._mean_seconds = INITIAL_SECONDS
+        self._last_return_at = 0.0
+
+    @property
+    def n_queued(self) -> int:
+        """Calls that wait for a slot."""
+        return len(self._queue)
+
+    async def acquire(self, request: _gate.AdmissionRequest) -> AcquireResult:
+        """Return a ticket once the call may run, or the reason why it is refused."""
+        now = trio.current_time()
+        self._note_class(request, now)
+        if self.pace.is_slowed(now) and not request.is_last_resort:
+            detail = f"work takes {self.pace.pace:.1f} times as long as usual"
+            return expression.Error(
+                self._refuse(errors.ErrorKind.UPSTREAM_SLOWED, detail, request, now)
+            )
+        if not self._queue and self._may_run(request, now):
+            return expression.Ok(self._start(request, now))
+        refusal = self._find_refusal(request, now)
+        if refusal is not None:
+            return expression.Error(refusal)
+        return await self._wait(request)
+
+    def release(self, ticket: _gate.SlotTicket, is_observed: bool) -> None:
+        """Give the slot back; ``is_observed`` says whether its time tells of load."""
+        now = trio.current_time()
+        state = self._classes[ticket.class_name]
+        state.n_running -= 1
+        self.n_running -= 1
+        if is_observed:
+            self._observe(state, ticket, now - ticket.began_at)
+        self._wake_waiters(now)
+
+    def note_pace(self, pace: float, now: float) -> None:
+        """Learn how long work takes at the upstream now, as a multiple of usual."""
+        was_slowed = self.pace.is_slowed(now)
+        self.pace.observe(pace, now)
+        if was_slowed and not self.pace.is_slowed(now):
+            self._wake_waiters(now)
+
+    def get_pace(self) -> float:
+        """Return how long work is expected to take now, as a multiple of usual."""
+        return self.pace.get_pace(trio.current_time())
+
+    def is_slowed(self) -> bool:
+        """Return whether a call that begins now is expected to be slow."""
+        return self.pace.is_slowed(trio.current_time())
+
+    def has_fresh_pace(self) -> bool:
+        """Return whether the upstream stated its pace a moment ago."""
+        return self.pace.is_fresh(trio.current_time())
+
+    def refuse_all(self, failure: errors.Failure) -> None:
+        """Refuse every queued call with ``failure``, for an endpoint that leaves."""
+        for waiter in self._queue:
+            waiter.failure = failure
+            waiter.event.set()
+        self._queue.clear()
+
+    async def _wait(self, request: _gate.AdmissionRequest) -> AcquireResult:
+        waiter = _Waiter(request)
+        self._queue.append(waiter)
+        give_up_at = self._get_give_up_time(request, trio.current_time())
+        try:
+            while not waiter.event.is_set():
+                now = trio.current_time()
+                if now >= give_up_at:
+                    break
+                with trio.move_on_at(min(give_up_at, now + RECHECK_SECONDS)):
+                    await waiter.event.wait()
+                if not waiter.event.is_set():
+                    # What is known of the pace may have become too old to wait for.
+                    self._wake_waiters(trio.current_time())
+        except trio.Cancelled:
+            self._leave_queue(waiter)
+            raise
+        if waiter.failure is not None:
+            return expression.Error(waiter.failure)
+        if waiter.ticket is not None:
+            return expression.Ok(waiter.ticket)
+        self._leave_queue(waiter)
+        now = trio.current_time()
+        detail = f"no slot became free; {len(self._queue)} calls wait"
+        return expression.Error(
+            self._refuse(errors.ErrorKind.OVERLOADED, detail, request, now)
+        )
+
+    def _leave_queue(self, waiter: _Waiter) -> None:
+        """Take a waiter out, also when it was handed a slot in the same instant."""
+        if waiter in self._queue:
+            self._queue.remove(waiter)
+            return
+        if waiter.ticket is not None:
+            self.release(waiter.ticket, is_observed=False)
+
+    def _start(self, request: _gate.AdmissionRequest, now: float) -> _gate.SlotTicket:
+        self._classes[request.class_name].n_running += 1
+        self.n_running += 1
+        pace = self.pace.get_pace(now)
+        return _gate.SlotTicket(request.class_name, now, self.n_running, pace)
+
+    def _wake_waiters(self, now: float) -> None:
+        """Hand free slots to queued calls and refuse those that are hopeless now."""
+        while self._queue:
+            waiter = self._choose_next(now)
+            if waiter is None:
+                return
+            self._queue.remove(waiter)
+            waiter.ticket = self._start(waiter.request, now)
+            waiter.event.set()
+
+    def _choose_next(self, now: float) -> _Waiter | None:
+        best: _Waiter | None = None
+        best_key = (True, 0.0)
+        for waiter in list(self._queue):
+            request = waiter.request
+            if now + self._get_own_seconds(request) > request.deadline:
+                self._queue.remove(waiter)
+                waiter.failure = self._explain_unreachable(request, 0.0, now)
+                waiter.event.set()
+                continue
+            if not self._may_run(request, now):
+                continue
+            key = self._get_order(request, now)
+            if best is None or key < best_key:
+                best = waiter
+                best_key = key
+        return best
+
+    def _get_order(
+        self, request: _gate.AdmissionRequest, now: float
+    ) -> tuple[bool, float]:
+        """Return the place in the queue: calls that will be late come last."""
+        is_late = now + self._get_own_seconds(request) > request.target_at
+        if is_late:
+            return (True, request.deadline)
+        return (False, request.target_at + request.priority * RANK_SECONDS)
+
+    def _may_run(self, request: _gate.AdmissionRequest, now: float) -> bool:
+        limit = self.slot_limit.get_limit()
+        if self.n_running >= limit:
+            is_trial = self.n_running == limit and self._queue and self._trials
+            if not (is_trial and self._trials and self._trials.may_try_more()):
+                return False
+        state = self._classes[request.class_name]
+        if state.n_running >= self._get_class_cap(state, limit, now):
+            return False
+        return not self._is_worth_waiting(request, now)
+
+    def _is_worth_waiting(self, request: _gate.AdmissionRequest, now: float) -> bool:
+        """Return whether the end of a slow episode is nearer than the time it costs."""
+        if not self.pace.is_slowed(now):
+            return False
+        lost_seconds = self._get_own_seconds(request) * (self.pace.pace - 1.0)
+        return lost_seconds > self.pace.mean_episode_seconds
+
+    def _get_class_cap(self, state: _ClassState, limit: int, now: float) -> int:
+        """Return how many slots the class may hold while shorter classes are active."""
+        for other in self._classes.values():
+            if other is state or now - other.last_seen_at > CLASS_ACTIVE_SECONDS:
+                continue
+            if state.target_latency_ms >= LONG_CLASS_RATIO * other.target_latency_ms:
+                return max(1, int(limit * LONG_CLASS_SLOT_SHARE))
+        return limit
+
+    def _find_refusal(
+        self, request: _gate.AdmissionRequest, now: float
+    ) -> errors.Failure | None:
+        max_queued = self.slot_limit.get_limit() * MAX_QUEUED_PER_SLOT
+        if len(self._queue) >= max_queued:
+            detail = f"queue holds {len(self._queue)} of {max_queued} calls"
+            return self._refuse(errors.ErrorKind.OVERLOADED, detail, request, now)
+        wait_seconds = self._estimate_wait(request, now)
+        finish_at = now + wait_seconds + self._get_own_seconds(request)
+        if finish_at > request.deadline:
+            return self._explain_unreachable(request, wait_seconds, now)
+        is_late = finish_at > request.target_at
+        if is_late and wait_seconds > LATE_WAIT_SHARE * (request.deadline - now):
+            detail = (
+                f"expected wait {wait_seconds * MS_PER_SECOND:.0f} ms, target in "
+                f"{(request.target_at - now) * MS_PER_SECOND:.0f} ms"
+            )
+            return self._refuse(errors.ErrorKind.OVERLOADED, detail, request, now)
+        return None
+
+    def _estimate_wait(self, request: _gate.AdmissionRequest, now: float) -> float:
+        """Return the expected wait for a slot behind the calls that go first."""
+        own_order = self._get_order(request, now)
+        seconds = self._mean_seconds
+        for waiter in self._queue:
+            if self._get_order(waiter.request, now) <= own_order:
+                seconds += self._get_own_seconds(waiter.request)
+        wait = seconds / self.slot_limit.get_limit()
+        if self._is_worth_waiting(request, now):
+            wait += self.pace.mean_episode_seconds
+        return wait
+
+    def _get_give_up_time(self, request: _gate.AdmissionRequest, now: float) -> float:
+        """Return until when the call waits: while it may be in time, or a little."""
+        own_seconds = self._get_own_seconds(request)
+        late_until = now + LATE_WAIT_SHARE * (request.deadline - now)
+        wanted = max(request.target_at - own_seconds, late_until)
+        return min(request.deadline - own_seconds, wanted)
+
+    def _get_own_seconds(self, request: _gate.AdmissionRequest) -> float:
+        return self._classes[request.class_name].mean_seconds
+
+    def _explain_unreachable(
+        self, request: _gate.AdmissionRequest, wait_seconds: float, now: float
+    ) -> errors.Failure:
+        needed = wait_seconds + self._get_own_seconds(request)
+        detail = (
+            f"expected {needed * MS_PER_SECOND:.0f} ms, deadline in "
+            f"{(request.deadline - now) * MS_PER_SECOND:.0f} ms"
+        )
+        kind = errors.ErrorKind.DEADLINE_UNREACHABLE
+        return self._refuse(kind, detail, request, now)
+
+    def _refuse(
+        self,
+        kind: errors.ErrorKind,
+        detail: str,
+        request: _gate.AdmissionRequest,
+        now: float,
+    ) -> errors.Failure:
+        """Return the failure with the time after which room is expected."""
+        limit = self.slot_limit.get_limit()
+        queued = sum(self._get_own_seconds(row.request) for row in self._queue)
+        drained_at = now + (queued + self._mean_seconds) / limit
+        return_at = max(drained_at, self._last_return_at + self._mean_seconds / limit)
+        latest = now + MAX_RETRY_AFTER_SHARE * max(0.0, request.deadline - now)
+        return_at = min(return_at, latest)
+        self._last_return_at = return_at
+        seconds = max(MIN_RETRY_AFTER_SECONDS, return_at - now)
+        return errors.Failure(
+            kind, errors.Execution.NOT_RUN, detail, int(seconds * MS_PER_SECOND)
+        )
+
+    def _note_class(self, request: _gate.AdmissionRequest, now: float) -> None:
+        state = self._classes.get(request.class_name)
+        if state is None:
+            state = _ClassState(request.target_latency_ms)
+            self._classes[request.class_name] = state
+        state.target_latency_ms = request.target_latency_ms
+        state.last_seen_at = now
+
+    def _observe(
+        self, state: _ClassState, ticket: _gate.SlotTicket, seconds: float
+    ) -> None:
+        """Learn the class's time, less what neighbours added to it."""
+        own_seconds = seconds / ticket.pace
+        if state.mean_seconds == 0.0:
+            state.mean_seconds = own_seconds
+        slowness = own_seconds / max(state.mean_seconds, 1e-6)
+        self.slot_limit.observe(slowness, ticket.n_running)
+        state.mean_seconds += MEAN_WEIGHT * (own_seconds - state.mean_seconds)
+        self._mean_seconds += MEAN_WEIGHT * (own_seconds - self._mean_seconds)
--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -30,6 +30,7 @@
 from umberdrum.callpath._paths import normalize_path
 from umberdrum.callpath._peer_leg import PeerLeg
 from umberdrum.callpath._peer_server import PeerServer
+from umberdrum.callpath._prober import UpstreamProber
 from umberdrum.callpath._sinks import CountingSink, ForwardingSink
 from umberdrum.callpath._statistics import CallStatistics, TargetReport
 from umberdrum.callpath._sync import Synchronizer
@@ -67,6 +68,7 @@
     "TargetReport",
     "UpstreamAnnouncement",
     "UpstreamPool",
+    "UpstreamProber",
     "WholeBody",
     "filter_request_headers",
     "filter_response_headers",
--- a/umberdrum/callpath/_call.py
+++ b/umberdrum/callpath/_call.py
@@ -12,7 +12,9 @@
     ``deadline`` is in seconds of this daemon's monotonic clock; between daemons only
     the remaining time travels. ``content_length`` is None for a body of unknown length.
     ``service`` is the one that must run the call, and ``priority`` ranks it among calls
-    that wait, 0 first.
+    that wait, 0 first. ``target_at`` is the moment at which the latency objective is
+    missed, on the same clock as ``deadline``. ``is_last_resort`` says that no other
+    endpoint is left to try.
     """
 
     request_id: str
@@ -28,6 +30,8 @@
     content_length: int | None
     service: str = ""
     priority: int = 0
+    target_at: float = 0.0
+    is_last_resort: bool = True
 
 
 class AnswerHead(NamedTuple):
@@ -39,12 +43,17 @@
 
 
 class CallReport(NamedTuple):
-    """What an endpoint tells of a call that it answered; times in seconds."""
+    """What an endpoint tells of a call that it answered; times in seconds.
+
+    ``start_pace`` is how long work took at the upstream when the call began, as a
+    multiple of the usual time.
+    """
 
     status: int
     upstream_seconds: float
     queue_seconds: float
     load: routing.LoadReport | None
+    start_pace: float = 1.0
 
 
 class SinkLostError(Exception):
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -21,20 +21,24 @@
     _call,
     _dialect,
     _headers,
+    _prober,
     _recording,
     _sending,
     _sinks,
     _upstream,
+    _upstream_load,
 )
 
 MS_PER_SECOND = 1000.0
 LOAD_REPORT_BYTES = 12
 SHED_STATUS = 503
+MIN_SERVER_ERROR = 500
 MISDIRECTED_STATUS = 421
 MAX_HELD_ANSWER_BYTES = 65_536
 DEFAULT_SHED_RETRY_MS = 1000
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
+AdmissionResult = expression.Result[admission.SlotTicket, errors.Failure]
 
 
 class EndpointState(enum.Enum):
@@ -87,15 +91,17 @@
 
     def __init__(
         self,
-        gate: admission.AdmissionGate,
+        gate: admission.Gate,
         record: outcomes.OutcomeRecord,
         pool: _upstream.UpstreamPool,
         budget: measuring.MeasuringBudget,
         log: logs.EventLog,
         nursery: trio.Nursery,
         dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
+        prober: _prober.UpstreamProber | None = None,
     ) -> None:
         self._dialect = dialect
+        self._prober = prober
         self.service = ""
         self.instance_id = ""
         self.on_misdirected: Callable[[], None] | None = None
@@ -154,7 +160,17 @@
         if not self._budget.spend(use, LOAD_REPORT_BYTES, now):
             return None
         limit = self.gate.slot_limit.get_limit()
-        return routing.LoadReport(self.gate.n_running, self.gate.n_queued, limit)
+        return routing.LoadReport(
+            self.gate.n_running, self.gate.n_queued, limit, self.gate.get_pace()
+        )
+
+    async def _admit(self, call: _call.Call) -> AdmissionResult:
+        """Return a ticket for the call, with fresh knowledge of the upstream's pace."""
+        if self._prober is not None:
+            await self._prober.refresh()
+            if call.is_last_resort and self.gate.is_slowed():
+                self._prober.wake()
+        return await self.gate.acquire(_describe(call))
 
     async def _run_repeatable(
         self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
@@ -175,7 +191,7 @@
         self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
     ) -> CallResult:
         queued_at = trio.current_time()
-        acquired = await self.gate.acquire(_describe(call))
+        acquired = await self._admit(call)
         if acquired.is_error():
             return expression.Error(acquired.error)
         ticket = acquired.ok
@@ -192,7 +208,7 @@
             return expression.Error(admitted.error)
         ticket: admission.SlotTicket | None = None
         try:
-            acquired = await self.gate.acquire(_describe(call))
+            acquired = await self._admit(call)
             if acquired.is_ok():
                 ticket = acquired.ok
         finally:
@@ -273,7 +289,7 @@
         is_observed = False
         try:
             result = await self._exchange(call, body, sink, ticket, queue_seconds)
-            is_observed = result.is_ok()
+            is_observed = result.is_ok() and result.ok.status < MIN_SERVER_ERROR
             return result
         finally:
             self.gate.release(ticket, is_observed)
@@ -348,14 +364,49 @@
             await upstream.relay_body(_sinks.DiscardingSink())
             return expression.Error(refusal)
         now = trio.current_time()
+        load = self._take_upstream_load(head)
+        self._log.write(
+            "ran",
+            request=call.request_id,
+            cls=call.class_name,
+            status=head.status,
+            instance=self.instance_id or None,
+            queue_ms=queue_seconds * MS_PER_SECOND,
+            upstream_ms=(now - sent_at) * MS_PER_SECOND,
+            running=self.gate.n_running,
+            queued=self.gate.n_queued,
+            limit=self.gate.slot_limit.get_limit(),
+            start_pace=ticket.pace,
+            pace=load.pace if load else None,
+            upstream_running=load.n_running if load else None,
+            upstream_queued=load.n_queued if load else None,
+        )
         report = _call.CallReport(
-            head.status, now - sent_at, queue_seconds, self.build_load_report(now)
+            head.status,
+            now - sent_at,
+            queue_seconds,
+            self.build_load_report(now),
+            ticket.pace,
         )
         await sink.start(head, report)
         await upstream.relay_body(sink, _is_short(head))
         await sink.finish()
         return expression.Ok(report)
 
+    def _take_upstream_load(
+        self, head: _call.AnswerHead
+    ) -> _upstream_load.UpstreamLoad | None:
+        """Return the load that came with an answer, if the dialect has a field."""
+        if not self._dialect.load_report:
+            return None
+        value = _headers.get_header(head.headers, self._dialect.load_report)
+        if value is None:
+            return None
+        load = _upstream_load.parse_upstream_load(value)
+        if load is not None:
+            self.gate.note_pace(load.pace, trio.current_time())
+        return load
+
     def _find_upstream_refusal(
         self, call: _call.Call, head: _call.AnswerHead
     ) -> errors.Failure | None:
@@ -409,4 +460,6 @@
         call.max_queue_ms,
         call.deadline,
         call.priority,
+        call.target_at,
+        call.is_last_resort,
     )
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -79,6 +79,7 @@
         self._budgets = budgets
         self._dialect = dialect
         self.caller_service = caller_service
+        self._longest_deadline_ms: dict[str, int] = {}
         self.router = router
         self.statistics = statistics
         self._directory = directory
@@ -143,11 +144,14 @@
         began_at = trio.current_time()
         handle = self.router.begin(candidate.key, call.class_name, began_at)
         result: _endpoint.CallResult | None = None
+        sink.refusal_load = None
         try:
             result = await self._send(call, candidate, body, sink)
         finally:
             now = trio.current_time()
-            seen = _observe(result, now - began_at)
+            if candidate.is_local and result is not None and result.is_error():
+                sink.refusal_load = self._endpoint.build_load_report(now)
+            seen = _observe(result, now - began_at, sink.refusal_load)
             self.router.end(handle, seen, now)
             self._log_attempt(call, decision, attempt_index, result, now - began_at)
         if result.is_error() and result.error.kind is errors.ErrorKind.LINK_BROKE:
@@ -221,11 +225,30 @@
             content_length=fields.content_length,
             service=request_class.service,
             priority=policy.priority,
+            target_at=self._get_target_time(request, row, deadline_ms),
         )
 
+    def _get_target_time(
+        self, request: IncomingRequest, row: classes.CatalogRow, deadline_ms: int
+    ) -> float:
+        """Return when the target of a call is missed.
+
+        A caller that repeats a refused request has less time left than it had at first,
+        and its target runs from the first try. The longest time that callers of the
+        class have stated tells how much of it has passed.
+        """
+        name = row.request_class.name
+        longest_ms = max(deadline_ms, self._longest_deadline_ms.get(name, 0))
+        self._longest_deadline_ms[name] = longest_ms
+        target_ms = row.request_class.target.latency_ms
+        remaining_ms = target_ms - (longest_ms - deadline_ms)
+        return request.received_at + remaining_ms / MS_PER_SECOND
+
 
 def _observe(
-    result: "_endpoint.CallResult | None", total_seconds: float
+    result: "_endpoint.CallResult | None",
+    total_seconds: float,
+    refusal_load: routing.LoadReport | None,
 ) -> routing.Observation:
     """Return what an attempt tells of its endpoint; None stands for a cancelled one."""
     if result is None:
@@ -234,7 +257,7 @@
         end = routing.AttemptEnd.REFUSED
         if result.error.kind in ENDPOINT_FAULT_KINDS:
             end = routing.AttemptEnd.FAILED
-        return routing.Observation(end, total_seconds)
+        return routing.Observation(end, total_seconds, report=refusal_load)
     report = result.ok
     end = routing.AttemptEnd.ANSWERED
     if report.status >= MIN_SERVER_ERROR:
@@ -242,7 +265,7 @@
     return routing.Observation(
         end,
         total_seconds - report.queue_seconds,
-        report.upstream_seconds,
+        report.upstream_seconds / report.start_pace,
         report.load,
     )
 
--- a/umberdrum/callpath/_frames.py
+++ b/umberdrum/callpath/_frames.py
@@ -11,6 +11,7 @@
 
 MS_PER_SECOND = 1000.0
 US_PER_SECOND = 1_000_000.0
+PERCENT = 100.0
 
 
 def encode_call(
@@ -36,6 +37,8 @@
         has_content_length=has_length,
         service=call.service,
         priority=call.priority,
+        target_remaining_ms=max(0, int((call.target_at - now) * MS_PER_SECOND)),
+        is_last_resort=call.is_last_resort,
     ).SerializeToString()
 
 
@@ -55,6 +58,8 @@
         content_length=head.content_length if head.has_content_length else None,
         service=head.service,
         priority=head.priority,
+        target_at=now + head.target_remaining_ms / MS_PER_SECOND,
+        is_last_resort=head.is_last_resort,
     )
 
 
@@ -73,11 +78,10 @@
         upstream_time_us=int(report.upstream_seconds * US_PER_SECOND),
         queue_time_us=int(report.queue_seconds * US_PER_SECOND),
         request_id=request_id,
+        start_pace_percent=int(report.start_pace * PERCENT),
     )
     if report.load is not None:
-        message.load.n_running = report.load.n_running
-        message.load.n_queued = report.load.n_queued
-        message.load.slot_limit = report.load.slot_limit
+        _encode_load(message.load, report.load)
     return message.SerializeToString()
 
 
@@ -97,6 +101,7 @@
         message.upstream_time_us / US_PER_SECOND,
         message.queue_time_us / US_PER_SECOND,
         load,
+        message.start_pace_percent / PERCENT or 1.0,
     )
 
 
@@ -112,9 +117,7 @@
         request_id=request_id,
     )
     if load is not None:
-        message.load.n_running = load.n_running
-        message.load.n_queued = load.n_queued
-        message.load.slot_limit = load.slot_limit
+        _encode_load(message.load, load)
     return message.SerializeToString()
 
 
@@ -163,5 +166,13 @@
     return [header_type(name=name, value=value) for name, value in headers]
 
 
+def _encode_load(message: wire.messages.LoadReport, load: routing.LoadReport) -> None:
+    message.n_running = load.n_running
+    message.n_queued = load.n_queued
+    message.slot_limit = load.slot_limit
+    message.pace_percent = int(load.pace * PERCENT)
+
+
 def _decode_load(load: wire.messages.LoadReport) -> routing.LoadReport:
-    return routing.LoadReport(load.n_running, load.n_queued, load.slot_limit)
+    pace = load.pace_percent / PERCENT or 1.0
+    return routing.LoadReport(load.n_running, load.n_queued, load.slot_limit, pace)
--- a/umberdrum/callpath/_journey.py
+++ b/umberdrum/callpath/_journey.py
@@ -18,6 +18,7 @@
         errors.ErrorKind.LINK_BROKE,
         errors.ErrorKind.UPSTREAM_UNREACHABLE,
         errors.ErrorKind.OVERLOADED,
+        errors.ErrorKind.UPSTREAM_SLOWED,
         errors.ErrorKind.DEADLINE_UNREACHABLE,
         errors.ErrorKind.RECORD_FULL,
     )
@@ -101,7 +102,10 @@
         index = self._n_attempts
         self._n_attempts += 1
         self._tried.add(decision.candidate.key)
-        call = self._call._replace(n_extra_attempts=self._allowance.hand_on(index))
+        call = self._call._replace(
+            n_extra_attempts=self._allowance.hand_on(index),
+            is_last_resort=self._is_last_resort(),
+        )
         may_hedge = (
             self._row.policy.hedge_after_ms > 0
             and self._body.is_complete
@@ -125,6 +129,10 @@
         finally:
             race.close()
 
+    def _is_last_resort(self) -> bool:
+        """Return whether no other endpoint is left for a detour."""
+        return self._n_detours >= MAX_DETOURS or self._choose() is None
+
     def _join_execution(self, failure: errors.Failure) -> _endpoint.CallResult:
         """Return the failure with what is known of all attempts together.
 
@@ -152,7 +160,9 @@
         self._n_attempts += 1
         self._tried.add(decision.candidate.key)
         self._entry.statistics.count_hedge(self._call.class_name)
-        call = self._call._replace(n_extra_attempts=self._allowance.hand_on(index))
+        call = self._call._replace(
+            n_extra_attempts=self._allowance.hand_on(index), is_last_resort=False
+        )
         runner = race.enter()
         with runner.scope:
             result = await self._entry.attempt(
--- a/umberdrum/callpath/_peer_leg.py
+++ b/umberdrum/callpath/_peer_leg.py
@@ -119,7 +119,7 @@
         """Send the rest of the body while the answer is awaited."""
         frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.REFUSAL:
-            return _read_refusal(frame, call)
+            return _read_refusal(frame, call, sink)
         if frame.kind is not peerlink.FrameKind.ADMITTED:
             raise peerlink.FrameError(f"expected admission, found {frame.kind.name}")
         sending = _sending.FrameBodySending(link.channel, body)
@@ -154,7 +154,7 @@
         if frame.kind is peerlink.FrameKind.ADMITTED:
             frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.REFUSAL:
-            return _read_refusal(frame, call)
+            return _read_refusal(frame, call, sink)
         if frame.kind is not peerlink.FrameKind.RESPONSE:
             raise peerlink.FrameError(f"expected an answer, found {frame.kind.name}")
         return await self._relay_response(call, link, frame, sink)
@@ -288,10 +288,13 @@
     )
 
 
-def _read_refusal(frame: peerlink.Frame, call: _call.Call) -> LegResult:
+def _read_refusal(
+    frame: peerlink.Frame, call: _call.Call, sink: _sinks.CountingSink
+) -> LegResult:
     message = _frames.parse_head(wire.messages.Refusal, frame)
     if message.request_id != call.request_id:
         raise peerlink.FrameError("the refusal is that of another request")
+    sink.refusal_load = _frames.decode_refusal_load(message)
     return expression.Error(_frames.decode_refusal(message))
 
 
--- a/umberdrum/callpath/_sinks.py
+++ b/umberdrum/callpath/_sinks.py
@@ -2,6 +2,7 @@
 
 import trio
 
+from umberdrum import routing
 from umberdrum.callpath import _call
 
 
@@ -29,12 +30,16 @@
 
 
 class CountingSink(ForwardingSink):
-    """Knows whether and when an answer was started."""
+    """Knows whether and when an answer was started.
+
+    ``refusal_load`` is the load that came with the last refusal of an endpoint.
+    """
 
     def __init__(self, sink: _call.AnswerSink) -> None:
         super().__init__(sink)
         self.is_started = False
         self.started_at = 0.0
+        self.refusal_load: routing.LoadReport | None = None
 
     async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
         """Note the start and pass the head on."""
--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -7,7 +7,7 @@
 import trio
 
 from umberdrum import errors, settings, sockets
-from umberdrum.callpath import _call, _dialect, _headers
+from umberdrum.callpath import _call, _dialect, _headers, _sinks
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_IDLE_SECONDS = 30.0
@@ -135,6 +135,18 @@
             await self._skip_stray_answer()
         raise _invalid_answer(f"expected the answer to request {request_id}")
 
+    async def fetch_head(self, path: str) -> _call.AnswerHead:
+        """Return the head of the answer to a GET of ``path``, its body left out."""
+        request = h11.Request(
+            method=b"GET", target=path.encode(), headers=[(b"host", b"upstream")]
+        )
+        data = self._http.send(request) or b""
+        data += self._http.send(h11.EndOfMessage()) or b""
+        await self._connection.send(data)
+        head = await self._receive_any_head()
+        await self.relay_body(_sinks.DiscardingSink())
+        return head
+
     async def _skip_stray_answer(self) -> None:
         """Read an answer that belongs to no open request and expect the next one."""
         while not isinstance(await self._receive_event(), h11.EndOfMessage):
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -161,6 +161,7 @@
             nursery.start_soon(
                 accept, listeners.ready, parts.serve_ready, MAX_CONTROL_CONNECTIONS
             )
+        nursery.start_soon(parts.prober.run)
         nursery.start_soon(parts.exchange.run)
         nursery.start_soon(parts.keeper.run)
         nursery.start_soon(parts.desk.watch_timeout)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -70,14 +70,19 @@
         )
         self.watch = callpath.LivenessWatch()
         self.upstream_pool = callpath.UpstreamPool(dialect)
+        gate = _build_gate(own_settings)
+        self.prober = callpath.UpstreamProber(
+            self.upstream_pool, gate, budget, dialect, self._get_health_path, log
+        )
         self.endpoint = callpath.EndpointService(
-            admission.AdmissionGate(admission.LatencySlotLimit(INITIAL_SLOTS)),
+            gate,
             outcomes.OutcomeRecord(),
             self.upstream_pool,
             budget,
             log,
             nursery,
             dialect,
+            self.prober,
         )
         self.routes = _build_routes(integration, log)
         self._class_matcher = callpath.ClassMatcher()
@@ -205,6 +210,12 @@
             self.routes.take_catalog(catalog)
         self._nursery.start_soon(self.exchange.push_news, PUSH_PEERS)
 
+    def _get_health_path(self) -> str:
+        """Return the path on which the upstream answers probes, empty if unknown."""
+        if self.routes is None or self.routes.table is None:
+            return ""
+        return self.routes.table.health_paths.get(self.endpoint.service, "")
+
     def _drop_misdirected(self) -> None:
         self.desk.drop("misdirected")
 
@@ -247,6 +258,13 @@
     )
 
 
+def _build_gate(own_settings: settings.Settings) -> admission.Gate:
+    if own_settings.admission_policy == "target":
+        limit = admission.KneeSlotLimit(INITIAL_SLOTS)
+        return admission.TargetGate(limit, limit)
+    return admission.AdmissionGate(admission.LatencySlotLimit(INITIAL_SLOTS))
+
+
 def _build_routes(
     integration: _integration.Integration, log: logs.EventLog
 ) -> routetable.RouteTableSource | None:
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -63,6 +63,7 @@
     NO_ROUTES_YET = 34
     UNKNOWN_ROUTE = 35
     BODY_TOO_LARGE = 36
+    UPSTREAM_SLOWED = 37
 
     @property
     def token(self) -> str:
@@ -164,6 +165,9 @@
     ErrorKind.INVALID_SETTINGS: Answer(
         400, "The settings are not valid", "http_request_error"
     ),
+    ErrorKind.UPSTREAM_SLOWED: Answer(
+        503, "The upstream is slowed by its neighbours", "destination_unavailable"
+    ),
     ErrorKind.INVALID_ROUTES: Answer(
         400, "The route table is not valid", "http_request_error"
     ),
--- a/umberdrum/routetable/_table.py
+++ b/umberdrum/routetable/_table.py
@@ -1,6 +1,6 @@
 """Aggregate of all routes in force at one version."""
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import expression
 
@@ -15,7 +15,8 @@
 
     A request belongs to the route of its host whose prefix is the longest that begins
     its path. ``check_table`` is the only way to build one, so that every table that
-    exists is consistent.
+    exists is consistent. ``health_paths`` names, by service, the path on which an
+    upstream answers probes.
     """
 
     def __init__(
@@ -23,7 +24,9 @@
         version: int,
         bounds: _route.CallerBounds,
         routes: Sequence[_route.Route],
+        health_paths: Mapping[str, str],
     ) -> None:
+        self.health_paths = dict(health_paths)
         self.version = version
         self.bounds = bounds
         self.routes = tuple(routes)
@@ -51,7 +54,10 @@
 
 
 def check_table(
-    version: int, bounds: _route.CallerBounds, routes: Sequence[_route.Route]
+    version: int,
+    bounds: _route.CallerBounds,
+    routes: Sequence[_route.Route],
+    health_paths: Mapping[str, str],
 ) -> TableResult:
     """Return the table, or a failure that names the first inconsistent route."""
     if version < 1:
@@ -68,7 +74,7 @@
                 f"another for {route.host}{route.path_prefix}"
             )
         places.add(place)
-    return expression.Ok(RouteTable(version, bounds, routes))
+    return expression.Ok(RouteTable(version, bounds, routes, health_paths))
 
 
 def _find_fault(route: _route.Route) -> str:
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -27,6 +27,7 @@
         super().__init__(place)
         self._rng = rng
         self._usual_others = 0.0
+        self._usual_pace = 1.0
 
     def choose(
         self,
@@ -61,6 +62,7 @@
         view = self._views.get(call.key)
         if view is None or seen.report is None:
             return
+        self._usual_pace += OTHERS_WEIGHT * (seen.report.pace - self._usual_pace)
         reported = seen.report.n_running + seen.report.n_queued
         others = max(0, reported - view.n_outstanding)
         self._usual_others += OTHERS_WEIGHT * (others - self._usual_others)
@@ -91,7 +93,8 @@
         occupancy = (load + 1.0) / n_slots
         waiting_factor = max(1.0, occupancy) + BUSY_SHARE * min(1.0, occupancy)
         slowness = view.get_slowness(now)
-        return view.network_seconds + typical * slowness * waiting_factor
+        pace = view.get_pace(now, self._usual_pace)
+        return view.network_seconds + typical * slowness * pace * waiting_factor
 
 
 def _get_slot_limit(view: _view.EndpointView, candidate: _router.Candidate) -> int:
--- a/umberdrum/routing/_view.py
+++ b/umberdrum/routing/_view.py
@@ -11,14 +11,20 @@
 RAMP_SECONDS = 5.0
 MIN_WARM_SHARE = 0.1
 MAX_SLOWNESS = 1000.0
+PACE_MEMORY_SECONDS = 0.15
 
 
 class LoadReport(NamedTuple):
-    """Counts of an endpoint daemon, as they were when it sent an answer."""
+    """Counts of an endpoint daemon, as they were when it sent an answer.
+
+    ``pace`` is how long work took at the upstream then, as a multiple of the usual
+    time.
+    """
 
     n_running: int
     n_queued: int
     slot_limit: int
+    pace: float = 1.0
 
 
 class EndpointView:
@@ -109,6 +115,17 @@
             slowness = max(slowness, age_ratio)
         return slowness
 
+    def get_pace(self, now: float, usual_pace: float) -> float:
+        """Return how long work is expected to take now, in multiples of the usual.
+
+        Neighbours of the upstream change it many times a second, so the last report
+        fades fast towards ``usual_pace``.
+        """
+        if self._report is None:
+            return usual_pace
+        weight = math.exp((self._report_at - now) / PACE_MEMORY_SECONDS)
+        return float(weight * self._report.pace + (1.0 - weight) * usual_pace)
+
     def get_warm_share(self, now: float, oldest_seen_at: float) -> float:
         """Return the share of choices in which a newly started endpoint takes part.
 
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -39,6 +39,7 @@
     announcement_timeout_ms: int
     log_level: str
     routing_policy: str
+    admission_policy: str
     own_service: str
     ready_listen: _address.Address | None
     leave_accept_ms: int
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -11,6 +11,7 @@
 
 MIN_KEY_BYTES = 16
 LOG_LEVELS = ("debug", "info", "warning", "error")
+ADMISSION_POLICIES = ("early_refusal", "target")
 ROUTING_POLICIES = (
     "finish_time",
     "least_outstanding",
@@ -160,6 +161,13 @@
         _one_of(ROUTING_POLICIES),
         "finish_time",
     ),
+    _Field(
+        "admission_policy",
+        "admission",
+        "policy",
+        _one_of(ADMISSION_POLICIES),
+        "early_refusal",
+    ),
     _Field("own_service", "instance", "service", _OPTIONAL_NAME, ""),
     _Field("ready_listen", "listen", "ready", _OPTIONAL_ADDRESS, ""),
     _Field(
