Find the knee of an upstream against its undisturbed time

Change: slowness is measured against calls that begin with at most half of the slots in use, with a doubtful prior, and the limit moves for a clear gain only.

--- a/umberdrum/admission/_knee_limit.py
+++ b/umberdrum/admission/_knee_limit.py
@@ -1,7 +1,10 @@
 """Slot limit that finds the point beyond which more calls at once finish fewer."""
 
 FULL_SHARE = 0.8
-FULL_SLOWNESS = 1.5
+FULL_SLOWNESS = 2.0
+PRIOR_OBSERVATIONS = 4
+MIN_GAIN = 1.05
+IDLE_SHARE = 0.5
 OBSERVATION_WEIGHT = 0.05
 MAX_SLOWNESS = 4.0
 TRIAL_INTERVAL = 16
@@ -16,11 +19,16 @@
     ``FULL_SHARE`` of the slots calls are taken for undisturbed until they are seen to
     be slow; beyond it, one call in ``TRIAL_INTERVAL`` that finds others waiting shows
     whether a larger limit would do.
+
+    Slowness is measured against calls that began with at most ``IDLE_SHARE`` of the
+    slots in use. A mean over all calls would do no good: under steady load nearly all
+    begin at the limit, and it would look undisturbed.
     """
 
     def __init__(self, n_slots: int) -> None:
         self._n_slots = 0
         self._slowness: list[float] = []
+        self._n_observed: list[int] = []
         self._limit = 1
         self._n_since_trial = 0
         self.set_slots(n_slots)
@@ -29,6 +37,10 @@
         """Return the number of calls that may run at once."""
         return self._limit
 
+    def get_slowness(self, n_running: int) -> float:
+        """Return how slow a call is that begins as the last of ``n_running``."""
+        return self._slowness[max(1, min(n_running, self._n_slots))]
+
     def may_try_more(self) -> bool:
         """Return whether this call may run beyond the limit, to learn from it."""
         if self._limit >= self._n_slots:
@@ -46,6 +58,7 @@
             return
         self._n_slots = n_slots
         self._slowness = [1.0]
+        self._n_observed = [PRIOR_OBSERVATIONS] * (n_slots + 1)
         for n_running in range(1, n_slots + 1):
             is_full = n_running > n_slots * FULL_SHARE
             self._slowness.append(FULL_SLOWNESS if is_full else 1.0)
@@ -54,14 +67,18 @@
     def observe(self, slowness: float, n_running: int) -> None:
         """Learn from a finished call that began as the last of ``n_running``."""
         index = max(1, min(n_running, self._n_slots))
+        if index <= self._n_slots * IDLE_SHARE:
+            return
         seen = min(slowness, MAX_SLOWNESS)
-        self._slowness[index] += OBSERVATION_WEIGHT * (seen - self._slowness[index])
+        self._n_observed[index] += 1
+        weight = max(OBSERVATION_WEIGHT, 1.0 / self._n_observed[index])
+        self._slowness[index] += weight * (seen - self._slowness[index])
         self._choose_limit()
 
     def _choose_limit(self) -> None:
         best = 1
         for n_running in range(2, self._n_slots + 1):
             rate = n_running / self._slowness[n_running]
-            if rate > best / self._slowness[best]:
+            if rate > MIN_GAIN * best / self._slowness[best]:
                 best = n_running
         self._limit = best
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -11,6 +11,7 @@
 MAX_QUEUED_PER_SLOT = 8
 MEAN_WEIGHT = 0.1
 INITIAL_SECONDS = 0.02
+MIN_SECONDS = 1e-4
 RANK_SECONDS = 0.03
 LATE_WAIT_SHARE = 0.3
 LONG_CLASS_RATIO = 4.0
@@ -24,8 +25,11 @@
 AcquireResult = expression.Result[_gate.SlotTicket, errors.Failure]
 
 
-class TrialLimit(Protocol):
-    """Slot limit that now and then lets one call run beyond it."""
+class OccupancyLimit(_limit.SlotLimit, Protocol):
+    """Slot limit that knows how slow calls are by the number that run at once."""
+
+    def get_slowness(self, n_running: int) -> float:
+        """Return how slow a call is that begins as the last of ``n_running``."""
 
     def may_try_more(self) -> bool:
         """Return whether this call may run beyond the limit, to learn from it."""
@@ -77,13 +81,11 @@
     sends anything and knows nothing of connections.
     """
 
-    def __init__(
-        self, slot_limit: _limit.SlotLimit, trials: TrialLimit | None = None
-    ) -> None:
-        self.slot_limit = slot_limit
+    def __init__(self, occupancy_limit: OccupancyLimit) -> None:
+        self.slot_limit: _limit.SlotLimit = occupancy_limit
+        self._occupancy = occupancy_limit
         self.pace = _pace.PaceTracker()
         self.n_running = 0
-        self._trials = trials
         self._queue: list[_Waiter] = []
         self._classes: dict[str, _ClassState] = {}
         self._mean_seconds = INITIAL_SECONDS
@@ -228,8 +230,8 @@
     def _may_run(self, request: _gate.AdmissionRequest, now: float) -> bool:
         limit = self.slot_limit.get_limit()
         if self.n_running >= limit:
-            is_trial = self.n_running == limit and self._queue and self._trials
-            if not (is_trial and self._trials and self._trials.may_try_more()):
+            is_trial = self.n_running == limit and bool(self._queue)
+            if not (is_trial and self._occupancy.may_try_more()):
                 return False
         state = self._classes[request.class_name]
         if state.n_running >= self._get_class_cap(state, limit, now):
@@ -292,7 +294,9 @@
         return min(request.deadline - own_seconds, wanted)
 
     def _get_own_seconds(self, request: _gate.AdmissionRequest) -> float:
-        return self._classes[request.class_name].mean_seconds
+        """Return the expected time of the call when it runs at the limit."""
+        slowness = self._occupancy.get_slowness(self.slot_limit.get_limit())
+        return self._classes[request.class_name].mean_seconds * slowness
 
     def _explain_unreachable(
         self, request: _gate.AdmissionRequest, wait_seconds: float, now: float
@@ -336,11 +340,12 @@
     def _observe(
         self, state: _ClassState, ticket: _gate.SlotTicket, seconds: float
     ) -> None:
-        """Learn the class's time, less what neighbours added to it."""
-        own_seconds = seconds / ticket.pace
+        """Learn the class's undisturbed time and what its neighbours at work add."""
+        paced_seconds = seconds / ticket.pace
+        own_seconds = paced_seconds / self._occupancy.get_slowness(ticket.n_running)
         if state.mean_seconds == 0.0:
             state.mean_seconds = own_seconds
-        slowness = own_seconds / max(state.mean_seconds, 1e-6)
+        slowness = paced_seconds / max(state.mean_seconds, MIN_SECONDS)
         self.slot_limit.observe(slowness, ticket.n_running)
         state.mean_seconds += MEAN_WEIGHT * (own_seconds - state.mean_seconds)
-        self._mean_seconds += MEAN_WEIGHT * (own_seconds - self._mean_seconds)
+        self._mean_seconds += MEAN_WEIGHT * (paced_seconds - self._mean_seconds)
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -377,6 +377,7 @@
             queued=self.gate.n_queued,
             limit=self.gate.slot_limit.get_limit(),
             start_pace=ticket.pace,
+            start_running=ticket.n_running,
             pace=load.pace if load else None,
             upstream_running=load.n_running if load else None,
             upstream_queued=load.n_queued if load else None,
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -260,8 +260,7 @@
 
 def _build_gate(own_settings: settings.Settings) -> admission.Gate:
     if own_settings.admission_policy == "target":
-        limit = admission.KneeSlotLimit(INITIAL_SLOTS)
-        return admission.TargetGate(limit, limit)
+        return admission.TargetGate(admission.KneeSlotLimit(INITIAL_SLOTS))
     return admission.AdmissionGate(admission.LatencySlotLimit(INITIAL_SLOTS))
 
 
