Refuse what will be late, and serve soon after all daemons restart

(2) After a restart of all daemons none had routes for 7 s: the contact keys stayed with the processes of before until their leases ended, and only contacts read the store.

Ruled out: (1) too little capacity for the calls that are in time (the knee holds, limit 4 of 6); (2) a slow store (it answered other calls at once).

Change: (1) a call counts as late with a margin of its class's time and is refused if it would have to wait; hedges run only into free slots and pay nothing otherwise; a long body is sent only once the endpoint has admitted the call and stays in its zone unless another finishes much sooner. (2) Every daemon without documents reads them once, takes over a contact key that its own address left, and probes the upstream beside it. (3) Every datagram names the sender's revision, and who is behind fetches over a kept link.

--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -26,7 +26,8 @@
     ``deadline`` is in seconds of the daemon's monotonic clock. ``target_latency_ms``
     orders the queue; ``max_queue_ms`` bounds the wait. ``priority`` is its rank, 0
     first, ``target_at`` the moment at which the target is missed. ``is_last_resort``
-    says that no other endpoint is left to try.
+    says that no other endpoint is left to try, ``is_hedge`` that another attempt of the
+    call is running.
     """
 
     class_name: str
@@ -36,6 +37,7 @@
     priority: int = 0
     target_at: float = 0.0
     is_last_resort: bool = True
+    is_hedge: bool = False
 
 
 class SlotTicket(NamedTuple):
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -12,8 +12,9 @@
 MEAN_WEIGHT = 0.1
 INITIAL_SECONDS = 0.02
 MIN_SECONDS = 1e-4
-RANK_SECONDS = 0.03
-LATE_WAIT_SHARE = 0.3
+RANK_SECONDS = 0.1
+TIME_MARGIN = 1.3
+LATE_WAIT_SHARE = 0.05
 LONG_CLASS_RATIO = 4.0
 LONG_CLASS_SLOT_SHARE = 0.67
 CLASS_ACTIVE_SECONDS = 10.0
@@ -107,6 +108,10 @@
             )
         if not self._queue and self._may_run(request, now):
             return expression.Ok(self._start(request, now))
+        if request.is_hedge:
+            detail = "a hedge runs only where a slot is free"
+            kind = errors.ErrorKind.OVERLOADED
+            return expression.Error(self._refuse(kind, detail, request, now))
         refusal = self._find_refusal(request, now)
         if refusal is not None:
             return expression.Error(refusal)
@@ -222,8 +227,7 @@
         self, request: _gate.AdmissionRequest, now: float
     ) -> tuple[bool, float]:
         """Return the place in the queue: calls that will be late come last."""
-        is_late = now + self._get_own_seconds(request) > request.target_at
-        if is_late:
+        if now + self._get_safe_seconds(request) > request.target_at:
             return (True, request.deadline)
         return (False, request.target_at + request.priority * RANK_SECONDS)
 
@@ -265,7 +269,8 @@
         finish_at = now + wait_seconds + self._get_own_seconds(request)
         if finish_at > request.deadline:
             return self._explain_unreachable(request, wait_seconds, now)
-        is_late = finish_at > request.target_at
+        safe_finish_at = now + wait_seconds + self._get_safe_seconds(request)
+        is_late = safe_finish_at > request.target_at
         if is_late and wait_seconds > LATE_WAIT_SHARE * (request.deadline - now):
             detail = (
                 f"expected wait {wait_seconds * MS_PER_SECOND:.0f} ms, target in "
@@ -288,16 +293,19 @@
 
     def _get_give_up_time(self, request: _gate.AdmissionRequest, now: float) -> float:
         """Return until when the call waits: while it may be in time, or a little."""
-        own_seconds = self._get_own_seconds(request)
         late_until = now + LATE_WAIT_SHARE * (request.deadline - now)
-        wanted = max(request.target_at - own_seconds, late_until)
-        return min(request.deadline - own_seconds, wanted)
+        wanted = max(request.target_at - self._get_safe_seconds(request), late_until)
+        return min(request.deadline - self._get_own_seconds(request), wanted)
 
     def _get_own_seconds(self, request: _gate.AdmissionRequest) -> float:
         """Return the expected time of the call when it runs at the limit."""
         slowness = self._occupancy.get_slowness(self.slot_limit.get_limit())
         return self._classes[request.class_name].mean_seconds * slowness
 
+    def _get_safe_seconds(self, request: _gate.AdmissionRequest) -> float:
+        """Return the time within which most calls of the class end."""
+        return self._get_own_seconds(request) * TIME_MARGIN
+
     def _explain_unreachable(
         self, request: _gate.AdmissionRequest, wait_seconds: float, now: float
     ) -> errors.Failure:
--- a/umberdrum/admission/tests/admission_steps.py
+++ b/umberdrum/admission/tests/admission_steps.py
@@ -202,13 +202,13 @@
 def build_limit(context: runner.Context, n_slots: int, n_calls: int) -> None:
     context.limit = admission.LatencySlotLimit(n_slots)
     for _ in range(n_calls):
-        context.limit.observe(1.0)
+        context.limit.observe(1.0, 1)
 
 
 @behave.when("{n_calls:d} calls are {factor:d} times slower")
 def slow_down(context: runner.Context, n_calls: int, factor: int) -> None:
     for _ in range(n_calls):
-        context.limit.observe(float(factor))
+        context.limit.observe(float(factor), 1)
 
 
 @behave.then("the limit is between {low:d} and {high:d}")
@@ -219,5 +219,5 @@
 @behave.then("after {n_calls:d} calls at their usual speed it is {n_slots:d} again")
 def check_recovered(context: runner.Context, n_calls: int, n_slots: int) -> None:
     for _ in range(n_calls):
-        context.limit.observe(1.0)
+        context.limit.observe(1.0, 1)
     assert context.limit.get_limit() == n_slots, context.limit.get_limit()
--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -23,6 +23,7 @@
     CallFields,
     filter_request_headers,
     filter_response_headers,
+    get_header,
     read_call_fields,
 )
 from umberdrum.callpath._liveness import LivenessWatch
@@ -30,11 +31,16 @@
 from umberdrum.callpath._paths import normalize_path
 from umberdrum.callpath._peer_leg import PeerLeg
 from umberdrum.callpath._peer_server import PeerServer
-from umberdrum.callpath._prober import UpstreamProber
+from umberdrum.callpath._prober import HealthPathSource, UpstreamProber
 from umberdrum.callpath._sinks import CountingSink, ForwardingSink
 from umberdrum.callpath._statistics import CallStatistics, TargetReport
 from umberdrum.callpath._sync import Synchronizer
-from umberdrum.callpath._upstream import UpstreamPool
+from umberdrum.callpath._upstream import (
+    UpstreamConnection,
+    UpstreamFailureError,
+    UpstreamPool,
+)
+from umberdrum.callpath._upstream_load import UpstreamLoad, parse_upstream_load
 
 __all__ = [
     "OWN_DIALECT",
@@ -57,6 +63,7 @@
     "EntryOutcome",
     "EntryService",
     "ForwardingSink",
+    "HealthPathSource",
     "IncomingRequest",
     "LivenessWatch",
     "PeerLeg",
@@ -67,11 +74,16 @@
     "Synchronizer",
     "TargetReport",
     "UpstreamAnnouncement",
+    "UpstreamConnection",
+    "UpstreamFailureError",
+    "UpstreamLoad",
     "UpstreamPool",
     "UpstreamProber",
     "WholeBody",
     "filter_request_headers",
     "filter_response_headers",
+    "get_header",
     "normalize_path",
+    "parse_upstream_load",
     "read_call_fields",
 ]
--- a/umberdrum/callpath/_call.py
+++ b/umberdrum/callpath/_call.py
@@ -14,7 +14,7 @@
     ``service`` is the one that must run the call, and ``priority`` ranks it among calls
     that wait, 0 first. ``target_at`` is the moment at which the latency objective is
     missed, on the same clock as ``deadline``. ``is_last_resort`` says that no other
-    endpoint is left to try.
+    endpoint is left to try, ``is_hedge`` that another attempt is running.
     """
 
     request_id: str
@@ -32,6 +32,7 @@
     priority: int = 0
     target_at: float = 0.0
     is_last_resort: bool = True
+    is_hedge: bool = False
 
 
 class AnswerHead(NamedTuple):
--- a/umberdrum/callpath/_dialect.py
+++ b/umberdrum/callpath/_dialect.py
@@ -14,7 +14,8 @@
     which service runs where the call began. ``expected_instance`` names the upstream
     that may run the request; another one answers 421. ``not_run`` on an answer states
     that the upstream did not run the request. ``load_report`` on an answer carries the
-    upstream's own load. ``sends_via`` adds a ``Via`` field. With ``echoes_request_id``
+    upstream's own load, and ``instance_id`` on the answer to a probe names the run of
+    the upstream. ``sends_via`` adds a ``Via`` field. With ``echoes_request_id``
     every answer repeats the id of its request, so that an answer that belongs to
     another request is recognised. ``retry_after_has_fractions`` allows a Retry-After
     with fractions of a second.
@@ -28,6 +29,7 @@
     expected_instance: bytes
     not_run: bytes
     load_report: bytes
+    instance_id: bytes
     sends_via: bool
     echoes_request_id: bool
     retry_after_has_fractions: bool
@@ -55,6 +57,7 @@
     expected_instance=b"",
     not_run=b"",
     load_report=b"",
+    instance_id=b"",
     sends_via=True,
     echoes_request_id=False,
     retry_after_has_fractions=False,
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -463,4 +463,5 @@
         call.priority,
         call.target_at,
         call.is_last_resort,
+        call.is_hedge,
     )
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -125,11 +125,17 @@
         return self._budgets.get_budget(service)
 
     def choose(
-        self, service: str, class_name: str, excluded: frozenset[str]
+        self,
+        service: str,
+        class_name: str,
+        excluded: frozenset[str],
+        n_body_bytes: int = 0,
     ) -> routing.RoutingDecision | None:
         """Return the endpoint for the next attempt of a call of the class."""
         candidates = self._directory.list_candidates(service)
-        return self.router.choose(class_name, candidates, excluded, trio.current_time())
+        return self.router.choose(
+            class_name, candidates, excluded, trio.current_time(), n_body_bytes
+        )
 
     async def attempt(
         self,
--- a/umberdrum/callpath/_frames.py
+++ b/umberdrum/callpath/_frames.py
@@ -39,6 +39,7 @@
         priority=call.priority,
         target_remaining_ms=max(0, int((call.target_at - now) * MS_PER_SECOND)),
         is_last_resort=call.is_last_resort,
+        is_hedge=call.is_hedge,
     ).SerializeToString()
 
 
@@ -60,6 +61,7 @@
         priority=head.priority,
         target_at=now + head.target_remaining_ms / MS_PER_SECOND,
         is_last_resort=head.is_last_resort,
+        is_hedge=head.is_hedge,
     )
 
 
--- a/umberdrum/callpath/_journey.py
+++ b/umberdrum/callpath/_journey.py
@@ -35,7 +35,11 @@
         """Return the retry budget towards ``service``."""
 
     def choose(
-        self, service: str, class_name: str, excluded: frozenset[str]
+        self,
+        service: str,
+        class_name: str,
+        excluded: frozenset[str],
+        n_body_bytes: int,
     ) -> routing.RoutingDecision | None:
         """Return the endpoint for the next attempt of a call of the class."""
 
@@ -93,7 +97,10 @@
 
     def _choose(self) -> routing.RoutingDecision | None:
         excluded = frozenset(self._tried)
-        return self._entry.choose(self._service, self._call.class_name, excluded)
+        n_body_bytes = self._call.content_length or len(self._body.initial)
+        return self._entry.choose(
+            self._service, self._call.class_name, excluded, n_body_bytes
+        )
 
     async def _make_attempt(
         self, decision: routing.RoutingDecision
@@ -161,7 +168,9 @@
         self._tried.add(decision.candidate.key)
         self._entry.statistics.count_hedge(self._call.class_name)
         call = self._call._replace(
-            n_extra_attempts=self._allowance.hand_on(index), is_last_resort=False
+            n_extra_attempts=self._allowance.hand_on(index),
+            is_last_resort=False,
+            is_hedge=True,
         )
         runner = race.enter()
         with runner.scope:
@@ -169,6 +178,8 @@
                 call, decision, self._body, runner.sink, index
             )
             race.leave(runner, result)
+            if result.is_error() and _is_detour(result.error):
+                self._budget.give_back()
         if runner.scope.cancelled_caught:
             race.leave(runner, None)
 
--- a/umberdrum/callpath/_peer_leg.py
+++ b/umberdrum/callpath/_peer_leg.py
@@ -13,6 +13,7 @@
 US_PER_SECOND = 1_000_000.0
 MS_PER_SECOND = 1000.0
 BODY_FRAME_BYTES = 1 << 16
+MAX_EAGER_BODY_BYTES = 4096
 
 LegResult = expression.Result[_call.CallReport, errors.Failure]
 
@@ -102,6 +103,9 @@
         sink: _sinks.CountingSink,
     ) -> LegResult:
         """Send the request and relay the answer; the link is clean on return."""
+        if len(body.initial) > MAX_EAGER_BODY_BYTES:
+            # An endpoint that refuses must not cost the bytes of a long body.
+            body = _HeldBody(body)
         now = trio.current_time()
         head = _frames.encode_call(call, link.peer.process_id, body.is_complete, now)
         await link.channel.send(peerlink.FrameKind.CALL, head, body.initial)
@@ -280,6 +284,31 @@
         return _fail_link("settled by an outcome query", execution)
 
 
+class _HeldBody:
+    """Request body of which nothing is sent before the endpoint asks for it."""
+
+    initial = b""
+    is_complete = False
+
+    def __init__(self, body: _call.RequestBody) -> None:
+        self._body = body
+        self._is_initial_taken = False
+
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Whether nothing after the first part was received yet."""
+        return self._body.can_be_sent_again
+
+    async def receive(self) -> bytes:
+        """Return the first part, then the next bytes, none at the end."""
+        if not self._is_initial_taken:
+            self._is_initial_taken = True
+            return self._body.initial
+        if self._body.is_complete:
+            return b""
+        return await self._body.receive()
+
+
 def _report_deadline(call: _call.Call) -> errors.Failure:
     return errors.fail(
         errors.ErrorKind.DEADLINE_EXCEEDED,
--- a/umberdrum/callpath/_prober.py
+++ b/umberdrum/callpath/_prober.py
@@ -11,6 +11,8 @@
 PROBE_TIMEOUT_SECONDS = 0.05
 RECHECK_SECONDS = 0.02
 
+HealthPathSource = Callable[[str], str]
+
 
 class UpstreamProber:
     """Keeps the gate's knowledge of the upstream's pace fresh while calls arrive.
@@ -18,6 +20,8 @@
     Answers state the pace for free, so a probe goes out only when a call is about to be
     admitted on knowledge that is too old, one at a time and within the measuring
     budget. While calls wait for the end of a slow episode it asks again and again.
+    ``get_path`` returns the path that upstreams of a service answer probes on, empty
+    while it is not known.
     """
 
     def __init__(
@@ -26,7 +30,7 @@
         gate: admission.Gate,
         budget: measuring.MeasuringBudget,
         dialect: _dialect.Dialect,
-        get_path: Callable[[], str],
+        get_path: HealthPathSource,
         log: logs.EventLog,
     ) -> None:
         self._pool = pool
@@ -34,6 +38,7 @@
         self._budget = budget
         self._field = dialect.load_report
         self._get_path = get_path
+        self.service = ""
         self._log = log
         self._running: trio.Event | None = None
         self._wake = trio.Event()
@@ -59,7 +64,7 @@
         """Return once the pace is known, or can't be found out in time."""
         if not self._field or self._gate.has_fresh_pace():
             return
-        path = self._get_path()
+        path = self._get_path(self.service)
         if not path:
             return
         if self._running is not None:
--- a/umberdrum/classes/_catalog.py
+++ b/umberdrum/classes/_catalog.py
@@ -31,6 +31,8 @@
 class Catalog:
     """Classes known to one daemon, each at the highest revision seen.
 
+    ``revision`` is the highest of all entries, 0 for an empty catalog.
+
     Merging keeps, for each class, the entry with the higher revision, so that merging
     is commutative, associative and idempotent and no class ever goes back. The catalog
     never decides what is accepted: only a commit in the store does.
@@ -40,6 +42,7 @@
         self._entries: dict[str, CatalogEntry] = {}
         self._rows: dict[str, CatalogRow] = {}
         self._rows_by_service: dict[str, list[CatalogRow]] = {}
+        self.revision = 0
         self.digest = self._compute_digest()
 
     @property
@@ -47,11 +50,6 @@
         """Entries of all classes, deleted ones included, in the order of names."""
         return [self._entries[name] for name in sorted(self._entries)]
 
-    @property
-    def revision(self) -> int:
-        """Highest revision among the entries; 0 for an empty catalog."""
-        return max((entry.revision for entry in self._entries.values()), default=0)
-
     def get_entry(self, name: str) -> CatalogEntry | None:
         """Return the entry of class ``name``, deleted or not."""
         return self._entries.get(name)
@@ -74,6 +72,7 @@
             return self
         merged._rows_by_service = merged._group_rows()
         merged.digest = merged._compute_digest()
+        merged.revision = max(entry.revision for entry in merged._entries.values())
         return merged
 
     def is_news(self, entry: CatalogEntry) -> bool:
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -18,6 +18,7 @@
 MAX_LIST_INTERVAL_SECONDS = 30.0
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 30.0
+MAX_LOAD_BACKOFF_SECONDS = 2.0
 
 
 class ContactKeys(NamedTuple):
@@ -75,7 +76,26 @@
 
     async def run(self) -> None:
         """Join the cluster, then be a contact whenever the zone needs one."""
-        await self._join()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._load_first_documents)
+            await self._join()
+            await self._serve_as_needed()
+
+    async def _load_first_documents(self) -> None:
+        """Read the documents from the store, unless gossip brings them sooner.
+
+        After a restart of all daemons nobody has them, and the contact keys are held by
+        processes that are gone.
+        """
+        backoff = MIN_BACKOFF_SECONDS
+        while not self._state.catalog.revision:
+            if await self._watcher.load_once():
+                return
+            await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
+            backoff = min(MAX_LOAD_BACKOFF_SECONDS, backoff * 2)
+
+    async def _serve_as_needed(self) -> None:
+        """Be a contact whenever the zone needs one, for ever."""
         backoff = MIN_BACKOFF_SECONDS
         while True:
             await self._wait_until_needed()
@@ -151,17 +171,20 @@
             self._log.warn("store_read", reason=listed.error.detail)
             return False
         await self._introduce_to_holders(listed.ok.items)
-        taken = {item.key for item in listed.ok.items}
+        taken = {item.key: item for item in listed.ok.items}
         own_address = self._state.table.own.endpoint_id.encode()
         for index in range(self._keys.n_contacts):
             key = self._keys.get_key(index)
-            if key in taken:
+            held = taken.get(key)
+            if held is not None and held.value != own_address:
                 continue
+            # A key with the own address was left by an earlier process.
+            revision = held.mod_revision if held is not None else 0
             granted = await self._store.grant_lease(LEASE_SECONDS)
             if granted.is_error():
                 return False
             lease_id = granted.ok.lease_id
-            swapped = await self._store.swap(key, 0, own_address, lease_id)
+            swapped = await self._store.swap(key, revision, own_address, lease_id)
             if swapped.is_ok() and swapped.ok.is_applied:
                 self._lease_id = lease_id
                 self._log.write("contact_claimed", key=key)
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -49,6 +49,10 @@
         finally:
             self.is_following = False
 
+    async def load_once(self) -> bool:
+        """Take the documents as they are now; return whether the store answered."""
+        return await self._load() > 0
+
     async def _load(self) -> int:
         """Take all classes; return the revision of the listing, 0 if it failed."""
         listed = await self._store.list_prefix(self._prefix)
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -162,6 +162,7 @@
                 accept, listeners.ready, parts.serve_ready, MAX_CONTROL_CONNECTIONS
             )
         nursery.start_soon(parts.prober.run)
+        nursery.start_soon(parts.first_look.run)
         nursery.start_soon(parts.exchange.run)
         nursery.start_soon(parts.keeper.run)
         nursery.start_soon(parts.desk.watch_timeout)
--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -25,12 +25,14 @@
         self,
         endpoint: callpath.EndpointService,
         pool: callpath.UpstreamPool,
+        prober: callpath.UpstreamProber,
         state: gossip.SharedState,
         exchange: gossip.GossipExchange,
         nursery: trio.Nursery,
     ) -> None:
         self._endpoint = endpoint
         self._pool = pool
+        self._prober = prober
         self._state = state
         self._exchange = exchange
         self._nursery = nursery
@@ -45,6 +47,7 @@
             # Connections to an earlier run of the upstream lead nowhere.
             self._pool.close_all()
         self._endpoint.service = announcement.service
+        self._prober.service = announcement.service
         self._endpoint.instance_id = announcement.instance_id
         self._endpoint.gate.slot_limit.set_slots(announcement.n_slots)
         self._endpoint.set_state(announcement.state)
--- /dev/null
+++ b/umberdrum/daemon/_first_look.py
@@ -0,0 +1,84 @@
+"""Look at the upstream beside a daemon that has just started."""
+
+import trio
+
+from umberdrum import announcements, callpath, logs, settings, sockets
+
+INTERVAL_SECONDS = 0.1
+PROBE_TIMEOUT_SECONDS = 0.5
+MAX_LOOK_SECONDS = 5.0
+HEALTHY_STATUS = 200
+
+
+class FirstLook:
+    """Finds the upstream by a probe, until it announces itself.
+
+    A daemon that starts again beside a running upstream would else have nothing to
+    offer before the next announcement. A probe tells the run of the upstream, its slots
+    and that it is not leaving; announcements replace what was seen.
+    """
+
+    def __init__(
+        self,
+        own_settings: settings.Settings,
+        desk: announcements.AnnouncementDesk,
+        pool: callpath.UpstreamPool,
+        dialect: callpath.Dialect,
+        health_paths: "callpath.HealthPathSource",
+        log: logs.EventLog,
+    ) -> None:
+        self._settings = own_settings
+        self._desk = desk
+        self._pool = pool
+        self._dialect = dialect
+        self._health_paths = health_paths
+        self._log = log
+
+    async def run(self) -> None:
+        """Probe until the upstream is known or has had time to announce itself."""
+        address = self._settings.upstream_address
+        service = self._settings.own_service
+        if address is None or not service or not self._dialect.instance_id:
+            return
+        with trio.move_on_after(MAX_LOOK_SECONDS):
+            while self._desk.announcement is None:
+                path = self._health_paths(service)
+                if path:
+                    await self._look(address, service, path)
+                await trio.sleep(INTERVAL_SECONDS)
+
+    async def _look(self, address: settings.Address, service: str, path: str) -> None:
+        self._pool.set_address(address)
+        upstream: callpath.UpstreamConnection | None = None
+        is_clean = False
+        try:
+            with trio.move_on_after(PROBE_TIMEOUT_SECONDS):
+                upstream = await self._pool.acquire()
+                head = await upstream.fetch_head(path)
+                is_clean = True
+                if head.status == HEALTHY_STATUS:
+                    self._announce(address, service, head)
+        except (callpath.UpstreamFailureError, sockets.ConnectionLostError) as fault:
+            self._log.write("first_look_failed", reason=str(fault))
+        finally:
+            if upstream is not None:
+                self._pool.release(upstream, is_clean)
+
+    def _announce(
+        self, address: settings.Address, service: str, head: callpath.AnswerHead
+    ) -> None:
+        instance_id = callpath.get_header(head.headers, self._dialect.instance_id)
+        value = callpath.get_header(head.headers, self._dialect.load_report)
+        load = callpath.parse_upstream_load(value) if value else None
+        if instance_id is None or load is None or self._desk.announcement is not None:
+            return
+        self._desk.take(
+            callpath.UpstreamAnnouncement(
+                service=service,
+                address=address,
+                n_slots=max(1, load.n_slots),
+                state=callpath.EndpointState.SERVING,
+                load_path="",
+                instance_id=instance_id.decode("latin-1"),
+            )
+        )
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -26,7 +26,7 @@
     sockets,
     store,
 )
-from umberdrum.daemon import _endpoint_state, _integration, _metrics, _view
+from umberdrum.daemon import _endpoint_state, _first_look, _integration, _metrics, _view
 
 INITIAL_SLOTS = 1
 RETRY_SAFETY = 0.5
@@ -118,7 +118,12 @@
             self.entry, self.watch, self._get_limits, identity.daemon_id, dialect
         )
         self.state_keeper = _endpoint_state.EndpointStateKeeper(
-            self.endpoint, self.upstream_pool, self.state, self.exchange, nursery
+            self.endpoint,
+            self.upstream_pool,
+            self.prober,
+            self.state,
+            self.exchange,
+            nursery,
         )
         self.desk = announcements.AnnouncementDesk(
             self.state_keeper,
@@ -126,6 +131,14 @@
             log,
         )
         counter = store.StoreCallCounter()
+        self.first_look = _first_look.FirstLook(
+            own_settings,
+            self.desk,
+            self.upstream_pool,
+            dialect,
+            self._get_health_path,
+            log,
+        )
         self.endpoint.on_misdirected = self._drop_misdirected
         self._handle_announcement = integration.build_announcement_handler(self.desk)
         self._store = integration.build_store(own_settings, counter)
@@ -210,11 +223,11 @@
             self.routes.take_catalog(catalog)
         self._nursery.start_soon(self.exchange.push_news, PUSH_PEERS)
 
-    def _get_health_path(self) -> str:
-        """Return the path on which the upstream answers probes, empty if unknown."""
+    def _get_health_path(self, service: str) -> str:
+        """Return where upstreams of ``service`` answer probes, empty if unknown."""
         if self.routes is None or self.routes.table is None:
             return ""
-        return self.routes.table.health_paths.get(self.endpoint.service, "")
+        return self.routes.table.health_paths.get(service, "")
 
     def _drop_misdirected(self) -> None:
         self.desk.drop("misdirected")
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -24,7 +24,6 @@
 SUSPECTED_PROBE_SHARE = 0.1
 BASE_MESSAGE_BYTES = 160
 FORGET_INTERVAL_SECONDS = 5.0
-PUSH_PEERS = 5
 
 
 class _Probe(NamedTuple):
@@ -213,6 +212,7 @@
             records=batch.records,
             classes=batch.entries,
             n_endpoints=len(table),
+            catalog_revision=self._state.catalog.revision,
             target_process_id=process_id,
         )
 
@@ -257,7 +257,7 @@
         self._state.take_records(message.records, now)
         self._state.take_messages_of_entries(message.classes)
         try:
-            if self._state.lacks_named_entry(message.classes):
+            if message.catalog_revision > self._state.catalog.revision:
                 self._fetch_from(message)
             self._compare_digests(message)
         except ValueError:
@@ -389,7 +389,6 @@
             self._is_fetching = False
             if self._fetch_peer == peer:
                 self._fetch_peer = None
-        await self.push_news(PUSH_PEERS)
 
     async def _forget_forever(self) -> None:
         while True:
--- a/umberdrum/gossip/_news.py
+++ b/umberdrum/gossip/_news.py
@@ -59,13 +59,14 @@
         self._items["endpoint " + record.endpoint_id] = _Item(message, None)
 
     def add_entry(self, entry: classes.CatalogEntry) -> None:
-        """Queue a class that has changed; a long one is only named.
+        """Queue a class that has changed.
 
-        Who lacks a named revision fetches it over a peer link.
+        A long document is left out: every datagram names the sender's revision, and who
+        has a lower one fetches what it lacks over a peer link.
         """
-        message = _convert.encode_entry(entry)
         if len(entry.document) > MAX_INLINE_BYTES:
-            message = _convert.encode_stub(entry)
+            return
+        message = _convert.encode_entry(entry)
         self._items["class " + entry.name] = _Item(None, message)
 
     def take_batch(self, max_bytes: int, n_endpoints: int) -> NewsBatch:
--- a/umberdrum/gossip/_state.py
+++ b/umberdrum/gossip/_state.py
@@ -66,13 +66,6 @@
                 entries.append(_convert.decode_entry(message))
         self.take_entries(entries, is_news)
 
-    def lacks_named_entry(self, messages: Iterable[wire.messages.ClassEntry]) -> bool:
-        """Return whether another daemon has named a revision that is news here."""
-        return any(
-            message.is_stub and self.catalog.is_news(_convert.decode_entry(message))
-            for message in messages
-        )
-
     def take_entries(
         self, entries: list[classes.CatalogEntry], is_news: bool = True
     ) -> None:
--- a/umberdrum/gossip/_synchronizer.py
+++ b/umberdrum/gossip/_synchronizer.py
@@ -35,15 +35,19 @@
     async def sync_with(self, peer: peerlink.PeerAddress, now: float) -> SyncResult:
         """Synchronise with ``peer``."""
         try:
-            link = await self._pool.open(peer)
+            link = await self._pool.acquire(peer)
         except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError):
             return SyncResult(False, 0)
+        reply: wire.messages.SyncReply | None = None
         try:
             reply = await self._exchange(link)
         except (sockets.ConnectionLostError, peerlink.FrameError):
             return SyncResult(False, 0)
         finally:
-            link.close()
+            if reply is None:
+                link.close()
+            else:
+                self._pool.release(link)
         if reply is None:
             return SyncResult(False, 0)
         self.n_syncs += 1
--- a/umberdrum/retries/_budget.py
+++ b/umberdrum/retries/_budget.py
@@ -41,6 +41,10 @@
         self._n_tokens -= 1.0
         return True
 
+    def give_back(self) -> None:
+        """Return a token for an attempt that reached no upstream."""
+        self._n_tokens = min(self.max_tokens, self._n_tokens + 1.0)
+
 
 class SharedAllowance(NamedTuple):
     """Extra attempts that all daemons together may make towards one service.
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -12,6 +12,8 @@
 NEARLY_BEST_SECONDS = 0.0003
 POLICY_NAME = "finish_time"
 MS_PER_SECOND = 1000.0
+CROSS_ZONE_SECONDS_PER_BYTE = 1e-6
+TYPICAL_CALL_BYTES = 2000
 
 
 class FinishTimeRouter(_tracking.TrackingRouter):
@@ -20,7 +22,9 @@
     The expectation is the network time, plus the class's typical time multiplied by how
     slow the endpoint is and by how its load compares with its slots. Sampling keeps
     many daemons with the same report from choosing the same endpoint; suspected
-    endpoints are considered only when no other is left.
+    endpoints are considered only when no other is left. Bytes between zones are paid
+    for, so a large body stays in its zone unless another zone is expected to finish
+    much sooner.
     """
 
     def __init__(self, place: _tracking.Place, rng: random.Random) -> None:
@@ -35,6 +39,7 @@
         candidates: Sequence[_router.Candidate],
         excluded: frozenset[str],
         now: float,
+        n_body_bytes: int = 0,
     ) -> _router.RoutingDecision | None:
         """Return one of the sampled candidates that are expected to finish first."""
         allowed = _tracking.filter_candidates(candidates, excluded)
@@ -43,7 +48,13 @@
         warm = self._leave_out_cold(allowed, now)
         sampled = self._rng.sample(warm, min(N_SAMPLED, len(warm)))
         typical = self._get_class_seconds(class_name)
-        expected = [self._estimate_seconds(row, typical, now) for row in sampled]
+        expected: list[float] = []
+        for row in sampled:
+            seconds = self._estimate_seconds(row, typical, now)
+            if row.availability_zone != self._place.availability_zone:
+                n_bytes = TYPICAL_CALL_BYTES + n_body_bytes
+                seconds += n_bytes * CROSS_ZONE_SECONDS_PER_BYTE
+            expected.append(seconds)
         bound = min(expected) * NEARLY_BEST_FACTOR + NEARLY_BEST_SECONDS
         # The sample is in random order, so the first of the nearly best is a fair draw.
         for candidate, seconds in zip(sampled, expected, strict=True):
--- a/umberdrum/routing/_router.py
+++ b/umberdrum/routing/_router.py
@@ -78,8 +78,12 @@
         candidates: Sequence[Candidate],
         excluded: frozenset[str],
         now: float,
+        n_body_bytes: int = 0,
     ) -> RoutingDecision | None:
-        """Return the choice among candidates outside ``excluded``, or None."""
+        """Return the choice among candidates outside ``excluded``, or None.
+
+        ``n_body_bytes`` is the size of the request's body, as far as it is known.
+        """
 
     def begin(self, key: str, class_name: str, now: float) -> OutstandingCall:
         """Note that an attempt is sent to the endpoint ``key``."""
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -11,8 +11,9 @@
     Addresses that end in ``_listen`` are bound by the daemon. ``peer_advertise`` is the
     address under which other daemons reach it and serves as the id of its endpoint.
     ``own_service`` is the service of the upstream beside the daemon, empty where its
-    announcements alone tell. ``leave_accept_ms`` is how long a daemon that stops still
-    takes new calls as an entry. ``shared_retries`` extra attempts and
+    announcements alone tell, and ``upstream_address`` where it answers probes before
+    it has announced itself, if that is known. ``leave_accept_ms`` is how long a daemon
+    that stops still takes new calls as an entry. ``shared_retries`` extra attempts and
     ``shared_retry_share`` of the calls are what all daemons together may add towards a
     service; with 0 each daemon has a budget of its own.
     """
@@ -42,6 +43,7 @@
     admission_policy: str
     own_service: str
     ready_listen: _address.Address | None
+    upstream_address: _address.Address | None
     leave_accept_ms: int
     shared_retries: float
     shared_retry_share: float
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -170,6 +170,7 @@
     ),
     _Field("own_service", "instance", "service", _OPTIONAL_NAME, ""),
     _Field("ready_listen", "listen", "ready", _OPTIONAL_ADDRESS, ""),
+    _Field("upstream_address", "instance", "upstream", _OPTIONAL_ADDRESS, ""),
     _Field(
         "leave_accept_ms", "limits", "leave_accept_ms", _whole_number(0, 600_000), "0"
     ),
--- a/umberdrum/tests/upstreams.py
+++ b/umberdrum/tests/upstreams.py
@@ -9,11 +9,15 @@
 from umberdrum_bench import http_server
 
 
+LONG_ANSWER_BYTES = 1 << 20
+
+
 class FakeUpstream:
     """Upstream that records what it runs and misbehaves on request.
 
     The field ``x-fault`` of a request says how: ``hang``, ``close-before-answer``,
-    ``close-in-answer``, ``garbage``, ``slow`` (two seconds), ``error`` or ``shed``.
+    ``close-in-answer``, ``close-in-long`` (an answer too long to be held back),
+    ``garbage``, ``slow`` (two seconds), ``error`` or ``shed``.
     """
 
     def __init__(self, address: settings.Address) -> None:
@@ -79,14 +83,15 @@
             return False
         self.ended.append(nonce)
         body = json.dumps({"nonce": nonce, "n_bytes": n_bytes}).encode()
-        n_length = len(body) + (10 if fault == "close-in-answer" else 0)
+        n_missing = {"close-in-answer": 10, "close-in-long": LONG_ANSWER_BYTES}
+        n_length = len(body) + n_missing.get(fault, 0)
         statuses = {"error": 500, "shed": 503}
         response = h11.Response(
             status_code=statuses.get(fault, 200),
             headers=[("content-length", str(n_length))],
         )
         data = (http.send(response) or b"") + (http.send(h11.Data(data=body)) or b"")
-        if fault == "close-in-answer":
+        if fault in n_missing:
             await connection.send(data)
             return False
         await connection.send(data + (http.send(h11.EndOfMessage()) or b""))
