--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -32,6 +32,7 @@
 def list_groups() -> list[list[str]]:
     """Return the feature paths of each process; the first is below ``TESTS``."""
     parts = sorted(ROOT.glob("umberdrum/*/tests/*.feature"))
+    parts += sorted(ROOT.glob("platform/*/tests/*.feature"))
     groups = [[f"{TESTS}/scenes.feature"]]
     groups[0] += [str(path.relative_to(ROOT)) for path in parts]
     for path in sorted((ROOT / TESTS).glob("fault_*.feature")):
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -1,6 +1,8 @@
 """Steps of all features: each part keeps its own beside its feature files."""
 
 import importlib
+import pathlib
+import sys
 
 PARTS = (
     "admission",
@@ -22,7 +24,13 @@
     "store",
 )
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
+
 importlib.import_module("umberdrum.tests.system_steps")
 for part in PARTS:
     importlib.import_module(f"umberdrum.{part}.tests.{part}_steps")
 importlib.import_module("umberdrum.configuration.tests.snapshot_steps")
+# The adapter lies outside the library, in a folder that must not be a package: it would
+# hide the standard library's module of the same name.
+sys.path.append(str(ROOT / "platform"))
+importlib.import_module("adapter.tests.adapter_steps")
--- a/umberdrum/tests/upstreams.py
+++ b/umberdrum/tests/upstreams.py
@@ -8,7 +8,6 @@
 from umberdrum import settings, sockets
 from umberdrum_bench import http_server
 
-
 LONG_ANSWER_BYTES = 1 << 20
 
 
