Try a larger limit often at first, seldom later, and never for a call that can't run

Change: a trial is drawn last, one in 10 completed calls until 16 were seen, then one in 200. Late calls leave a quarter of the slots free, and refused callers are asked back while they can still be in time. Changed routes are logged.

--- a/umberdrum/admission/_knee_limit.py
+++ b/umberdrum/admission/_knee_limit.py
@@ -2,12 +2,14 @@
 
 FULL_SHARE = 0.8
 FULL_SLOWNESS = 2.0
-PRIOR_OBSERVATIONS = 4
+PRIOR_OBSERVATIONS = 2
 MIN_GAIN = 1.05
 IDLE_SHARE = 0.5
 OBSERVATION_WEIGHT = 0.05
 MAX_SLOWNESS = 4.0
-TRIAL_INTERVAL = 16
+FIRST_TRIALS = 16
+FIRST_TRIAL_INTERVAL = 10
+TRIAL_INTERVAL = 200
 
 
 class KneeSlotLimit:
@@ -17,8 +19,8 @@
     the number with the best ratio of calls to slowness. Load pattern: a burst that
     fills all slots of an upstream which slows down when nearly full. Up to
     ``FULL_SHARE`` of the slots calls are taken for undisturbed until they are seen to
-    be slow; beyond it, one call in ``TRIAL_INTERVAL`` that finds others waiting shows
-    whether a larger limit would do.
+    be slow; beyond it, one call in ``TRIAL_INTERVAL``, and more at first, shows whether a
+    larger limit would do.
 
     Slowness is measured against calls that began with at most ``IDLE_SHARE`` of the
     slots in use. A mean over all calls would do no good: under steady load nearly all
@@ -45,8 +47,10 @@
         """Return whether this call may run beyond the limit, to learn from it."""
         if self._limit >= self._n_slots:
             return False
-        self._n_since_trial += 1
-        if self._n_since_trial < TRIAL_INTERVAL:
+        interval = TRIAL_INTERVAL
+        if self._n_observed[self._limit + 1] < FIRST_TRIALS:
+            interval = FIRST_TRIAL_INTERVAL
+        if self._n_since_trial < interval:
             return False
         self._n_since_trial = 0
         return True
@@ -67,6 +71,7 @@
     def observe(self, slowness: float, n_running: int) -> None:
         """Learn from a finished call that began as the last of ``n_running``."""
         index = max(1, min(n_running, self._n_slots))
+        self._n_since_trial += 1
         if index <= self._n_slots * IDLE_SHARE:
             return
         seen = min(slowness, MAX_SLOWNESS)
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -18,7 +18,8 @@
 LONG_CLASS_RATIO = 4.0
 LONG_CLASS_SLOT_SHARE = 0.67
 CLASS_ACTIVE_SECONDS = 10.0
-MIN_RETRY_AFTER_SECONDS = 0.05
+MIN_RETRY_AFTER_SECONDS = 0.02
+LATE_SLOT_SHARE = 0.75
 MAX_RETRY_AFTER_SHARE = 0.33
 RECHECK_SECONDS = 0.1
 MS_PER_SECOND = 1000.0
@@ -67,14 +68,16 @@
 
     - More calls than slots: those that can still meet their target run first, in the
       order in which their targets would be missed, moved by rank. Those that can't run
-      when no other waits, or are refused when that would take long.
+      when no other waits and a part of the slots is free, or are refused when that
+      would take long: else every call would be late by the time that these took.
     - Neighbours slow the upstream for moments: a call is refused as not run while
       another endpoint can be tried; the last one waits for the end of the episode if
       that is expected to be faster than running slowly.
     - A call that can't meet its deadline any more is refused at once, also when it has
       begun to wait.
     - Refused callers are told to come back in the order of refusal, at the pace at
-      which slots become free, so that they don't return together.
+      which slots become free, so that they don't return together, and early enough to
+      be in time yet.
     - A class with long targets never holds every slot while one with short targets is
       active.
 
@@ -227,20 +230,27 @@
         self, request: _gate.AdmissionRequest, now: float
     ) -> tuple[bool, float]:
         """Return the place in the queue: calls that will be late come last."""
-        if now + self._get_safe_seconds(request) > request.target_at:
+        if self._is_late(request, now):
             return (True, request.deadline)
         return (False, request.target_at + request.priority * RANK_SECONDS)
 
+    def _is_late(self, request: _gate.AdmissionRequest, now: float) -> bool:
+        """Return whether a call that begins now is likely to miss its target."""
+        return now + self._get_safe_seconds(request) > request.target_at
+
     def _may_run(self, request: _gate.AdmissionRequest, now: float) -> bool:
         limit = self.slot_limit.get_limit()
-        if self.n_running >= limit:
-            is_trial = self.n_running == limit and bool(self._queue)
-            if not (is_trial and self._occupancy.may_try_more()):
-                return False
+        is_trial = self.n_running == limit and bool(self._queue)
+        if self.n_running >= limit and not is_trial:
+            return False
         state = self._classes[request.class_name]
         if state.n_running >= self._get_class_cap(state, limit, now):
             return False
-        return not self._is_worth_waiting(request, now)
+        if self._is_late(request, now) and self.n_running >= LATE_SLOT_SHARE * limit:
+            return False
+        if self._is_worth_waiting(request, now):
+            return False
+        return not is_trial or self._occupancy.may_try_more()
 
     def _is_worth_waiting(self, request: _gate.AdmissionRequest, now: float) -> bool:
         """Return whether the end of a slow episode is nearer than the time it costs."""
@@ -256,7 +266,8 @@
                 continue
             if state.target_latency_ms >= LONG_CLASS_RATIO * other.target_latency_ms:
                 return max(1, int(limit * LONG_CLASS_SLOT_SHARE))
-        return limit
+        # A trial runs beyond the limit.
+        return limit + 1
 
     def _find_refusal(
         self, request: _gate.AdmissionRequest, now: float
@@ -330,6 +341,10 @@
         drained_at = now + (queued + self._mean_seconds) / limit
         return_at = max(drained_at, self._last_return_at + self._mean_seconds / limit)
         latest = now + MAX_RETRY_AFTER_SHARE * max(0.0, request.deadline - now)
+        # A caller that comes back can still be in time only up to here.
+        in_time_until = request.target_at - self._get_safe_seconds(request)
+        if in_time_until > now + MIN_RETRY_AFTER_SECONDS:
+            latest = min(latest, in_time_until)
         return_at = min(return_at, latest)
         self._last_return_at = return_at
         seconds = max(MIN_RETRY_AFTER_SECONDS, return_at - now)
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -20,7 +20,7 @@
 MAX_PEER_CONNECTIONS = 4096
 MAINTENANCE_SECONDS = 1.0
 FINAL_NEWS_SECONDS = 1.0
-RESIGN_TIMEOUT_SECONDS = 1.0
+RESIGN_TIMEOUT_SECONDS = 0.5
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
 
@@ -192,11 +192,11 @@
             await trio.sleep(self._settings.leave_accept_ms / MS_PER_SECOND)
         sockets.close_listener(listeners.caller)
         parts.caller_server.start_closing()
+        with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
+            await parts.keeper.resign()
         with trio.move_on_at(grace_until) as scope:
             await parts.endpoint.wait_until_idle()
             await parts.caller_server.wait_until_idle()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
-        with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
-            await parts.keeper.resign()
         await trio.sleep_until(leave_until)
--- a/umberdrum/routetable/_source.py
+++ b/umberdrum/routetable/_source.py
@@ -7,6 +7,8 @@
 from umberdrum import classes, errors, logs
 from umberdrum.routetable import _table
 
+MAX_LOGGED_ROUTES = 20
+
 
 class RouteTableReader(Protocol):
     """Decodes the stored form of a route table."""
@@ -54,6 +56,7 @@
                 in_force=self.table.version,
             )
             return
+        self._log_changes(table)
         self.table = table
         self._log.write(
             "routes_in_force",
@@ -61,3 +64,23 @@
             revision=entry.revision,
             routes=len(table.routes),
         )
+
+    def _log_changes(self, table: _table.RouteTable) -> None:
+        """Write a line for each route that is new or different, up to a bound."""
+        held = frozenset(self.table.routes) if self.table is not None else frozenset()
+        changed = [route for route in table.routes if route not in held]
+        for route in changed[:MAX_LOGGED_ROUTES]:
+            self._log.write(
+                "route_changed",
+                version=table.version,
+                route=route.name,
+                place=route.host + route.path_prefix,
+                services=",".join(
+                    f"{row.service}:{row.weight:g}" for row in route.shares
+                ),
+                idempotent=route.is_idempotent,
+                target_ms=route.target_latency_ms,
+                timeout_ms=route.timeout_ms,
+                attempts=route.max_attempts,
+                priority=route.priority,
+            )
