Replay the worst loads on both admission policies

Change: a model of an upstream (knee, slow episodes) and of callers that come back, played on a virtual clock for six load patterns with three seeds, against the early refusal as the baseline; tables for the knee, slow episodes, returns, hedges and cancelled calls.

--- a/umberdrum/admission/__init__.py
+++ b/umberdrum/admission/__init__.py
@@ -6,7 +6,7 @@
     Gate,
     SlotTicket,
 )
-from umberdrum.admission._knee_limit import KneeSlotLimit
+from umberdrum.admission._knee_limit import FixedOccupancyLimit, KneeSlotLimit
 from umberdrum.admission._limit import (
     FixedSlotLimit,
     LatencySlotLimit,
@@ -18,6 +18,7 @@
 __all__ = [
     "AdmissionGate",
     "AdmissionRequest",
+    "FixedOccupancyLimit",
     "FixedSlotLimit",
     "Gate",
     "KneeSlotLimit",
--- a/umberdrum/admission/_knee_limit.py
+++ b/umberdrum/admission/_knee_limit.py
@@ -1,5 +1,7 @@
 """Slot limit that finds the point beyond which more calls at once finish fewer."""
 
+from umberdrum.admission import _limit
+
 FULL_SHARE = 0.8
 FULL_SLOWNESS = 2.0
 PRIOR_OBSERVATIONS = 2
@@ -19,8 +21,8 @@
     the number with the best ratio of calls to slowness. Load pattern: a burst that
     fills all slots of an upstream which slows down when nearly full. Up to
     ``FULL_SHARE`` of the slots calls are taken for undisturbed until they are seen to
-    be slow; beyond it, one call in ``TRIAL_INTERVAL``, and more at first, shows whether a
-    larger limit would do.
+    be slow; beyond it, one call in ``TRIAL_INTERVAL``, and more at first, shows whether
+    a larger limit would do.
 
     Slowness is measured against calls that began with at most ``IDLE_SHARE`` of the
     slots in use. A mean over all calls would do no good: under steady load nearly all
@@ -87,3 +89,15 @@
             if rate > MIN_GAIN * best / self._slowness[best]:
                 best = n_running
         self._limit = best
+
+
+class FixedOccupancyLimit(_limit.FixedSlotLimit):
+    """Limit that equals the announced slot count and takes no call for slow."""
+
+    def get_slowness(self, n_running: int) -> float:
+        """Return 1: calls are taken for undisturbed."""
+        return 1.0
+
+    def may_try_more(self) -> bool:
+        """Return False: nothing is to be learnt beyond the announced slots."""
+        return False
--- /dev/null
+++ b/umberdrum/admission/tests/target_gate.feature
@@ -0,0 +1,62 @@
+Feature: Calls that can meet their target are admitted first
+
+  Scenario Outline: Worst loads, replayed on this policy and on the early refusal
+    When "<pattern>" is replayed on both policies
+    Then at least <share> % of calls are in time, and <ratio> times as many as before
+
+    Examples:
+      | pattern                                      | share | ratio |
+      | usual load                                   | 98    | 0.99  |
+      | burst of 2.5 times the load                  | 80    | 1.10  |
+      | lasting load of 1.3 times what can be served | 60    | 1.40  |
+      | slow episodes of neighbours                  | 70    | 1.00  |
+      | load between knee and all slots              | 90    | 1.15  |
+      | all slots useful                             | 93    | 0.95  |
+
+  Scenario Outline: The limit finds the knee
+    Given an upstream of <slots> slots that slows down <factor> times beyond <knee> calls
+    When calls arrive faster than it serves them for 60 s
+    Then the limit is between <low> and <high>
+
+    Examples:
+      | slots | knee | factor | low | high |
+      | 6     | 4    | 1.7    | 4   | 4    |
+      | 6     | 6    | 1.0    | 6   | 6    |
+      | 18    | 14   | 1.7    | 13  | 14   |
+      | 18    | 18   | 1.0    | 16  | 18   |
+      | 1     | 1    | 1.0    | 1   | 1    |
+
+  Scenario: A slow episode refuses a call that has another endpoint, as not run
+    Given a target gate whose upstream works 5 times slower than usual
+    When a call that can go elsewhere arrives
+    Then it is refused at once as "upstream-slowed" and not run
+
+  Scenario: The last endpoint waits for the end of a slow episode
+    Given a target gate whose upstream works 5 times slower than usual
+    When a call that can't go elsewhere arrives and the episode ends after 60 ms
+    Then it runs after 60 ms
+
+  Scenario: A short call does not wait for the end of a slow episode
+    Given a target gate whose upstream works 5 times slower than usual
+    When a call of 5 ms that can't go elsewhere arrives
+    Then it runs after 0 ms
+
+  Scenario: Stale knowledge of a slow episode holds nobody
+    Given a target gate whose upstream works 5 times slower than usual
+    When a call that can't go elsewhere arrives and nothing more is heard
+    Then it runs within 400 ms
+
+  Scenario: Refused callers come back one after the other, in time if they can
+    Given a target gate with all slots taken and a full queue
+    When 5 calls are refused
+    Then each is told a later return than the one before, within its target
+
+  Scenario: A hedge runs only where a slot is free
+    Given a target gate with all slots taken and an empty queue
+    When a hedge arrives
+    Then it is refused at once as "overloaded" and not run
+
+  Scenario: Waiting calls that are cancelled give up their place and their slot
+    Given a target gate with all slots taken and an empty queue
+    When 3 calls that wait there are cancelled, one as it gets its slot
+    Then nothing runs and nothing waits
--- /dev/null
+++ b/umberdrum/admission/tests/target_gate_steps.py
@@ -0,0 +1,248 @@
+"""Steps on the target gate and the limit that finds the knee."""
+
+import itertools
+import random
+
+import behave
+import trio
+import trio.testing
+from behave import runner
+
+from umberdrum import admission
+from umberdrum.admission.tests import replay
+
+SEEDS = (1, 2, 3)
+CLASS_SECONDS = 0.06
+N_SLOTS = 2
+SLOWED_TARGET_SECONDS = 0.4
+
+
+@behave.when('"{pattern}" is replayed on both policies')
+def replay_pattern(context: runner.Context, pattern: str) -> None:
+    context.in_time = {}
+    for policy in ("early_refusal", "target"):
+        shares: list[float] = []
+        for seed in SEEDS:
+            gate = replay.build_gate(policy)
+            shares.append(replay.replay(gate, replay.PATTERNS[pattern], seed).in_time)
+        context.in_time[policy] = sum(shares) / len(shares)
+
+
+@behave.then(
+    "at least {share:d} % of calls are in time, and {ratio:f} times as many as before"
+)
+def check_replay(context: runner.Context, share: int, ratio: float) -> None:
+    found = context.in_time
+    assert found["target"] * 100 >= share, found
+    assert found["target"] >= ratio * found["early_refusal"], found
+
+
+@behave.given(
+    "an upstream of {slots:d} slots that slows down {factor:f} times beyond "
+    "{knee:d} calls"
+)
+def prepare_knee(context: runner.Context, slots: int, factor: float, knee: int) -> None:
+    context.upstream = (slots, factor, knee)
+
+
+@behave.when("calls arrive faster than it serves them for {seconds:d} s")
+def fill_upstream(context: runner.Context, seconds: int) -> None:
+    slots, factor, knee = context.upstream
+    rng = random.Random(7)
+    limit = admission.KneeSlotLimit(slots)
+    for _ in range(seconds * 20 * slots):
+        n_running = limit.get_limit()
+        if limit.may_try_more():
+            n_running += 1
+        slowness = factor if n_running > knee else 1.0
+        limit.observe(slowness * rng.lognormvariate(0.0, 0.3), n_running)
+    context.limit = limit
+
+
+@behave.given("a target gate whose upstream works 5 times slower than usual")
+def prepare_slowed(context: runner.Context) -> None:
+    context.is_slowed = True
+
+
+@behave.given("a target gate with all slots taken and {queue}")
+def prepare_full(context: runner.Context, queue: str) -> None:
+    context.is_slowed = False
+    context.has_queue = queue == "a full queue"
+
+
+def build_request(
+    is_last_resort: bool = True,
+    is_hedge: bool = False,
+    target_seconds: float = 0.2,
+) -> admission.AdmissionRequest:
+    """Return a request that arrives now."""
+    now = trio.current_time()
+    return admission.AdmissionRequest(
+        class_name="look",
+        target_latency_ms=200,
+        max_queue_ms=100,
+        deadline=now + 2.5 * target_seconds,
+        target_at=now + target_seconds,
+        is_last_resort=is_last_resort,
+        is_hedge=is_hedge,
+    )
+
+
+async def build_gate(seconds: float = CLASS_SECONDS) -> admission.TargetGate:
+    """Return a gate that has learnt the time of its class."""
+    gate = admission.TargetGate(admission.FixedOccupancyLimit(N_SLOTS))
+    for _ in range(20):
+        acquired = await gate.acquire(build_request())
+        await trio.sleep(seconds)
+        gate.release(acquired.ok, is_observed=True)
+    return gate
+
+
+def _run(context: runner.Context, test: "object") -> None:
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(test, clock=clock)  # type: ignore[arg-type]
+
+
+def _acquire_slowed(
+    context: runner.Context, seconds: float, episode_seconds: float, is_last: bool
+) -> None:
+    async def run() -> None:
+        gate = await build_gate(seconds)
+        gate.note_pace(5.0, trio.current_time())
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            if episode_seconds:
+                nursery.start_soon(_end_episode, gate, episode_seconds)
+            request = build_request(is_last, target_seconds=SLOWED_TARGET_SECONDS)
+            context.acquired = await gate.acquire(request)
+            context.seconds = trio.current_time() - began_at
+            nursery.cancel_scope.cancel()
+
+    _run(context, run)
+
+
+async def _end_episode(gate: admission.TargetGate, seconds: float) -> None:
+    until = trio.current_time() + seconds
+    while trio.current_time() < until - 0.001:
+        await trio.sleep(0.02)
+        is_over = trio.current_time() >= until - 0.001
+        gate.note_pace(1.0 if is_over else 5.0, trio.current_time())
+
+
+@behave.when("a call that can go elsewhere arrives")
+def acquire_elsewhere(context: runner.Context) -> None:
+    _acquire_slowed(context, CLASS_SECONDS, 0.0, False)
+
+
+@behave.when("a call that can't go elsewhere arrives and the episode ends after 60 ms")
+def acquire_waiting(context: runner.Context) -> None:
+    _acquire_slowed(context, CLASS_SECONDS, 0.06, True)
+
+
+@behave.when("a call of 5 ms that can't go elsewhere arrives")
+def acquire_short(context: runner.Context) -> None:
+    _acquire_slowed(context, 0.005, 0.0, True)
+
+
+@behave.when("a call that can't go elsewhere arrives and nothing more is heard")
+def acquire_unheard(context: runner.Context) -> None:
+    _acquire_slowed(context, CLASS_SECONDS, 0.0, True)
+
+
+@behave.then('it is refused at once as "{kind}" and not run')
+def check_refused(context: runner.Context, kind: str) -> None:
+    failure = context.acquired.error
+    assert failure.kind.token == kind, failure
+    assert failure.execution.token == "not-run", failure
+    assert context.seconds == 0.0, context.seconds
+
+
+@behave.then("it runs after {ms:d} ms")
+def check_wait(context: runner.Context, ms: int) -> None:
+    assert context.acquired.is_ok(), context.acquired
+    assert abs(context.seconds * 1000 - ms) < 1.0, context.seconds
+
+
+@behave.then("it runs within {ms:d} ms")
+def check_bound(context: runner.Context, ms: int) -> None:
+    assert context.acquired.is_ok(), context.acquired
+    assert context.seconds * 1000 <= ms, context.seconds
+
+
+async def _hold(gate: admission.TargetGate) -> None:
+    acquired = await gate.acquire(build_request())
+    try:
+        await trio.sleep_forever()
+    finally:
+        gate.release(acquired.ok, is_observed=False)
+
+
+async def _fill(
+    gate: admission.TargetGate, nursery: trio.Nursery, n_calls: int
+) -> None:
+    for _ in range(n_calls):
+        nursery.start_soon(gate.acquire, build_request())
+    await trio.sleep(0.001)
+
+
+@behave.when("{n_calls:d} calls are refused")
+def refuse_calls(context: runner.Context, n_calls: int) -> None:
+    async def run() -> None:
+        gate = await build_gate()
+        context.returns = []
+        async with trio.open_nursery() as nursery:
+            await _fill(gate, nursery, N_SLOTS + 8)
+            for _ in range(n_calls):
+                acquired = await gate.acquire(build_request())
+                context.returns.append(acquired.error.retry_after_ms)
+            nursery.cancel_scope.cancel()
+
+    _run(context, run)
+
+
+@behave.then("each is told a later return than the one before, within its target")
+def check_returns(context: runner.Context) -> None:
+    returns = context.returns
+    latest = 200 - CLASS_SECONDS * 1300
+    assert returns == sorted(returns), returns
+    assert returns[0] < latest, returns
+    assert max(returns) <= latest, returns
+    for earlier, later in itertools.pairwise(returns):
+        assert later > earlier or later >= latest - 1, returns
+
+
+@behave.when("a hedge arrives")
+def acquire_hedge(context: runner.Context) -> None:
+    async def run() -> None:
+        gate = await build_gate()
+        async with trio.open_nursery() as nursery:
+            await _fill(gate, nursery, N_SLOTS)
+            began_at = trio.current_time()
+            context.acquired = await gate.acquire(build_request(is_hedge=True))
+            context.seconds = trio.current_time() - began_at
+            nursery.cancel_scope.cancel()
+
+    _run(context, run)
+
+
+@behave.when("3 calls that wait there are cancelled, one as it gets its slot")
+def cancel_waiting(context: runner.Context) -> None:
+    async def run() -> None:
+        gate = await build_gate()
+        held = [(await gate.acquire(build_request())).ok for _ in range(N_SLOTS)]
+        async with trio.open_nursery() as nursery:
+            for _ in range(3):
+                nursery.start_soon(_hold, gate)
+            await trio.sleep(0.001)
+            gate.release(held.pop(), is_observed=False)
+            nursery.cancel_scope.cancel()
+        for ticket in held:
+            gate.release(ticket, is_observed=False)
+        context.left = (gate.n_running, gate.n_queued)
+
+    _run(context, run)
+
+
+@behave.then("nothing runs and nothing waits")
+def check_empty(context: runner.Context) -> None:
+    assert context.left == (0, 0), context.left
