--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -105,6 +105,7 @@
             self._log.write(
                 "refused",
                 request=request_id,
+                version=self._matcher.version,
                 kind=failure.kind.token,
                 execution=failure.execution.token,
                 detail=failure.detail,
@@ -114,12 +115,41 @@
         call = self._build_call(request, request_id, row)
         counting = _sinks.CountingSink(sink)
         journey = _journey.Journey(self, row, call, body, counting)
-        result = await journey.run()
+        result: _endpoint.CallResult | None = None
+        try:
+            result = await journey.run()
+        finally:
+            self._log_end(call, journey, result, request.received_at)
         self.statistics.record(
             row.request_class, trio.current_time() - request.received_at, result
         )
         return EntryOutcome(result, counting.is_started, request_id)
 
+    def _log_end(
+        self,
+        call: _call.Call,
+        journey: _journey.Journey,
+        result: "_endpoint.CallResult | None",
+        received_at: float,
+    ) -> None:
+        now = trio.current_time()
+        retry_after_ms = None
+        if result is not None and result.is_error():
+            retry_after_ms = result.error.retry_after_ms
+        self._log.write(
+            "call_ended",
+            request=call.request_id,
+            cls=call.class_name,
+            service=call.service,
+            version=self._matcher.version,
+            result=_describe_result(result),
+            attempts=journey.n_attempts,
+            detours=journey.n_detours,
+            retry_after_ms=retry_after_ms,
+            left_ms=(call.deadline - now) * MS_PER_SECOND,
+            ms=(now - received_at) * MS_PER_SECOND,
+        )
+
     def get_budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget towards ``service``."""
         return self._budgets.get_budget(service)
@@ -193,8 +223,10 @@
             policy=decision.policy,
             expected_ms=decision.expected_ms,
             considered=decision.n_considered,
+            load_age_ms=decision.report_age_ms,
             attempt=attempt_index,
             result=_describe_result(result),
+            reason=result.error.detail if result and result.is_error() else None,
             ms=seconds * MS_PER_SECOND,
         )
 
--- a/umberdrum/callpath/_journey.py
+++ b/umberdrum/callpath/_journey.py
@@ -75,8 +75,8 @@
         n_extra = min(call.n_extra_attempts, row.policy.max_attempts - 1)
         self._allowance = retries.AttemptAllowance(n_extra)
         self._tried: set[str] = set()
-        self._n_attempts = 0
-        self._n_detours = 0
+        self.n_attempts = 0
+        self.n_detours = 0
         self._may_have_run = False
 
     async def run(self) -> _endpoint.CallResult:
@@ -106,8 +106,8 @@
         self, decision: routing.RoutingDecision
     ) -> _endpoint.CallResult:
         """Make one attempt; a slow answer to an idempotent call brings in a second."""
-        index = self._n_attempts
-        self._n_attempts += 1
+        index = self.n_attempts
+        self.n_attempts += 1
         self._tried.add(decision.candidate.key)
         call = self._call._replace(
             n_extra_attempts=self._allowance.hand_on(index),
@@ -116,7 +116,7 @@
         may_hedge = (
             self._row.policy.hedge_after_ms > 0
             and self._body.is_complete
-            and self._allowance.allows(self._n_attempts)
+            and self._allowance.allows(self.n_attempts)
         )
         if not may_hedge:
             return await self._entry.attempt(
@@ -138,7 +138,7 @@
 
     def _is_last_resort(self) -> bool:
         """Return whether no other endpoint is left for a detour."""
-        return self._n_detours >= MAX_DETOURS or self._choose() is None
+        return self.n_detours >= MAX_DETOURS or self._choose() is None
 
     def _join_execution(self, failure: errors.Failure) -> _endpoint.CallResult:
         """Return the failure with what is known of all attempts together.
@@ -156,7 +156,7 @@
 
     async def _start_hedge(self, race: _hedging.Race) -> None:
         """Make a second attempt beside one that is slow, if the budget allows."""
-        index = self._n_attempts
+        index = self.n_attempts
         if not self._allowance.allows(index):
             return
         decision = self._choose()
@@ -164,7 +164,7 @@
             return
         if not self._budget.take():
             return
-        self._n_attempts += 1
+        self.n_attempts += 1
         self._tried.add(decision.candidate.key)
         self._entry.statistics.count_hedge(self._call.class_name)
         call = self._call._replace(
@@ -191,12 +191,12 @@
             return False
         if trio.current_time() >= self._call.deadline:
             return False
-        if _is_detour(failure) and self._n_detours < MAX_DETOURS:
+        if _is_detour(failure) and self.n_detours < MAX_DETOURS:
             # No upstream has seen the request: it costs neither allowance nor budget.
-            self._n_detours += 1
-            self._n_attempts -= 1
+            self.n_detours += 1
+            self.n_attempts -= 1
             return True
-        if not self._allowance.allows(self._n_attempts):
+        if not self._allowance.allows(self.n_attempts):
             return False
         if not self._budget.take():
             return False
--- a/umberdrum/callpath/_matching.py
+++ b/umberdrum/callpath/_matching.py
@@ -19,6 +19,10 @@
 class CallMatcher(Protocol):
     """Finds the class, target and policy of a call."""
 
+    @property
+    def version(self) -> int:
+        """Version of what calls are matched with."""
+
     def match(
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
@@ -31,6 +35,11 @@
     def __init__(self) -> None:
         self.catalog = classes.Catalog()
 
+    @property
+    def version(self) -> int:
+        """Highest revision of a class."""
+        return self.catalog.revision
+
     def match(
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
@@ -62,6 +71,11 @@
         self._table: routetable.RouteTable | None = None
         self._rows: dict[routetable.Route, list[classes.CatalogRow]] = {}
 
+    @property
+    def version(self) -> int:
+        """Version of the route table in force, 0 before the first."""
+        return self._source.table.version if self._source.table is not None else 0
+
     def match(
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
--- a/umberdrum/commandline/_parser.py
+++ b/umberdrum/commandline/_parser.py
@@ -13,6 +13,7 @@
   umberdrum --admin 10.0.1.7:9901,10.0.2.7:9901 status
   umberdrum --admin 10.0.1.7:9901 drain
   umberdrum --admin 10.0.1.7:9901 explain cards GET /cards/17
+  umberdrum trace 9c41d07be2a35f68 a.log b.log
 
 exit codes: 0 done, 1 failed, 2 invalid input, 3 another operator changed the class,
 4 not found, 5 store does not answer and nothing was changed, 6 unknown whether the
@@ -48,6 +49,17 @@
     explain.add_argument("method")
     explain.add_argument("path")
     _add_common(explain)
+    trace = commands.add_parser(
+        "trace", help="show what the logs of daemons say of one request"
+    )
+    trace.add_argument("request", help="id of the request")
+    trace.add_argument("file", nargs="*", help="log files; - or none: standard input")
+    trace.add_argument(
+        "--prefix", action="store_true", help="also requests whose ids begin with it"
+    )
+    trace.add_argument(
+        "--json", action="store_true", default=argparse.SUPPRESS, help="print JSON"
+    )
     return parser
 
 
--- a/umberdrum/commandline/main.py
+++ b/umberdrum/commandline/main.py
@@ -13,6 +13,7 @@
     _options,
     _parser,
     _snapshot_commands,
+    _trace_command,
 )
 
 
@@ -25,6 +26,8 @@
         return _report(options.error)
     if parsed.command == "class":
         result = trio.run(_class_commands.run_class_command, parsed, options.ok)
+    elif parsed.command == "trace":
+        result = _trace_command.run_trace_command(parsed, options.ok)
     elif parsed.command == "snapshot":
         result = trio.run(_snapshot_commands.run_snapshot_command, parsed, options.ok)
     else:
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -49,6 +49,7 @@
         integration: _integration.Integration,
     ) -> None:
         key = own_settings.cluster_key
+        self._log = log
         dialect = integration.dialect
         self._nursery = nursery
         self._settings = own_settings
@@ -131,6 +132,7 @@
             log,
         )
         counter = store.StoreCallCounter()
+        counter.on_health_change = self._log_store_health
         self.first_look = _first_look.FirstLook(
             own_settings,
             self.desk,
@@ -229,6 +231,12 @@
             return ""
         return self.routes.table.health_paths.get(service, "")
 
+    def _log_store_health(self, is_answering: bool, reason: str) -> None:
+        if is_answering:
+            self._log.write("dependency_regained", name="store")
+            return
+        self._log.warn("dependency_lost", name="store", reason=reason)
+
     def _drop_misdirected(self) -> None:
         self.desk.drop("misdirected")
 
--- a/umberdrum/logs/_writer.py
+++ b/umberdrum/logs/_writer.py
@@ -7,6 +7,7 @@
 
 MAX_BUFFERED_BYTES = 1 << 20
 FLUSH_INTERVAL_SECONDS = 0.25
+MAX_BYTES_PER_SECOND = 256 << 10
 
 
 class LineWriter(logging.Handler):
@@ -14,7 +15,8 @@
 
     A call never waits for a slow reader: lines go to a bounded buffer, which a thread
     of its own flushes ``FLUSH_INTERVAL_SECONDS`` after the first line. Lines that find
-    the buffer full are counted in ``n_dropped`` and left out.
+    the buffer full, and lines below a warning beyond ``MAX_BYTES_PER_SECOND``, are
+    counted in ``n_dropped`` and left out; a line tells how many.
     """
 
     def __init__(self, descriptor: int) -> None:
@@ -26,6 +28,8 @@
         self._stamp = ""
         self._announce_first_line: Callable[[], None] | None = None
         self.n_dropped = 0
+        self._n_reported = 0
+        self._n_second_bytes = 0
 
     def set_first_line_listener(self, listener: Callable[[], None]) -> None:
         """Call ``listener`` whenever a line is buffered after the buffer was empty."""
@@ -41,15 +45,21 @@
         second = int(record.created)
         if second != self._second:
             self._second = second
+            self._n_second_bytes = 0
             self._stamp = time.strftime("%Y-%m-%dT%H:%M:%S", time.gmtime(second))
         text = (
             f"time={self._stamp}.{int(record.msecs):03d}Z "
             f"level={record.levelname.lower()} {record.getMessage()}\n"
         )
         line = text.encode("utf-8", "backslashreplace")
+        is_over_rate = self._n_second_bytes + len(line) > MAX_BYTES_PER_SECOND
+        if is_over_rate and record.levelno < logging.WARNING:
+            self.n_dropped += 1
+            return
         if self._n_buffered_bytes + len(line) > MAX_BUFFERED_BYTES:
             self.n_dropped += 1
             return
+        self._n_second_bytes += len(line)
         self._lines.append(line)
         self._n_buffered_bytes += len(line)
         if len(self._lines) == 1 and self._announce_first_line is not None:
@@ -58,6 +68,11 @@
     def flush(self) -> None:
         """Write all that is buffered; waits for a slow reader."""
         lines = self._lines
+        if self.n_dropped != self._n_reported:
+            n_more = self.n_dropped - self._n_reported
+            self._n_reported = self.n_dropped
+            stamp = f"time={self._stamp}.000Z level=warning"
+            lines.append(f"{stamp} event=lines_dropped count={n_more}\n".encode())
         self._lines = []
         self._n_buffered_bytes = 0
         view = memoryview(b"".join(lines))
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -23,8 +23,8 @@
     slow the endpoint is and by how its load compares with its slots. Sampling keeps
     many daemons with the same report from choosing the same endpoint; suspected
     endpoints are considered only when no other is left. Bytes between zones are paid
-    for, so a large body stays in its zone unless another zone is expected to finish
-    much sooner.
+    for, so of those that are nearly the best one of the own zone is taken, and a large
+    body stays there unless another zone is expected to finish much sooner.
     """
 
     def __init__(self, place: _tracking.Place, rng: random.Random) -> None:
@@ -56,14 +56,31 @@
                 seconds += n_bytes * CROSS_ZONE_SECONDS_PER_BYTE
             expected.append(seconds)
         bound = min(expected) * NEARLY_BEST_FACTOR + NEARLY_BEST_SECONDS
+        chosen: int | None = None
         # The sample is in random order, so the first of the nearly best is a fair draw.
-        for candidate, seconds in zip(sampled, expected, strict=True):
-            if seconds > bound:
+        for index, candidate in enumerate(sampled):
+            if expected[index] > bound:
                 continue
-            return _router.RoutingDecision(
-                candidate, seconds * MS_PER_SECOND, len(sampled), POLICY_NAME
-            )
-        return None
+            if candidate.availability_zone == self._place.availability_zone:
+                chosen = index
+                break
+            if chosen is None:
+                chosen = index
+        if chosen is None:
+            return None
+        return _router.RoutingDecision(
+            sampled[chosen],
+            expected[chosen] * MS_PER_SECOND,
+            len(sampled),
+            POLICY_NAME,
+            self._get_report_age_ms(sampled[chosen], now),
+        )
+
+    def _get_report_age_ms(
+        self, candidate: _router.Candidate, now: float
+    ) -> float | None:
+        report_at = self._get_candidate_view(candidate, now).report_at
+        return None if report_at is None else (now - report_at) * MS_PER_SECOND
 
     def end(
         self, call: _router.OutstandingCall, seen: _router.Observation, now: float
--- a/umberdrum/routing/_router.py
+++ b/umberdrum/routing/_router.py
@@ -26,12 +26,14 @@
     """Endpoint that was chosen, with what a log line says of the choice.
 
     ``expected_ms`` is the expected finishing time, 0 for policies without one.
+    ``report_age_ms`` is the age of the load report that it rests on, None without one.
     """
 
     candidate: Candidate
     expected_ms: float
     n_considered: int
     policy: str
+    report_age_ms: float | None = None
 
 
 class OutstandingCall(NamedTuple):
--- a/umberdrum/routing/_view.py
+++ b/umberdrum/routing/_view.py
@@ -71,6 +71,11 @@
         """Last report of the endpoint's daemon."""
         return self._report
 
+    @property
+    def report_at(self) -> float | None:
+        """Time of the last report, None before the first."""
+        return self._report_at if self._report is not None else None
+
     def begin(self, now: float, typical_seconds: float) -> int:
         """Note a call that is sent and return its number."""
         call_number = self._next_call
--- a/umberdrum/store/_calls.py
+++ b/umberdrum/store/_calls.py
@@ -1,14 +1,23 @@
 """Counts of the calls that one process makes to the store."""
 
 import collections
+from collections.abc import Callable
+
+HealthListener = Callable[[bool, str], None]
 
 
 class StoreCallCounter:
-    """Calls by operation; a watch counts as one call when it is opened."""
+    """Calls by operation; a watch counts as one call when it is opened.
+
+    ``on_health_change``, if set, is told when a call fails after others were answered
+    and when one is answered again.
+    """
 
     def __init__(self) -> None:
         self.n_calls: collections.Counter[str] = collections.Counter()
         self.n_failed = 0
+        self.is_answering = True
+        self.on_health_change: HealthListener | None = None
 
     @property
     def total(self) -> int:
@@ -19,6 +28,18 @@
         """Count one call."""
         self.n_calls[operation] += 1
 
-    def count_failure(self) -> None:
+    def count_failure(self, reason: str = "") -> None:
         """Count one call that got no valid answer."""
         self.n_failed += 1
+        self._note_health(False, reason)
+
+    def count_answer(self) -> None:
+        """Note that a call got a valid answer."""
+        self._note_health(True, "")
+
+    def _note_health(self, is_answering: bool, reason: str) -> None:
+        if is_answering == self.is_answering:
+            return
+        self.is_answering = is_answering
+        if self.on_health_change is not None:
+            self.on_health_change(is_answering, reason)
--- a/umberdrum/store/_etcd.py
+++ b/umberdrum/store/_etcd.py
@@ -159,7 +159,9 @@
         self.counter.count(operation)
         answer = await self._client.post(path, body, is_write)
         if answer.is_error():
-            self.counter.count_failure()
+            self.counter.count_failure(answer.error.detail)
+        else:
+            self.counter.count_answer()
         return answer
 
 
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -35,3 +35,4 @@
 # hide the standard library's module of the same name.
 sys.path.append(str(ROOT / "platform"))
 importlib.import_module("adapter.tests.adapter_steps")
+importlib.import_module("adapter.tests.platform_steps")
