Close a leaving connection only after the answers to all it has sent

Ruled out: the drain of unread bytes (the requests had been read), the grace time.

Change: only the newest place of a final connection closes it. Tables for route tables, runs of upstreams, shared allowances and statuses.

--- a/umberdrum/announcements/tests/announcements.feature
+++ b/umberdrum/announcements/tests/announcements.feature
@@ -20,3 +20,19 @@
   Scenario: Announcements, silence and an ordered drain
     When the upstream announces, is silent for 6 s, announces again and is drained by order
     Then the daemon saw "serving, absent, serving, draining"
+
+  Scenario Outline: Announcements that name a run of the upstream keep their order
+    When an upstream announces "<announcements>"
+    Then it is "<state>" in the end, as run "<run>"
+
+    Examples:
+      | announcements                       | state    | run |
+      | a1 1 serving                        | serving  | a1  |
+      | a1 5 serving, a1 4 draining         | serving  | a1  |
+      | a1 5 draining, a1 6 serving         | draining | a1  |
+      | a1 5 draining, a1 4 serving         | draining | a1  |
+      | a1 5 draining, a2 1 serving         | serving  | a2  |
+      | b2 1 serving, a1 9 draining         | serving  | b2  |
+      | a1 1 serving, a1 gone               | absent   | -   |
+      | a1 1 serving, a1 gone, a1 2 serving | draining | a1  |
+      | a1 1 serving, b1 gone               | serving  | a1  |
--- a/umberdrum/announcements/tests/announcements_steps.py
+++ b/umberdrum/announcements/tests/announcements_steps.py
@@ -7,7 +7,7 @@
 import trio
 from behave import runner
 
-from umberdrum import announcements, callpath, controlhttp, logs
+from umberdrum import announcements, callpath, controlhttp, logs, settings
 from umberdrum.tests import harness
 
 VALID = b'{"service":"cards","address":"1.2.3.4:5","slots":1,"state":"serving"}'
@@ -78,3 +78,37 @@
 @behave.then('the daemon saw "{states}"')
 def check_states(context: runner.Context, states: str) -> None:
     assert ", ".join(context.listener.states) == states, context.listener.states
+
+
+@behave.when('an upstream announces "{words}"')
+def announce_runs(context: runner.Context, words: str) -> None:
+    async def run() -> None:
+        desk = _build_desk(context)
+        for word in words.split(", "):
+            name, *rest = word.split()
+            if rest == ["gone"]:
+                desk.withdraw(name[0])
+                continue
+            desk.take(
+                callpath.UpstreamAnnouncement(
+                    "cards",
+                    settings.parse_address("1.2.3.4:5"),
+                    4,
+                    callpath.EndpointState(rest[1]),
+                    "",
+                    instance_id=name[0],
+                    born_ms=int(name[1]),
+                    sequence=int(rest[0]),
+                )
+            )
+        context.announcement = desk.announcement
+
+    harness.run_on_virtual_clock(run)
+
+
+@behave.then('it is "{state}" in the end, as run "{name}"')
+def check_run(context: runner.Context, state: str, name: str) -> None:
+    assert context.listener.states[-1] == state, context.listener.states
+    last = context.announcement
+    found = f"{last.instance_id}{last.born_ms}" if last is not None else "-"
+    assert found == name, last
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -210,7 +210,8 @@
             if not exchange.has_read_request:
                 # The upstream answered before it took the whole body.
                 await exchange.linger()
-        return exchange.may_go_on() and not stream.is_final
+        is_end = stream.is_final and stream.is_newest(place)
+        return exchange.may_go_on() and not is_end
 
     def _must_close(self, stream: "_CallerStream", place: "_Place") -> bool:
         """Return whether the answer is the last one; nothing is read after it."""
--- a/umberdrum/errors/tests/errors.feature
+++ b/umberdrum/errors/tests/errors.feature
@@ -27,3 +27,19 @@
       | 1    | 1       |
       | 1000 | 1       |
       | 1001 | 2       |
+
+  Scenario Outline: A status promises nothing that is not known
+    Then "<kind>" with "<execution>" is answered with <status>
+
+    Examples:
+      | kind                    | execution    | status |
+      | OVERLOADED              | NOT_RUN      | 503    |
+      | OVERLOADED              | MAY_HAVE_RUN | 502    |
+      | UPSTREAM_UNREACHABLE    | NOT_RUN      | 503    |
+      | UPSTREAM_BROKE_OFF      | MAY_HAVE_RUN | 502    |
+      | DEADLINE_EXCEEDED       | NOT_RUN      | 503    |
+      | DEADLINE_EXCEEDED       | MAY_HAVE_RUN | 504    |
+      | CALLER_GONE             | RAN          | 502    |
+      | NO_ROUTES_YET           | NOT_RUN      | 503    |
+      | UNKNOWN_ROUTE           | NOT_RUN      | 404    |
+      | UPSTREAM_SLOWED         | NOT_RUN      | 503    |
--- a/umberdrum/errors/tests/errors_steps.py
+++ b/umberdrum/errors/tests/errors_steps.py
@@ -65,3 +65,11 @@
     assert document["kind"] == kind, document
     assert document["execution"] == execution, document
     assert document["status"] == context.problem.status, document
+
+
+@behave.then('"{kind}" with "{execution}" is answered with {status:d}')
+def check_promise(
+    context: runner.Context, kind: str, execution: str, status: int
+) -> None:
+    found = errors.get_answer(errors.ErrorKind[kind], errors.Execution[execution])
+    assert found.status == status, found
--- a/umberdrum/retries/tests/retries.feature
+++ b/umberdrum/retries/tests/retries.feature
@@ -31,3 +31,20 @@
   Scenario: Extra attempts stay near a tenth of calls when everything fails
     When 1000 calls each want 2 extra attempts
     Then between 90 and 115 extra attempts are made
+
+  Scenario Outline: All daemons together keep within a shared allowance
+    Given <daemons> daemons that share <extra> extra attempts and a share of 0.2
+    When each sends <calls> calls in ten seconds that all want a second attempt
+    Then together they make at most <most> extra attempts
+
+    Examples:
+      | daemons | extra | calls | most  |
+      | 11      | 62    | 100   | 282   |
+      | 84      | 208   | 50    | 1048  |
+      | 560     | 1000  | 600   | 68200 |
+      | 1       | 62    | 1000  | 262   |
+
+  Scenario: A daemon that knows few others does not take more than before
+    Given 11 daemons that share 62 extra attempts and a share of 0.2
+    When 10 of them are forgotten
+    Then the budget of the last one keeps its bound
--- a/umberdrum/retries/tests/retries_steps.py
+++ b/umberdrum/retries/tests/retries_steps.py
@@ -54,3 +54,46 @@
 @behave.then("between {low:d} and {high:d} extra attempts are made")
 def check_budget(context: runner.Context, low: int, high: int) -> None:
     assert low <= context.n_taken <= high, context.n_taken
+
+
+@behave.given(
+    "{n_daemons:d} daemons that share {n_extra:d} extra attempts and a share of 0.2"
+)
+def share_allowance(context: runner.Context, n_daemons: int, n_extra: int) -> None:
+    context.n_known = n_daemons
+    allowance = retries.SharedAllowance(float(n_extra), 0.2, 0.5)
+    context.sources = [
+        retries.BudgetSource(allowance, lambda: context.n_known)
+        for _ in range(n_daemons)
+    ]
+
+
+@behave.when(
+    "each sends {n_calls:d} calls in ten seconds that all want a second attempt"
+)
+def want_extra(context: runner.Context, n_calls: int) -> None:
+    context.n_made = 0
+    for source in context.sources:
+        for _ in range(n_calls):
+            budget = source.get_budget("cards")
+            budget.record_call()
+            if budget.take():
+                context.n_made += 1
+
+
+@behave.then("together they make at most {most:d} extra attempts")
+def check_shared(context: runner.Context, most: int) -> None:
+    assert 0 < context.n_made <= most, context.n_made
+
+
+@behave.when("10 of them are forgotten")
+def forget_daemons(context: runner.Context) -> None:
+    source = context.sources[0]
+    context.before = source.get_budget("cards").max_tokens
+    context.n_known = 1
+    context.after = source.get_budget("cards").max_tokens
+
+
+@behave.then("the budget of the last one keeps its bound")
+def check_bound(context: runner.Context) -> None:
+    assert context.after == context.before, (context.before, context.after)
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -19,6 +19,7 @@
     "outcomes",
     "peerlink",
     "retries",
+    "routetable",
     "routing",
     "settings",
     "store",
