Free the slots of calls whose answers were lost

Ruled out: slow endpoints (their times were as usual), a wrong knee (the limit stayed at 4), noise (start_pace usual).

Change: an answer that is missing 0.25 s after its deadline is lost, its connection closed and its outcome recorded as open; before that the endpoint's own count of running calls, on answers and probes, shows which calls hold no slot any more.

--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -98,6 +98,9 @@
     def note_pace(self, pace: float, now: float) -> None:
         """Learn how long work takes at the upstream now, as a multiple of usual."""
 
+    def note_upstream_running(self, n_running: int, now: float) -> None:
+        """Take the number of calls that the upstream says it runs now."""
+
     def get_pace(self) -> float:
         """Return how long work is expected to take now, as a multiple of usual."""
 
@@ -174,6 +177,9 @@
     def note_pace(self, pace: float, now: float) -> None:
         """Ignore how long work takes at the upstream now."""
 
+    def note_upstream_running(self, n_running: int, now: float) -> None:
+        """Ignore what the upstream says; only the own count holds."""
+
     def get_pace(self) -> float:
         """Return the usual pace, because this gate learns no other."""
         return 1.0
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -22,6 +22,7 @@
 LATE_SLOT_SHARE = 0.75
 MAX_RETRY_AFTER_SHARE = 0.33
 RECHECK_SECONDS = 0.1
+SETTLED_SECONDS = 0.05
 MS_PER_SECOND = 1000.0
 
 AcquireResult = expression.Result[_gate.SlotTicket, errors.Failure]
@@ -78,6 +79,8 @@
     - Refused callers are told to come back in the order of refusal, at the pace at
       which slots become free, so that they don't return together, and early enough to
       be in time yet.
+    - Answers get lost: calls that the upstream has stopped running hold no slot, though
+      their callers still wait.
     - A class with long targets never holds every slot while one with short targets is
       active.
 
@@ -91,6 +94,8 @@
         self.pace = _pace.PaceTracker()
         self.n_running = 0
         self._queue: list[_Waiter] = []
+        self._began_at: list[float] = []
+        self._n_lost = 0
         self._classes: dict[str, _ClassState] = {}
         self._mean_seconds = INITIAL_SECONDS
         self._last_return_at = 0.0
@@ -100,6 +105,11 @@
         """Calls that wait for a slot."""
         return len(self._queue)
 
+    @property
+    def _n_occupied(self) -> int:
+        """Slots that are in use at the upstream, as far as is known."""
+        return self.n_running - self._n_lost
+
     async def acquire(self, request: _gate.AdmissionRequest) -> AcquireResult:
         """Return a ticket once the call may run, or the reason why it is refused."""
         now = trio.current_time()
@@ -126,6 +136,8 @@
         state = self._classes[ticket.class_name]
         state.n_running -= 1
         self.n_running -= 1
+        self._began_at.remove(ticket.began_at)
+        self._n_lost = min(self._n_lost, self.n_running)
         if is_observed:
             self._observe(state, ticket, now - ticket.began_at)
         self._wake_waiters(now)
@@ -137,6 +149,20 @@
         if was_slowed and not self.pace.is_slowed(now):
             self._wake_waiters(now)
 
+    def note_upstream_running(self, n_running: int, now: float) -> None:
+        """Take the number of calls that the upstream says it runs now.
+
+        This gate is the only way to the upstream. Calls that began a while ago and that
+        the upstream does not run any more have lost their answers; they hold no slot
+        there.
+        """
+        n_settled = sum(1 for at in self._began_at if now - at > SETTLED_SECONDS)
+        n_lost = max(0, n_settled - n_running)
+        has_more_room = n_lost > self._n_lost
+        self._n_lost = n_lost
+        if has_more_room:
+            self._wake_waiters(now)
+
     def get_pace(self) -> float:
         """Return how long work is expected to take now, as a multiple of usual."""
         return self.pace.get_pace(trio.current_time())
@@ -195,8 +221,9 @@
     def _start(self, request: _gate.AdmissionRequest, now: float) -> _gate.SlotTicket:
         self._classes[request.class_name].n_running += 1
         self.n_running += 1
+        self._began_at.append(now)
         pace = self.pace.get_pace(now)
-        return _gate.SlotTicket(request.class_name, now, self.n_running, pace)
+        return _gate.SlotTicket(request.class_name, now, self._n_occupied, pace)
 
     def _wake_waiters(self, now: float) -> None:
         """Hand free slots to queued calls and refuse those that are hopeless now."""
@@ -240,13 +267,15 @@
 
     def _may_run(self, request: _gate.AdmissionRequest, now: float) -> bool:
         limit = self.slot_limit.get_limit()
-        is_trial = self.n_running == limit and bool(self._queue)
-        if self.n_running >= limit and not is_trial:
+        n_occupied = self._n_occupied
+        is_trial = n_occupied == limit and bool(self._queue)
+        if n_occupied >= limit and not is_trial:
             return False
         state = self._classes[request.class_name]
-        if state.n_running >= self._get_class_cap(state, limit, now):
+        n_of_class = state.n_running - self._n_lost
+        if n_of_class >= self._get_class_cap(state, limit, now):
             return False
-        if self._is_late(request, now) and self.n_running >= LATE_SLOT_SHARE * limit:
+        if self._is_late(request, now) and n_occupied >= LATE_SLOT_SHARE * limit:
             return False
         if self._is_worth_waiting(request, now):
             return False
--- a/umberdrum/admission/tests/target_gate.feature
+++ b/umberdrum/admission/tests/target_gate.feature
@@ -60,3 +60,16 @@
     Given a target gate with all slots taken and an empty queue
     When 3 calls that wait there are cancelled, one as it gets its slot
     Then nothing runs and nothing waits
+
+  Scenario Outline: Calls whose answers were lost hold no slot
+    Given a target gate with all slots taken and an empty queue
+    When the calls began <age> ms ago, the upstream says that it runs <running> and <more> more arrive
+    Then <admitted> of these run at once
+
+    Examples:
+      | age | running | more | admitted |
+      | 60  | 0       | 3    | 2        |
+      | 60  | 1       | 3    | 1        |
+      | 60  | 2       | 3    | 0        |
+      | 60  | 9       | 3    | 0        |
+      | 10  | 0       | 3    | 0        |
--- a/umberdrum/admission/tests/target_gate_steps.py
+++ b/umberdrum/admission/tests/target_gate_steps.py
@@ -246,3 +246,29 @@
 @behave.then("nothing runs and nothing waits")
 def check_empty(context: runner.Context) -> None:
     assert context.left == (0, 0), context.left
+
+
+@behave.when(
+    "the calls began {age:d} ms ago, the upstream says that it runs {n_running:d} and "
+    "{n_more:d} more arrive"
+)
+def lose_answers(
+    context: runner.Context, age: int, n_running: int, n_more: int
+) -> None:
+    async def run() -> None:
+        gate = await build_gate()
+        async with trio.open_nursery() as nursery:
+            await _fill(gate, nursery, N_SLOTS)
+            await trio.sleep(age / 1000)
+            gate.note_upstream_running(n_running, trio.current_time())
+            n_before = gate.n_running
+            await _fill(gate, nursery, n_more)
+            context.n_admitted = gate.n_running - n_before
+            nursery.cancel_scope.cancel()
+
+    _run(context, run)
+
+
+@behave.then("{n_calls:d} of these run at once")
+def check_run_at_once(context: runner.Context, n_calls: int) -> None:
+    assert context.n_admitted == n_calls, context.n_admitted
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -35,6 +35,7 @@
 MIN_SERVER_ERROR = 500
 MISDIRECTED_STATUS = 421
 MAX_HELD_ANSWER_BYTES = 65_536
+OVERDUE_SECONDS = 0.25
 DEFAULT_SHED_RETRY_MS = 1000
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
@@ -84,9 +85,11 @@
 
     It is the only way to that upstream, so its counts are exact and its refusals are
     truthful. A non-idempotent call that has begun runs to its end even when its caller
-    or the link is gone, and its outcome is recorded. It never routes and never retries
-    a request whose bytes may have reached the upstream. An upstream's 503 to an
-    idempotent call is reported as shedding, so that another endpoint may be tried.
+    or the link is gone, and its outcome is recorded. The upstream knows the deadline;
+    an answer that is still missing ``OVERDUE_SECONDS`` after it is lost, and its slot
+    is free again. It never routes and never retries a request whose bytes may have
+    reached the upstream. An upstream's 503 to an idempotent call is reported as
+    shedding, so that another endpoint may be tried.
     """
 
     def __init__(
@@ -262,10 +265,15 @@
         detached: _DetachedCall,
     ) -> None:
         self.n_in_progress += 1
+        result: CallResult | None = None
         try:
-            result = await self._run_with_ticket(
-                call, body, recording, ticket, queue_seconds
-            )
+            with trio.move_on_at(call.deadline + OVERDUE_SECONDS):
+                result = await self._run_with_ticket(
+                    call, body, recording, ticket, queue_seconds
+                )
+            if result is None:
+                result = expression.Error(_report_overdue(call))
+                self._log.warn("answer_lost", request=call.request_id)
             now = trio.current_time()
             if result.is_ok():
                 self.record.finish(call.request_id, recording.get_answer(), now)
@@ -405,7 +413,9 @@
             return None
         load = _upstream_load.parse_upstream_load(value)
         if load is not None:
-            self.gate.note_pace(load.pace, trio.current_time())
+            now = trio.current_time()
+            self.gate.note_pace(load.pace, now)
+            self.gate.note_upstream_running(load.n_running, now)
         return load
 
     def _find_upstream_refusal(
@@ -432,6 +442,14 @@
         )
 
 
+def _report_overdue(call: _call.Call) -> errors.Failure:
+    return errors.fail(
+        errors.ErrorKind.DEADLINE_EXCEEDED,
+        f"the upstream did not end request {call.request_id} at its deadline",
+        errors.Execution.MAY_HAVE_RUN,
+    )
+
+
 def _is_short(head: _call.AnswerHead) -> bool:
     """Return whether the whole answer fits into the bytes that are held back."""
     length = _headers.get_header(head.headers, b"content-length")
--- a/umberdrum/callpath/_prober.py
+++ b/umberdrum/callpath/_prober.py
@@ -103,4 +103,6 @@
         value = _headers.get_header(headers, self._field)
         load = _upstream_load.parse_upstream_load(value) if value else None
         if load is not None:
-            self._gate.note_pace(load.pace, trio.current_time())
+            now = trio.current_time()
+            self._gate.note_pace(load.pace, now)
+            self._gate.note_upstream_running(load.n_running, now)
