Split the callers' connections into server, stream and exchange

Change: three modules for the callers' side, one for what an upstream says of itself; no behaviour changed.

--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -1,5 +1,6 @@
 """Way of a call from its caller to an upstream and of the answer back."""
 
+from umberdrum.callpath._announcement import EndpointState, UpstreamAnnouncement
 from umberdrum.callpath._call import (
     AnswerHead,
     AnswerSink,
@@ -10,14 +11,11 @@
     SinkLostError,
     WholeBody,
 )
-from umberdrum.callpath._caller import CallerLimits, CallerServer
+from umberdrum.callpath._caller import CallerServer
+from umberdrum.callpath._caller_exchange import CallerLimits
 from umberdrum.callpath._dialect import OWN_DIALECT, Dialect
 from umberdrum.callpath._directory import EndpointDirectory
-from umberdrum.callpath._endpoint import (
-    EndpointService,
-    EndpointState,
-    UpstreamAnnouncement,
-)
+from umberdrum.callpath._endpoint import EndpointService
 from umberdrum.callpath._entry import EntryOutcome, EntryService, IncomingRequest
 from umberdrum.callpath._headers import (
     CallFields,
--- /dev/null
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -0,0 +1,342 @@
+"""One request of a caller and its answer, as HTTP/1.1 on the caller's connection."""
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+import h11
+import trio
+
+from umberdrum import errors, sockets
+from umberdrum.callpath import _call, _caller_stream, _dialect, _entry, _headers
+
+MAX_BUFFERED_BODY_BYTES = 65_536
+MAX_HELD_BYTES = 1 << 20
+MAX_BODY_BYTES = 1 << 40
+OUTPUT_BUFFER_BYTES = 65_536
+FIELD_OVERHEAD_BYTES = 4
+LINGER_SECONDS = 1.0
+MAX_LINGER_BYTES = 1 << 20
+
+
+class CallerLimits(NamedTuple):
+    """Bounds on what a caller may send and how slowly; times in seconds."""
+
+    max_head_bytes: int
+    head_timeout: float
+    body_idle_timeout: float
+    idle_timeout: float
+    max_body_bytes: int = MAX_BODY_BYTES
+
+
+LimitsSource = Callable[[], CallerLimits]
+
+
+class CallerExchange:
+    """HTTP state of one caller's connection."""
+
+    def __init__(
+        self,
+        connection: sockets.Connection,
+        get_limits: LimitsSource,
+        daemon_id: str,
+        dialect: _dialect.Dialect,
+        unparsed: bytes,
+    ) -> None:
+        self.connection = connection
+        self._get_limits = get_limits
+        self._limits = get_limits()
+        self._daemon_id = daemon_id
+        self._dialect = dialect
+        self._is_head_request = False
+        self._n_body_bytes = 0
+        self.http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
+        )
+        self._is_close_announced = False
+        if unparsed:
+            self.http.receive_data(unparsed)
+
+    async def wait_for_first_byte(self, stream: _caller_stream.CallerStream) -> bool:
+        """Return whether the caller began another request in time.
+
+        Time counts only while no request is in progress.
+        """
+        idle_since = trio.current_time()
+        while True:
+            # The bound may have been raised while the connection was idle.
+            close_at = idle_since + self._get_limits().idle_timeout
+            if stream.n_in_flight:
+                idle_since = trio.current_time()
+                close_at = idle_since + self._get_limits().idle_timeout
+            if trio.current_time() >= close_at:
+                return False
+            with trio.move_on_at(close_at):
+                data = await self.connection.receive()
+                self.http.receive_data(data)
+                return bool(data)
+
+    def get_unparsed(self) -> bytes:
+        """Return the bytes that came behind the present request."""
+        return bytes(self.http.trailing_data[0]) if self.has_read_request else b""
+
+    async def receive_request(self) -> _entry.IncomingRequest | None:
+        """Return the next request, or None when the caller has closed.
+
+        Raises ``BodyLostError`` for a head that is malformed, too large or too slow.
+        """
+        received_at = trio.current_time()
+        self._limits = self._get_limits()
+        self._n_body_bytes = 0
+        event: object = self._take_event()
+        if event is h11.NEED_DATA:
+            with trio.move_on_after(self._limits.head_timeout):
+                event = await self._receive_event()
+        if event is h11.NEED_DATA:
+            raise _lose_body(
+                errors.ErrorKind.CALLER_TOO_SLOW,
+                f"no whole head within {self._limits.head_timeout:g} s",
+            )
+        if not isinstance(event, h11.Request):
+            return None
+        self._is_head_request = event.method == b"HEAD"
+        headers = list(event.headers)
+        self._check_head_size(event, headers)
+        fields = _headers.read_call_fields(headers, self._dialect)
+        if fields.is_error():
+            raise _call.BodyLostError(fields.error)
+        if event.method == b"CONNECT":
+            raise _lose_body(
+                errors.ErrorKind.MALFORMED_REQUEST, "expected no CONNECT request"
+            )
+        return _entry.IncomingRequest(
+            bytes(event.method), bytes(event.target), headers, fields.ok, received_at
+        )
+
+    def _check_head_size(
+        self, event: h11.Request, headers: _headers.HeaderFields
+    ) -> None:
+        """Refuse a head that came whole but is too large."""
+        n_bytes = len(event.target) + sum(
+            len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in headers
+        )
+        if n_bytes > self._limits.max_head_bytes:
+            raise _lose_body(
+                errors.ErrorKind.HEAD_TOO_LARGE,
+                f"expected at most {self._limits.max_head_bytes} bytes, "
+                f"found {n_bytes}",
+            )
+
+    async def receive_first_body_part(self) -> _call.RequestBody:
+        """Return the body, whole if it is short; raises ``BodyLostError``."""
+        parts: list[bytes] = []
+        n_bytes = 0
+        while n_bytes < MAX_BUFFERED_BODY_BYTES:
+            data = await self.receive_body()
+            if not data:
+                return _call.WholeBody(b"".join(parts))
+            parts.append(data)
+            n_bytes += len(data)
+        return CallerBody(self, b"".join(parts))
+
+    async def receive_body(self) -> bytes:
+        """Return the next body bytes, none at the end; raises ``BodyLostError``."""
+        event = self._take_event()
+        if event is h11.NEED_DATA:
+            await self._send_continue()
+            with trio.move_on_after(self._limits.body_idle_timeout):
+                event = await self._receive_event()
+        if event is h11.NEED_DATA:
+            raise _lose_body(
+                errors.ErrorKind.CALLER_TOO_SLOW,
+                f"no body bytes within {self._limits.body_idle_timeout:g} s",
+            )
+        if isinstance(event, h11.Data):
+            self._n_body_bytes += len(event.data)
+            if self._n_body_bytes > self._limits.max_body_bytes:
+                raise _lose_body(
+                    errors.ErrorKind.BODY_TOO_LARGE,
+                    f"expected at most {self._limits.max_body_bytes} body bytes",
+                )
+            return bytes(event.data)
+        if isinstance(event, h11.EndOfMessage):
+            return b""
+        raise _lose_body(errors.ErrorKind.CALLER_GONE, "closed before the body ended")
+
+    async def refuse(self, failure: errors.Failure, request_id: str) -> None:
+        """Send the answer for ``failure``; close afterwards if the body is unread."""
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        problem = errors.render_problem(
+            failure,
+            self._daemon_id,
+            request_id,
+            self._dialect.retry_after_has_fractions,
+        )
+        headers = list(problem.headers)
+        if self._is_close_announced or self.http.their_state is not h11.DONE:
+            headers.append((b"connection", b"close"))
+        response = h11.Response(status_code=problem.status, headers=headers)
+        data = self.http.send(response) or b""
+        if self.http.their_state is h11.ERROR or not self._is_head_request:
+            data += self.http.send(h11.Data(data=problem.body)) or b""
+        data += self.http.send(h11.EndOfMessage()) or b""
+        await self.connection.send(data)
+        if not self.has_read_request:
+            await self.linger()
+
+    @property
+    def has_read_request(self) -> bool:
+        """Whether the present request was received to its end."""
+        return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+
+    def announce_close(self) -> None:
+        """Say in the refusal to come that the connection closes."""
+        self._is_close_announced = True
+
+    def may_go_on(self) -> bool:
+        """Return whether another request may follow on the connection."""
+        return self.http.our_state is h11.DONE and self.http.their_state is h11.DONE
+
+    async def linger(self) -> None:
+        """Read on for a moment, so that unread bytes don't destroy the answer."""
+        self.connection.finish_sending()
+        await drain(self.connection)
+
+    async def _send_continue(self) -> None:
+        if not self.http.they_are_waiting_for_100_continue:
+            return
+        interim = h11.InformationalResponse(status_code=100, headers=[])
+        await self.connection.send(self.http.send(interim) or b"")
+
+    def _take_event(self) -> object:
+        try:
+            return self.http.next_event()
+        except h11.RemoteProtocolError as fault:
+            kind = errors.ErrorKind.MALFORMED_REQUEST
+            if fault.error_status_hint == 431:
+                kind = errors.ErrorKind.HEAD_TOO_LARGE
+            raise _lose_body(kind, str(fault)) from None
+
+    async def _receive_event(self) -> object:
+        while True:
+            data = await self.connection.receive()
+            self.http.receive_data(data)
+            event = self._take_event()
+            if event is not h11.NEED_DATA:
+                return event
+
+
+class CallerBody:
+    """Request body that is still arriving from the caller."""
+
+    def __init__(self, exchange: CallerExchange, initial: bytes) -> None:
+        self._exchange = exchange
+        self._initial = initial
+        self._is_touched = False
+
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Whether nothing after ``initial`` was received yet."""
+        return not self._is_touched
+
+    @property
+    def initial(self) -> bytes:
+        """Bytes that were read before the routing decision."""
+        return self._initial
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the whole body was read: it was not."""
+        return False
+
+    async def receive(self) -> bytes:
+        """Return the next bytes; raises ``BodyLostError``."""
+        self._is_touched = True
+        try:
+            return await self._exchange.receive_body()
+        except sockets.ConnectionLostError as fault:
+            raise _lose_body(errors.ErrorKind.CALLER_GONE, str(fault)) from None
+
+
+class CallerSink:
+    """Writes the answer to the caller; a small answer goes out in one send.
+
+    An answer that is ready before its turn is held, up to ``MAX_HELD_BYTES``.
+    """
+
+    def __init__(
+        self,
+        exchange: CallerExchange,
+        place: _caller_stream.Place,
+        must_close: Callable[[], bool],
+    ) -> None:
+        self._exchange = exchange
+        self._turn = place.turn
+        self._must_close = must_close
+        self._parts: list[bytes] = []
+        self._n_pending = 0
+
+    async def start(self, head: _call.AnswerHead, report: _call.CallReport) -> None:
+        """Render the head; it goes out with the next flush."""
+        headers = head.headers
+        if self._must_close() or not self._exchange.has_read_request:
+            headers = [*headers, (b"connection", b"close")]
+        response = h11.Response(
+            status_code=head.status, headers=headers, reason=head.reason
+        )
+        self._render(response)
+
+    async def write(self, data: bytes) -> None:
+        """Render body bytes; they go out once enough are pending."""
+        self._render(h11.Data(data=data))
+        if self._n_pending >= OUTPUT_BUFFER_BYTES:
+            await self.flush()
+            await trio.lowlevel.checkpoint()
+
+    async def flush(self) -> None:
+        """Send what is pending, if it is this answer's turn."""
+        if not self._turn.is_set() and self._n_pending < MAX_HELD_BYTES:
+            return
+        await self.send_held()
+
+    async def send_held(self) -> None:
+        """Send what is pending once it is this answer's turn."""
+        if not self._parts:
+            return
+        await self._turn.wait()
+        data = b"".join(self._parts)
+        self._parts.clear()
+        self._n_pending = 0
+        try:
+            await self._exchange.connection.send(data)
+        except sockets.ConnectionLostError as fault:
+            raise _call.SinkLostError(str(fault)) from None
+
+    async def finish(self) -> None:
+        """Send the rest; the answer is whole."""
+        self._render(h11.EndOfMessage())
+        await self.flush()
+
+    def _render(self, event: "h11.Event") -> None:
+        try:
+            data = self._exchange.http.send(event)
+        except h11.LocalProtocolError as fault:
+            raise _call.SinkLostError(str(fault)) from None
+        if data:
+            self._parts.append(data)
+            self._n_pending += len(data)
+
+
+async def drain(connection: sockets.Connection) -> None:
+    """Read what still comes for a moment; a close on unread bytes would be a reset."""
+    n_bytes = 0
+    with trio.move_on_after(LINGER_SECONDS):
+        while n_bytes < MAX_LINGER_BYTES:
+            data = await connection.receive()
+            if not data:
+                return
+            n_bytes += len(data)
+
+
+def _lose_body(kind: errors.ErrorKind, detail: str) -> _call.BodyLostError:
+    return _call.BodyLostError(errors.fail(kind, detail))
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -1,8 +1,6 @@
 """Endpoint service: admits calls to the upstream beside this daemon and runs them."""
 
-import enum
 from collections.abc import Callable
-from typing import NamedTuple
 
 import expression
 import trio
@@ -14,10 +12,10 @@
     measuring,
     outcomes,
     routing,
-    settings,
     sockets,
 )
 from umberdrum.callpath import (
+    _announcement,
     _call,
     _dialect,
     _headers,
@@ -42,36 +40,6 @@
 AdmissionResult = expression.Result[admission.SlotTicket, errors.Failure]
 
 
-class EndpointState(enum.Enum):
-    """State of the endpoint as a whole."""
-
-    ABSENT = "absent"
-    STARTING = "starting"
-    SERVING = "serving"
-    DRAINING = "draining"
-
-
-class UpstreamAnnouncement(NamedTuple):
-    """What an upstream says of itself to the daemon beside it.
-
-    ``load_path`` is the path of its load endpoint, empty when it has none.
-    ``instance_id`` names this run of the upstream where it has a name, ``born_ms`` is
-    the start of the run in Unix milliseconds and ``sequence`` counts its announcements;
-    both are 0 where the upstream states none. ``cold_seconds`` is how much longer it
-    stays slow after its start.
-    """
-
-    service: str
-    address: settings.Address
-    n_slots: int
-    state: EndpointState
-    load_path: str
-    instance_id: str = ""
-    born_ms: int = 0
-    sequence: int = 0
-    cold_seconds: float = 0.0
-
-
 class _DetachedCall:
     """Non-idempotent call that goes on when nobody waits for its answer any more."""
 
@@ -114,16 +82,19 @@
         self._budget = budget
         self._log = log
         self._nursery = nursery
-        self.state = EndpointState.ABSENT
+        self.state = _announcement.EndpointState.ABSENT
         self.n_in_progress = 0
         self._idle_event = trio.Event()
 
-    def set_state(self, state: EndpointState) -> None:
+    def set_state(self, state: _announcement.EndpointState) -> None:
         """Change the state; a draining endpoint refuses what is still queued."""
         if state is self.state:
             return
         self.state = state
-        if state in (EndpointState.DRAINING, EndpointState.ABSENT):
+        if state in (
+            _announcement.EndpointState.DRAINING,
+            _announcement.EndpointState.ABSENT,
+        ):
             self.gate.refuse_all(self._refuse_leaving())
 
     async def run(
@@ -134,7 +105,7 @@
         The result is a report once the whole answer was written, else the failure with
         what is known of the execution.
         """
-        if self.state is not EndpointState.SERVING:
+        if self.state is not _announcement.EndpointState.SERVING:
             return expression.Error(self._refuse_leaving())
         if call.service and self.service and call.service != self.service:
             detail = f"expected service {call.service}, found {self.service}"
