--- a/umberdrum/commandline/tests/commandline.feature
+++ b/umberdrum/commandline/tests/commandline.feature
@@ -31,3 +31,18 @@
       | snapshot save {folder}/s.json                                    | down  | 5    | does not answer  |
       | snapshot diff {folder}/look.json                                 | up    | 0    | none             |
       | snapshot restore {folder}/look.json                              | up    | 0    | 0 classes written |
+
+  Scenario Outline: What logs of daemons say of one request is put in order
+    Given logs of two daemons that name the requests r1, r1.2 and r2
+    When the tool traces "<arguments>"
+    Then it exits with <code> and prints the events "<events>"
+
+    Examples:
+      | arguments            | code | events                         |
+      | r1 {a} {b}           | 0    | route, ran, call_ended         |
+      | r1 {b} {a}           | 0    | route, ran, call_ended         |
+      | r1 {a}               | 0    | route, call_ended              |
+      | --prefix r1 {a} {b}  | 0    | route, ran, refused, call_ended |
+      | r2 {a} {b}           | 0    | call_ended                     |
+      | r3 {a} {b}           | 4    |                                |
+      | r1 /nosuch           | 4    |                                |
--- a/umberdrum/commandline/tests/commandline_steps.py
+++ b/umberdrum/commandline/tests/commandline_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import io
+import pathlib
 import tempfile
 import threading
 
@@ -79,3 +80,45 @@
 def check_exit(context: runner.Context, code: int, text: str) -> None:
     assert context.code == code, (context.code, context.output)
     assert text in context.output, context.output
+
+
+LOG_A = """\
+time=2026-01-01T00:00:00.100Z level=info event=route daemon=a request=r1 ms=1.0
+  3.2 node time=2026-01-01T00:00:00.300Z level=info event=call_ended daemon=a request=r1
+time=2026-01-01T00:00:00.250Z level=info event=refused daemon=a request=r1.2 x="a b"
+"""
+LOG_B = """\
+time=2026-01-01T00:00:00.200Z level=info event=ran daemon=b request=r1 status=200
+time=2026-01-01T00:00:00.500Z level=info event=call_ended daemon=b request=r2
+time=2026-01-01T00:00:00.600Z level=info event=other daemon=b reason="for r1"
+"""
+
+
+@behave.given("logs of two daemons that name the requests r1, r1.2 and r2")
+def write_logs(context: runner.Context) -> None:
+    folder = pathlib.Path(tempfile.mkdtemp())
+    context.logs = {"a": folder / "a.log", "b": folder / "b.log"}
+    context.logs["a"].write_text(LOG_A)
+    context.logs["b"].write_text(LOG_B)
+
+
+@behave.when('the tool traces "{arguments}"')
+def trace_request(context: runner.Context, arguments: str) -> None:
+    paths = {name: str(path) for name, path in context.logs.items()}
+    output = io.StringIO()
+    with contextlib.redirect_stdout(output), contextlib.redirect_stderr(io.StringIO()):
+        words = arguments.format(**paths).split()
+        context.trace_code = main.run_program(["trace", *words])
+    context.events = [line.split()[2] for line in output.getvalue().splitlines()]
+
+
+@behave.then('it exits with {code:d} and prints the events "{events}"')
+def check_trace(context: runner.Context, code: int, events: str) -> None:
+    assert context.trace_code == code, context.trace_code
+    assert ", ".join(context.events) == events, context.events
+
+
+@behave.then('it exits with {code:d} and prints the events ""')
+def check_no_trace(context: runner.Context, code: int) -> None:
+    assert context.trace_code == code, context.trace_code
+    assert context.events == [], context.events
--- a/umberdrum/daemon/_first_look.py
+++ b/umberdrum/daemon/_first_look.py
@@ -24,7 +24,7 @@
         desk: announcements.AnnouncementDesk,
         pool: callpath.UpstreamPool,
         dialect: callpath.Dialect,
-        health_paths: "callpath.HealthPathSource",
+        health_paths: callpath.HealthPathSource,
         log: logs.EventLog,
     ) -> None:
         self._settings = own_settings
--- a/umberdrum/routetable/_route.py
+++ b/umberdrum/routetable/_route.py
@@ -15,11 +15,10 @@
 
     ``target_latency_ms`` is the latency objective, ``timeout_ms`` the longest time that
     a caller is kept waiting, ``max_attempts`` the number of upstreams that one call may
-    be sent to. ``priority`` ranks calls that wait, 0 first. Large bodies are marked by
-    ``has_large_body``.
+    be sent to. ``priority`` ranks calls that wait, 0 first.
 
     Example: ``Route("cards", "api.example", "/cards/", (ServiceShare("cards", 1.0),),
-    True, False, 200, 500, 2, 1)``.
+    True, 200, 500, 2, 1)``.
     """
 
     name: str
@@ -27,7 +26,6 @@
     path_prefix: str
     shares: tuple[ServiceShare, ...]
     is_idempotent: bool
-    has_large_body: bool
     target_latency_ms: int
     timeout_ms: int
     max_attempts: int
--- a/umberdrum/routetable/tests/routetable_steps.py
+++ b/umberdrum/routetable/tests/routetable_steps.py
@@ -21,7 +21,6 @@
         path_prefix=prefix,
         shares=(routetable.ServiceShare("s", 1.0),),
         is_idempotent=True,
-        has_large_body=False,
         target_latency_ms=200,
         timeout_ms=500,
         max_attempts=2,
--- a/umberdrum/routing/tests/routing.feature
+++ b/umberdrum/routing/tests/routing.feature
@@ -45,3 +45,16 @@
   Scenario: An old report fades
     Given an endpoint whose last report says 40 running of which 0 are ours
     Then its load is 40 at once and the usual 3 after 2 s
+
+  Scenario Outline: Calls stay in their zone unless another finishes much sooner
+    Given the router "finish_time" in zone az1 with one endpoint there and three in az2
+    When the endpoint of az1 answers in <own> ms, the others in <other> ms, and bodies have <bytes> bytes
+    Then <share> of the calls go to az1
+
+    Examples:
+      | own | other | bytes  | share    |
+      | 20  | 20    | 0      | nearly all |
+      | 20  | 19    | 0      | nearly all |
+      | 60  | 20    | 0      | few      |
+      | 60  | 20    | 60000  | nearly all |
+      | 200 | 20    | 60000  | few      |
--- a/umberdrum/routing/tests/routing_steps.py
+++ b/umberdrum/routing/tests/routing_steps.py
@@ -203,3 +203,45 @@
 def check_fading(context: runner.Context, load: int, usual: int) -> None:
     assert context.view.estimate_load(10.0, float(usual), 0.02) == load
     assert abs(context.view.estimate_load(12.0, float(usual), 0.02) - usual) < 0.01
+
+
+@behave.given(
+    'the router "finish_time" in zone az1 with one endpoint there and three in az2'
+)
+def build_zones(context: runner.Context) -> None:
+    router = routing.build_router("finish_time", "az1", "r1", random.Random(3))
+    rows = [build_candidate(index) for index in range(4)]
+    for index in (1, 2, 3):
+        rows[index] = rows[index]._replace(availability_zone="az2", n_slots=100)
+    rows[0] = rows[0]._replace(n_slots=100)
+    context.zones = (router, rows)
+
+
+@behave.when(
+    "the endpoint of az1 answers in {own:d} ms, the others in {other:d} ms, and bodies "
+    "have {n_bytes:d} bytes"
+)
+def route_bodies(context: runner.Context, own: int, other: int, n_bytes: int) -> None:
+    router, rows = context.zones
+    now = 10.0
+    # Every endpoint is known before the choices that count.
+    for _ in range(20):
+        for row in rows:
+            seconds = (own if row.availability_zone == "az1" else other) / 1000
+            call = router.begin(row.key, CLASS_NAME, now)
+            end = routing.AttemptEnd.ANSWERED
+            router.end(call, routing.Observation(end, seconds, seconds), now + seconds)
+        now += 0.3
+    context.n_own = 0
+    for _ in range(100):
+        decision = router.choose(CLASS_NAME, rows, frozenset(), now, n_bytes)
+        assert decision is not None
+        context.n_own += decision.candidate.availability_zone == "az1"
+
+
+@behave.then("{share} of the calls go to az1")
+def check_zone_share(context: runner.Context, share: str) -> None:
+    if share == "nearly all":
+        assert context.n_own >= 95, context.n_own
+    else:
+        assert context.n_own <= 5, context.n_own
