Add a fault soak on real processes

Nothing ran the programs as processes under overlapping faults from outside.

Change: `umberdrum-bench soak` draws faults from a seed (kills, stops, pauses, reloads, lost endpoints, slow and failing upstreams, cut, delayed, reset and silent links, the store down, slow, forgetful, leases lapsed, targets changed), some in series, and judges from callers' answers, upstreams' records, exit codes, logs and versions. Links can hold back one direction and refuse. Processes of a cluster can be restarted singly. Clocks are not among the faults: nothing on one machine can step them for one process.

--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -37,6 +37,8 @@
     groups[0] += [str(path.relative_to(ROOT)) for path in parts]
     for path in sorted((ROOT / TESTS).glob("fault_*.feature")):
         groups.append([str(path.relative_to(ROOT))])
+    for path in sorted(ROOT.glob("umberdrum_bench/*/tests/*.feature")):
+        groups[-1].append(str(path.relative_to(ROOT)))
     return groups
 
 
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -31,9 +31,11 @@
 for part in PARTS:
     importlib.import_module(f"umberdrum.{part}.tests.{part}_steps")
 importlib.import_module("umberdrum.configuration.tests.snapshot_steps")
+importlib.import_module("umberdrum_bench.soak.tests.soak_steps")
 importlib.import_module("umberdrum.admission.tests.target_gate_steps")
 # The adapter lies outside the library, in a folder that must not be a package: it would
 # hide the standard library's module of the same name.
 sys.path.append(str(ROOT / "platform"))
 importlib.import_module("adapter.tests.adapter_steps")
+importlib.import_module("adapter.tests.contact_steps")
 importlib.import_module("adapter.tests.platform_steps")
--- a/umberdrum_bench/link.py
+++ b/umberdrum_bench/link.py
@@ -19,42 +19,76 @@
 
 
 class LinkStandIn:
-    """Forwards between its own address and that of one daemon.
+    """Forwards between its own address and that of one daemon or store.
 
-    Datagrams that come from one of ``blocked_hosts`` are dropped.
+    Datagrams that come from one of ``blocked_hosts`` are dropped. ``delay_seconds`` is
+    added to whatever passes, in each direction. While ``is_refusing``, connections are
+    closed as soon as they are made.
     """
 
     def __init__(self, listen: settings.Address, target: settings.Address) -> None:
         self._listen = listen
         self._target = target
         self._generation = 0
-        self._resumed = trio.Event()
-        self._resumed.set()
+        self._inbound = trio.Event()
+        self._inbound.set()
+        self._outbound = trio.Event()
+        self._outbound.set()
+        self._open: set[sockets.Connection] = set()
+        self.delay_seconds = 0.0
+        self.is_refusing = False
         self.blocked_hosts: frozenset[str] = frozenset()
         self._udp_clients: dict[settings.Address, trio.socket.SocketType] = {}
 
+    @property
+    def address(self) -> settings.Address:
+        """Address at which this link listens."""
+        return self._listen
+
     def silence(self) -> None:
         """Drop from now on what open connections carry."""
         self._generation += 1
 
-    def pause(self) -> None:
-        """Hold everything back until ``resume``, as if the daemon were paused."""
-        self._resumed = trio.Event()
+    def reset(self) -> None:
+        """Close the connections that are open now."""
+        for connection in list(self._open):
+            connection.close()
+
+    def pause(self, inbound: bool = True, outbound: bool = True) -> None:
+        """Hold back what passes in these directions until ``resume``.
+
+        Bytes of connections are kept, as by a sender that repeats them; datagrams are
+        lost. ``inbound`` is the direction towards the target.
+        """
+        if inbound:
+            self._inbound = trio.Event()
+        if outbound:
+            self._outbound = trio.Event()
 
     def resume(self) -> None:
         """Pass everything on again, what was held back on connections first."""
-        self._resumed.set()
+        self._inbound.set()
+        self._outbound.set()
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Forward one connection until either side closes."""
+        if self.is_refusing:
+            return
         generation = self._generation
         target = await sockets.connect(self._target, 1.0)
+        ends = {connection, target}
+        self._open |= ends
         try:
             async with trio.open_nursery() as nursery:
                 scope = nursery.cancel_scope
-                nursery.start_soon(self._pump, connection, target, generation, scope)
-                nursery.start_soon(self._pump, target, connection, generation, scope)
+                nursery.start_soon(
+                    self._pump, connection, target, generation, scope, True
+                )
+                nursery.start_soon(
+                    self._pump, target, connection, generation, scope, False
+                )
         finally:
+            self._open -= ends
             target.close()
 
     async def run(
@@ -75,7 +109,7 @@
         async with trio.open_nursery() as nursery:
             while True:
                 data, sender = await server.recvfrom(MAX_DATAGRAM_BYTES)
-                if not self._resumed.is_set() or sender[0] in self.blocked_hosts:
+                if not self._inbound.is_set() or sender[0] in self.blocked_hosts:
                     continue
                 address = settings.Address(*sender)
                 client = self._udp_clients.get(address)
@@ -94,7 +128,8 @@
     ) -> None:
         while True:
             data = await client.recv(MAX_DATAGRAM_BYTES)
-            await server.sendto(data, (address.host, address.port))
+            if self._outbound.is_set():
+                await server.sendto(data, (address.host, address.port))
 
     async def _pump(
         self,
@@ -102,11 +137,14 @@
         sink: sockets.Connection,
         generation: int,
         scope: trio.CancelScope,
+        is_inbound: bool,
     ) -> None:
         try:
             while True:
                 data = await source.receive()
-                await self._resumed.wait()
+                if self.delay_seconds:
+                    await trio.sleep(self.delay_seconds)
+                await (self._inbound if is_inbound else self._outbound).wait()
                 if generation != self._generation:
                     # A close is lost on the way too.
                     if not data:
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -4,14 +4,18 @@
 import gc
 import json
 import pathlib
+import random
+import signal
 import sys
+import tempfile
 from collections.abc import Sequence
 
 import trio
 
-from umberdrum_bench import added, cost, experiment, fleet, sizes
+from umberdrum_bench import added, cost, experiment, fleet, sizes, soak
 
 GC_THRESHOLDS = (50_000, 20, 50)
+SOAK_BASE_PORT = 29_000
 
 
 def run_program(arguments: Sequence[str] | None = None) -> int:
@@ -29,6 +33,8 @@
         return _run_sizes()
     if options.command == "fleet":
         return _run_fleet(options)
+    if options.command == "soak":
+        return _run_soak(options)
     return _run_memory()
 
 
@@ -112,6 +118,30 @@
     return 0
 
 
+def _run_soak(options: argparse.Namespace) -> int:
+    """Run seeds that once failed, the seeds asked for, and fresh ones."""
+    # A soak that is told to stop ends its processes first.
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
+    seeds = [int(seed) for seed in options.seeds.split(",") if seed]
+    if options.regressions:
+        seeds = [row.seed for row in soak.read_regressions()] + seeds
+    seeds += [random.SystemRandom().randrange(1 << 31) for _ in range(options.fresh)]
+    n_broken = 0
+    for seed in seeds:
+        with tempfile.TemporaryDirectory() as temporary:
+            directory = pathlib.Path(temporary)
+            if options.keep:
+                directory = pathlib.Path(options.keep) / f"seed-{seed}"
+            wanted = soak.SoakOptions(
+                seed, options.endpoints, options.seconds, directory, options.base_port
+            )
+            result = trio.run(soak.run_seed, wanted)
+        soak.print_result(result)
+        n_broken += bool(result.findings.broken)
+    print(f"{len(seeds) - n_broken} seeds kept every promise, {n_broken} did not")
+    return 1 if n_broken else 0
+
+
 def _run_sizes() -> int:
     for row in sizes.measure_sizes():
         print(f"{row.what:24}{row.n_bytes:9.0f} B")
@@ -154,6 +184,16 @@
     runs.add_argument("--repeats", type=int, default=1)
     runs.add_argument("--base-port", type=int, default=experiment.BASE_PORT)
     runs.add_argument("--json", default="", help="file for the results")
+    faults = commands.add_parser("soak", help="random faults on real processes")
+    faults.add_argument("--seeds", default="", help="seeds, separated by commas")
+    faults.add_argument("--fresh", type=int, default=0, help="number of new seeds")
+    faults.add_argument(
+        "--regressions", action="store_true", help="also the seeds that once failed"
+    )
+    faults.add_argument("--seconds", type=float, default=20.0, help="under faults")
+    faults.add_argument("--endpoints", type=int, default=8)
+    faults.add_argument("--base-port", type=int, default=SOAK_BASE_PORT)
+    faults.add_argument("--keep", default="", help="folder for logs and records")
     commands.add_parser("sizes", help="sizes in memory and on the wire")
     commands.add_parser("memory", help="memory of a daemon")
     return parser
--- a/umberdrum_bench/processes.py
+++ b/umberdrum_bench/processes.py
@@ -16,12 +16,16 @@
 READY_TIMEOUT_SECONDS = 30.0
 POLL_SECONDS = 0.1
 CLUSTER_KEY = "00112233445566778899aabbccddeeff"
+FIRST_ENDPOINT_PORT = 10
+N_PORTS = 7
 
 
 class EndpointPlan(NamedTuple):
     """One endpoint to start: daemon and upstream in an availability zone.
 
-    ``has_link`` puts a link stand-in in front of the daemon's peer address.
+    ``has_link`` puts a link stand-in in front of the daemon's peer address;
+    ``has_own_links`` leaves the links to the peer address and to the store to whoever
+    started the cluster.
     """
 
     service: str
@@ -29,6 +33,7 @@
     region: str
     n_slots: int
     has_link: bool = False
+    has_own_links: bool = False
 
 
 class ClusterOptions(NamedTuple):
@@ -45,27 +50,57 @@
     seed: int = 1
 
 
-class RunningEndpoint(NamedTuple):
-    """Addresses and processes of one endpoint."""
+class EndpointAddresses(NamedTuple):
+    """Addresses of one endpoint and of the links to it and from it to the store."""
 
-    position: int
-    plan: EndpointPlan
     caller: settings.Address
     peer: settings.Address
     admin: settings.Address
+    announce: settings.Address
     upstream: settings.Address
+    peer_link: settings.Address
+    store_link: settings.Address
+
+
+class RunningEndpoint(NamedTuple):
+    """Addresses, files and processes of one endpoint."""
+
+    position: int
+    plan: EndpointPlan
+    addresses: EndpointAddresses
+    settings_path: pathlib.Path
     record_path: pathlib.Path
     log_path: pathlib.Path
     daemon_process: "subprocess.Popen[bytes]"
     upstream_process: "subprocess.Popen[bytes] | None"
     link_process: "subprocess.Popen[bytes] | None"
 
+    @property
+    def caller(self) -> settings.Address:
+        """Address at which callers reach the daemon."""
+        return self.addresses.caller
+
+    @property
+    def peer(self) -> settings.Address:
+        """Address at which the daemon itself listens for other daemons."""
+        return self.addresses.peer
+
+    @property
+    def admin(self) -> settings.Address:
+        """Admin address of the daemon."""
+        return self.addresses.admin
+
+    @property
+    def upstream(self) -> settings.Address:
+        """Address of the upstream."""
+        return self.addresses.upstream
+
 
 class Cluster:
     """A store stand-in and endpoints, as plain processes on the loopback interface.
 
-    Each endpoint takes six ports from ``base_port`` on. ``stop`` ends every process
-    that was started here, by its process id.
+    Each endpoint takes ``N_PORTS`` ports from ``base_port`` on. ``stop`` ends every
+    process that was started here, by its process id.
     """
 
     def __init__(self, options: ClusterOptions) -> None:
@@ -135,85 +170,109 @@
         n_known = len(answer.ok["classes"])
         return len(serving) >= len(self.endpoints) and n_known >= n_classes
 
+    def restart_daemon(self, index: int) -> None:
+        """Start the daemon of an endpoint again, at its old addresses."""
+        endpoint = self.endpoints[index]
+        process = self._spawn_daemon(index, endpoint.settings_path)
+        self.endpoints[index] = endpoint._replace(daemon_process=process)
+
+    def restart_upstream(self, index: int) -> None:
+        """Start the upstream of an endpoint again, at its old address."""
+        endpoint = self.endpoints[index]
+        process = self._spawn_upstream(index, endpoint.plan, endpoint.addresses)
+        self.endpoints[index] = endpoint._replace(upstream_process=process)
+
+    def write_settings(self, index: int, log_level: str) -> None:
+        """Write the settings file of an endpoint's daemon anew."""
+        endpoint = self.endpoints[index]
+        text = self._render_settings(endpoint.plan, endpoint.addresses, log_level)
+        endpoint.settings_path.write_text(text)
+
     def _start_endpoint(self, index: int, plan: EndpointPlan) -> RunningEndpoint:
-        port = self.options.base_port + 10 + index * 6
-        caller, peer, admin, announce, upstream, link = (
-            settings.Address(HOST, port + offset) for offset in range(6)
+        port = self.options.base_port + FIRST_ENDPOINT_PORT + index * N_PORTS
+        addresses = EndpointAddresses(
+            *(settings.Address(HOST, port + offset) for offset in range(N_PORTS))
         )
         name = f"{index:03d}"
-        settings_path = self.options.directory / f"daemon-{name}.ini"
-        advertised = link if plan.has_link else peer
-        settings_path.write_text(
-            self._render_settings(plan, caller, peer, advertised, admin, announce)
-        )
+        directory = self.options.directory
+        settings_path = directory / f"daemon-{name}.ini"
+        log_level = self.options.log_level
+        settings_path.write_text(self._render_settings(plan, addresses, log_level))
         link_process = None
         if plan.has_link:
-            link_process = self._spawn(
-                f"link-{name}",
-                ["umberdrum_bench.link", "--listen", str(link), "--target", str(peer)],
-            )
-        daemon_process = self._spawn(
-            f"daemon-{name}",
-            ["umberdrum.daemon.main", "--settings", str(settings_path)],
-        )
-        record_path = self.options.directory / f"record-{name}.txt"
-        arguments = [
-            "umberdrum_bench.upstream",
-            *("--listen", str(upstream), "--announce", str(announce)),
-            *("--service", plan.service, "--slots", str(plan.n_slots)),
-            *("--record", str(record_path), "--seed", str(self.options.seed + index)),
-        ]
-        if self.options.mean_ms:
-            arguments += ["--mean-ms", str(self.options.mean_ms)]
-        if self.options.is_instant:
-            arguments.append("--instant")
+            arguments = [
+                "umberdrum_bench.link",
+                *("--listen", str(addresses.peer_link)),
+                *("--target", str(addresses.peer)),
+            ]
+            link_process = self._spawn(f"link-{name}", arguments)
+        daemon_process = self._spawn_daemon(index, settings_path)
         upstream_process = None
         if self.options.has_upstreams:
-            upstream_process = self._spawn(f"upstream-{name}", arguments)
+            upstream_process = self._spawn_upstream(index, plan, addresses)
         return RunningEndpoint(
             index,
             plan,
-            caller,
-            peer,
-            admin,
-            upstream,
-            record_path,
-            self.options.directory / f"daemon-{name}.log",
+            addresses,
+            settings_path,
+            self._get_record_path(index),
+            directory / f"daemon-{name}.log",
             daemon_process,
             upstream_process,
             link_process,
         )
 
+    def _get_record_path(self, index: int) -> pathlib.Path:
+        return self.options.directory / f"record-{index:03d}.txt"
+
+    def _spawn_daemon(
+        self, index: int, settings_path: pathlib.Path
+    ) -> "subprocess.Popen[bytes]":
+        arguments = ["umberdrum.daemon.main", "--settings", str(settings_path)]
+        return self._spawn(f"daemon-{index:03d}", arguments)
+
+    def _spawn_upstream(
+        self, index: int, plan: EndpointPlan, addresses: EndpointAddresses
+    ) -> "subprocess.Popen[bytes]":
+        arguments = [
+            "umberdrum_bench.upstream",
+            *("--listen", str(addresses.upstream)),
+            *("--announce", str(addresses.announce)),
+            *("--service", plan.service, "--slots", str(plan.n_slots)),
+            *("--record", str(self._get_record_path(index))),
+            *("--seed", str(self.options.seed + index)),
+        ]
+        if self.options.mean_ms:
+            arguments += ["--mean-ms", str(self.options.mean_ms)]
+        if self.options.is_instant:
+            arguments.append("--instant")
+        return self._spawn(f"upstream-{index:03d}", arguments)
+
     def _render_settings(
-        self,
-        plan: EndpointPlan,
-        caller: settings.Address,
-        peer: settings.Address,
-        advertised: settings.Address,
-        admin: settings.Address,
-        announce: settings.Address,
+        self, plan: EndpointPlan, addresses: EndpointAddresses, log_level: str
     ) -> str:
         options = self.options
+        has_link = plan.has_link or plan.has_own_links
         lines = [
             "[instance]",
             f"availability_zone = {plan.availability_zone}",
             f"region = {plan.region}",
             "[listen]",
-            f"caller = {caller}",
-            f"peer = {peer}",
-            f"peer_advertise = {advertised}",
-            f"admin = {admin}",
-            f"announce = {announce}",
+            f"caller = {addresses.caller}",
+            f"peer = {addresses.peer}",
+            f"peer_advertise = {addresses.peer_link if has_link else addresses.peer}",
+            f"admin = {addresses.admin}",
+            f"announce = {addresses.announce}",
             "[cluster]",
             f"key = {CLUSTER_KEY}",
             "[store]",
-            f"addresses = {self.store}",
+            f"addresses = {addresses.store_link if plan.has_own_links else self.store}",
             "[measuring]",
             f"bytes_per_second = {options.measuring_bytes_per_second}",
             "[routing]",
             f"policy = {options.routing_policy}",
             "[log]",
-            f"level = {options.log_level}",
+            f"level = {log_level}",
         ]
         return "\n".join(lines) + "\n"
 
--- /dev/null
+++ b/umberdrum_bench/soak/_injector.py
@@ -0,0 +1,269 @@
+"""Brings about the faults of a plan, from outside the processes."""
+
+import datetime
+import signal
+import subprocess
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from umberdrum_bench import processes
+from umberdrum_bench.soak import _plan, _site
+
+# Daemons answer what is in progress, at most one deadline of 2 s, and end; with room
+# for a busy machine.
+STOP_SECONDS = 10.0
+# A leaving upstream gets no new work later than this after its acknowledgement.
+DRAIN_SECONDS = 2.0
+LINK_DELAY_SECONDS = 0.05
+STORE_DELAY_MS = 700
+SLOW_FACTOR = 20
+LOG_LEVELS = ("info", "debug", "warning")
+
+_Action = Callable[[_plan.SoakFault], Awaitable[None]]
+
+
+class FaultInjector:
+    """Carries out faults at their moments; overlapping ones run side by side."""
+
+    def __init__(self, site: _site.SoakSite) -> None:
+        self._site = site
+        self._cluster = site.cluster
+        kinds = _plan.FaultKind
+        self._actions: dict[_plan.FaultKind, _Action] = {
+            kinds.KILL_DAEMON: self._kill_daemon,
+            kinds.STOP_DAEMON: self._stop_daemon,
+            kinds.PAUSE_DAEMON: self._pause_daemon,
+            kinds.RELOAD_DAEMON: self._reload_daemon,
+            kinds.KILL_UPSTREAM: self._kill_upstream,
+            kinds.DRAIN_UPSTREAM: self._drain_upstream,
+            kinds.SLOW_UPSTREAM: self._slow_upstream,
+            kinds.FAIL_UPSTREAM: self._fail_upstream,
+            kinds.LOSE_ENDPOINT: self._lose_endpoint,
+            kinds.LOSE_ALL: self._lose_all,
+            kinds.DELAY_LINK: self._delay_link,
+            kinds.RESET_LINK: self._reset_link,
+            kinds.SILENCE_LINK: self._silence_link,
+            kinds.CUT_LINK_IN: self._cut_link,
+            kinds.CUT_LINK_OUT: self._cut_link,
+            kinds.CUT_LINK: self._cut_link,
+            kinds.CUT_STORE_LINK: self._cut_store_link,
+            kinds.RESET_STORE_LINK: self._reset_store_link,
+            kinds.STOP_STORE: self._stop_store,
+            kinds.SLOW_STORE: self._slow_store,
+            kinds.LOSE_STORE_ANSWERS: self._lose_store_answers,
+            kinds.COMPACT_STORE: self._compact_store,
+            kinds.LAPSE_LEASES: self._lapse_leases,
+            kinds.CHANGE_TARGET: self._change_target,
+        }
+
+    async def run(self, plan: tuple[_plan.SoakFault, ...]) -> None:
+        """Bring about all faults of the plan and return when the last has ended."""
+        began_at = trio.current_time()
+        async with trio.open_nursery() as nursery:
+            for fault in plan:
+                await trio.sleep_until(began_at + fault.at_seconds)
+                now = datetime.datetime.now(datetime.UTC)
+                print(
+                    f"time={now:%H:%M:%S.%f} event=fault at={fault.at_seconds:.2f} "
+                    f"kind={fault.kind.value} position={fault.position} "
+                    f"seconds={fault.seconds:.2f}",
+                    flush=True,
+                )
+                nursery.start_soon(self._carry_out, fault)
+
+    async def _carry_out(self, fault: _plan.SoakFault) -> None:
+        positions = [fault.position]
+        if fault.kind is _plan.FaultKind.LOSE_ALL:
+            positions = list(range(len(self._cluster.endpoints)))
+        self._site.begin_fault(positions)
+        try:
+            await self._actions[fault.kind](fault)
+        finally:
+            self._site.end_fault(positions)
+
+    async def _kill_daemon(self, fault: _plan.SoakFault) -> None:
+        position = fault.position
+        began_at = trio.current_time()
+        process = self._cluster.endpoints[position].daemon_process
+        if not self._site.signal_daemon(position, signal.SIGKILL):
+            return
+        await trio.sleep(fault.seconds)
+        await self._restart_daemon(position, process)
+        self._site.note_disturbance(position, "kill", began_at)
+
+    async def _stop_daemon(self, fault: _plan.SoakFault) -> None:
+        """Stop a daemon by SIGTERM; it must end by itself, with code 0.
+
+        One that does not serve yet has no handlers and ends by the signal.
+        """
+        position = fault.position
+        status = await _site.read_status(self._cluster.endpoints[position])
+        began_at = trio.current_time()
+        process = self._cluster.endpoints[position].daemon_process
+        if not self._site.signal_daemon(position, signal.SIGTERM):
+            return
+        n_faults = self._site.count_faults(position)
+        with trio.move_on_after(STOP_SECONDS):
+            while process.poll() is None:
+                await trio.sleep(processes.POLL_SECONDS)
+        code = process.poll()
+        if code is None and self._site.is_left_alone(position, n_faults):
+            self._site.broken.append(
+                f"stop: daemon {position} still ran {STOP_SECONDS:g} s after SIGTERM"
+            )
+        allowed = [None, 0, -signal.SIGKILL]
+        if status is None:
+            allowed.append(-signal.SIGTERM)
+        if code not in allowed:
+            self._site.broken.append(
+                f"stop: daemon {position} ended with code {code}, expected 0"
+            )
+        if code is None:
+            self._site.signal_daemon(position, signal.SIGKILL)
+        await trio.sleep(fault.seconds)
+        await self._restart_daemon(position, process)
+        kind = "kill" if code != 0 else "stop"
+        self._site.note_disturbance(position, kind, began_at)
+
+    async def _restart_daemon(
+        self, position: int, process: "subprocess.Popen[bytes]"
+    ) -> None:
+        """Start the daemon again once ``process`` has ended, unless that is done."""
+        await trio.to_thread.run_sync(process.wait)
+        if not self._site.is_running(position):
+            self._cluster.restart_daemon(position)
+
+    async def _pause_daemon(self, fault: _plan.SoakFault) -> None:
+        began_at = trio.current_time()
+        if not self._site.signal_daemon(fault.position, signal.SIGSTOP):
+            return
+        await trio.sleep(fault.seconds)
+        self._site.signal_daemon(fault.position, signal.SIGCONT)
+        self._site.note_disturbance(fault.position, "pause", began_at)
+
+    async def _reload_daemon(self, fault: _plan.SoakFault) -> None:
+        level = self._site.rng.choice(LOG_LEVELS)
+        self._cluster.write_settings(fault.position, level)
+        self._site.signal_daemon(fault.position, signal.SIGHUP)
+
+    async def _kill_upstream(self, fault: _plan.SoakFault) -> None:
+        process = self._site.get_upstream(fault.position)
+        process.kill()
+        await trio.to_thread.run_sync(process.wait)
+        await trio.sleep(fault.seconds)
+        self._restart_upstream(fault.position)
+
+    def _restart_upstream(self, position: int) -> None:
+        if self._site.get_upstream(position).poll() is None:
+            return
+        self._site.forget_runs(position)
+        self._cluster.restart_upstream(position)
+
+    async def _drain_upstream(self, fault: _plan.SoakFault) -> None:
+        """Announce the leaving of an upstream, end it, and start it anew.
+
+        No call may begin there later than ``DRAIN_SECONDS`` after the announcement, and
+        none that began may be cut, if neither process was disturbed meanwhile.
+        """
+        position = fault.position
+        process = self._site.get_upstream(position)
+        if process.poll() is not None or not self._site.is_running(position):
+            return
+        n_faults = self._site.count_faults(position)
+        process.send_signal(signal.SIGUSR1)
+        await trio.sleep(DRAIN_SECONDS)
+        at_bound = self._site.read_run_counts(position)
+        await trio.sleep(fault.seconds)
+        at_end = self._site.read_run_counts(position)
+        process.terminate()
+        await trio.to_thread.run_sync(process.wait)
+        self._restart_upstream(position)
+        if not self._site.is_left_alone(position, n_faults):
+            return
+        if at_end.n_begun > at_bound.n_begun:
+            self._site.broken.append(
+                f"drain: {at_end.n_begun - at_bound.n_begun} calls began at upstream "
+                f"{position} over {DRAIN_SECONDS:g} s after it announced its leaving"
+            )
+        if at_end.n_in_progress:
+            self._site.broken.append(
+                f"drain: the end of upstream {position} cut "
+                f"{at_end.n_in_progress} calls"
+            )
+
+    async def _slow_upstream(self, fault: _plan.SoakFault) -> None:
+        address = self._cluster.endpoints[fault.position].upstream
+        await self._site.switch_upstream(address, factor=SLOW_FACTOR)
+        await trio.sleep(fault.seconds)
+        await self._site.switch_upstream(address, factor=1)
+
+    async def _fail_upstream(self, fault: _plan.SoakFault) -> None:
+        address = self._cluster.endpoints[fault.position].upstream
+        await self._site.switch_upstream(address, fail=True)
+        await trio.sleep(fault.seconds)
+        await self._site.switch_upstream(address, fail=False)
+
+    async def _lose_endpoint(self, fault: _plan.SoakFault) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._kill_daemon, fault)
+            nursery.start_soon(self._kill_upstream, fault)
+
+    async def _lose_all(self, fault: _plan.SoakFault) -> None:
+        async with trio.open_nursery() as nursery:
+            for position in range(len(self._cluster.endpoints)):
+                nursery.start_soon(
+                    self._lose_endpoint, fault._replace(position=position)
+                )
+
+    async def _delay_link(self, fault: _plan.SoakFault) -> None:
+        link = self._site.peer_links[fault.position]
+        link.delay_seconds = LINK_DELAY_SECONDS
+        await trio.sleep(fault.seconds)
+        link.delay_seconds = 0.0
+
+    async def _reset_link(self, fault: _plan.SoakFault) -> None:
+        self._site.peer_links[fault.position].reset()
+
+    async def _silence_link(self, fault: _plan.SoakFault) -> None:
+        self._site.peer_links[fault.position].silence()
+
+    async def _cut_link(self, fault: _plan.SoakFault) -> None:
+        link = self._site.peer_links[fault.position]
+        link.pause(
+            inbound=fault.kind is not _plan.FaultKind.CUT_LINK_OUT,
+            outbound=fault.kind is not _plan.FaultKind.CUT_LINK_IN,
+        )
+        await trio.sleep(fault.seconds)
+        link.resume()
+
+    async def _cut_store_link(self, fault: _plan.SoakFault) -> None:
+        link = self._site.store_links[fault.position]
+        link.pause()
+        await trio.sleep(fault.seconds)
+        link.resume()
+
+    async def _reset_store_link(self, fault: _plan.SoakFault) -> None:
+        self._site.store_links[fault.position].reset()
+
+    async def _stop_store(self, fault: _plan.SoakFault) -> None:
+        await self._cluster.switch_store_faults(down=True)
+        await trio.sleep(fault.seconds)
+        await self._cluster.switch_store_faults(down=False)
+
+    async def _slow_store(self, fault: _plan.SoakFault) -> None:
+        await self._cluster.switch_store_faults(delay_ms=STORE_DELAY_MS)
+        await trio.sleep(fault.seconds)
+        await self._cluster.switch_store_faults(delay_ms=0)
+
+    async def _lose_store_answers(self, fault: _plan.SoakFault) -> None:
+        await self._cluster.switch_store_faults(lost_answers=2)
+
+    async def _compact_store(self, fault: _plan.SoakFault) -> None:
+        await self._cluster.switch_store_faults(compact=True)
+
+    async def _lapse_leases(self, fault: _plan.SoakFault) -> None:
+        await self._cluster.switch_store_faults(lapse=True)
+
+    async def _change_target(self, fault: _plan.SoakFault) -> None:
+        await self._site.change_target()
--- /dev/null
+++ b/umberdrum_bench/soak/_site.py
@@ -0,0 +1,228 @@
+"""Processes of a soak, the links between them, and what was done to them."""
+
+import collections
+import random
+import signal
+import subprocess
+from typing import NamedTuple
+
+import trio
+
+from umberdrum import classes, configuration, settings, store
+from umberdrum_bench import link, processes, verdict
+from umberdrum_bench.soak import _judgement, _plan
+
+SERVICES = ("cards", "payments")
+ZONES = ("tallinn", "tartu", "parnu")
+REGION = "estonia"
+N_SLOTS = 6
+KEY_PREFIX = "umberdrum"
+
+
+class ClassPlan(NamedTuple):
+    """Class of a soak, the calls sent for it each second and their bodies."""
+
+    name: str
+    service: str
+    path: str
+    method: str
+    is_idempotent: bool
+    calls_per_second: float
+    n_body_bytes: int
+
+
+CLASS_PLANS = (
+    ClassPlan("lookups", "cards", "/cards", "GET", True, 40.0, 0),
+    ClassPlan("renewals", "payments", "/payments", "POST", False, 25.0, 300),
+    ClassPlan("uploads", "payments", "/photos", "POST", False, 4.0, 100_000),
+)
+TARGET_MS = 500
+PERCENTILE = 99.0
+
+
+class RunCounts(NamedTuple):
+    """Calls that one process of an upstream began, and those that it did not end."""
+
+    n_begun: int
+    n_in_progress: int
+
+
+class SoakSite:
+    """A store and endpoints as processes, with links that this process can disturb."""
+
+    def __init__(self, options: _plan.SoakOptions) -> None:
+        self.options = options
+        self.rng = random.Random(options.seed + 1)
+        self.cluster = processes.Cluster(
+            processes.ClusterOptions(
+                options.base_port, options.directory, seed=options.seed
+            )
+        )
+        self.peer_links: list[link.LinkStandIn] = []
+        self.store_links: list[link.LinkStandIn] = []
+        self.disturbances: list[_judgement.Disturbance] = []
+        self.broken: list[str] = []
+        self.accepted_revision = 0
+        self._expected_exits: set[int] = set()
+        self._n_faults: collections.Counter[int] = collections.Counter()
+        self._n_active: collections.Counter[int] = collections.Counter()
+        self._forgotten: dict[int, RunCounts] = {}
+        self._n_changes = 0
+
+    def start(self) -> None:
+        """Start all processes."""
+        plans: list[processes.EndpointPlan] = []
+        for index in range(self.options.n_endpoints):
+            service = SERVICES[index % len(SERVICES)]
+            zone = ZONES[index // len(SERVICES) % len(ZONES)]
+            plans.append(
+                processes.EndpointPlan(
+                    service, zone, REGION, N_SLOTS, has_own_links=True
+                )
+            )
+        self.cluster.start(plans)
+        for endpoint in self.cluster.endpoints:
+            addresses = endpoint.addresses
+            self.peer_links.append(
+                link.LinkStandIn(addresses.peer_link, addresses.peer)
+            )
+            self.store_links.append(
+                link.LinkStandIn(addresses.store_link, self.cluster.store)
+            )
+
+    async def create_classes(self) -> None:
+        """Create the classes, as an operator does."""
+        for plan in CLASS_PLANS:
+            while not await self._write_class(plan, 0):
+                await trio.sleep(processes.POLL_SECONDS)
+
+    async def change_target(self) -> None:
+        """Change the target of one class; a store that is away refuses the change."""
+        plan = self.rng.choice(CLASS_PLANS)
+        repository, client = self._open_repository()
+        try:
+            found = await repository.get_class(plan.name)
+        finally:
+            client.close()
+        if found.is_ok() and found.ok is not None:
+            await self._write_class(plan, found.ok.revision)
+
+    async def _write_class(self, plan: ClassPlan, expected_revision: int) -> bool:
+        self._n_changes += 1
+        request_class = classes.RequestClass(
+            plan.name,
+            plan.service,
+            (plan.method,),
+            plan.path,
+            plan.is_idempotent,
+            classes.Target(TARGET_MS + self._n_changes, PERCENTILE),
+            f"soak-{self._n_changes}",
+        )
+        repository, client = self._open_repository()
+        try:
+            written = await repository.write_class(request_class, expected_revision)
+        finally:
+            client.close()
+        if written.is_error():
+            return False
+        self.accepted_revision = max(self.accepted_revision, written.ok.revision)
+        return True
+
+    def _open_repository(
+        self,
+    ) -> tuple[configuration.ClassRepository, store.EtcdStore]:
+        client = store.EtcdStore((self.cluster.store,), store.StoreCallCounter())
+        return configuration.ClassRepository(client, KEY_PREFIX), client
+
+    def signal_daemon(self, position: int, number: signal.Signals) -> bool:
+        """Send a signal to a daemon; False if it does not run."""
+        process = self.cluster.endpoints[position].daemon_process
+        if process.poll() is not None:
+            return False
+        if number in (signal.SIGKILL, signal.SIGTERM):
+            self._expected_exits.add(process.pid)
+        process.send_signal(number)
+        return True
+
+    def is_running(self, position: int) -> bool:
+        """Return whether the daemon at the position runs."""
+        return self.cluster.endpoints[position].daemon_process.poll() is None
+
+    def begin_fault(self, positions: list[int]) -> None:
+        """Note that a fault strikes these endpoints."""
+        for position in positions:
+            self._n_faults[position] += 1
+            self._n_active[position] += 1
+
+    def end_fault(self, positions: list[int]) -> None:
+        """Note the end of a fault."""
+        for position in positions:
+            self._n_active[position] -= 1
+
+    def count_faults(self, position: int) -> int:
+        """Return how many faults have struck the endpoint so far."""
+        return self._n_faults[position]
+
+    def is_left_alone(self, position: int, n_faults: int) -> bool:
+        """Return whether nothing else struck since the count was ``n_faults``."""
+        return self._n_active[position] == 1 and self._n_faults[position] == n_faults
+
+    def read_run_counts(self, position: int) -> RunCounts:
+        """Return the runs of the upstream's present process, by its record."""
+        counts = self._read_all_runs(position)
+        before = self._forgotten.get(position, RunCounts(0, 0))
+        return RunCounts(
+            counts.n_begun - before.n_begun,
+            counts.n_in_progress - before.n_in_progress,
+        )
+
+    def forget_runs(self, position: int) -> None:
+        """Leave the runs so far out of later counts: their process has ended."""
+        self._forgotten[position] = self._read_all_runs(position)
+
+    def _read_all_runs(self, position: int) -> RunCounts:
+        path = self.cluster.endpoints[position].record_path
+        record = verdict.read_records([path])
+        n_begun = record.n_begun.total()
+        n_over = record.n_ended.total() + record.n_cut.total()
+        return RunCounts(n_begun, n_begun - n_over)
+
+    def note_disturbance(self, position: int, kind: str, began_at: float) -> None:
+        """Note that the daemon was dead, stopping or paused from then until now."""
+        now = trio.current_time()
+        row = _judgement.Disturbance(position, kind, began_at, now)
+        self.disturbances.append(row)
+
+    def find_unexpected_exit(self, position: int) -> int | None:
+        """Return the exit code of a daemon that ended though nobody told it to."""
+        process = self.cluster.endpoints[position].daemon_process
+        code = process.poll()
+        if code is None or process.pid in self._expected_exits:
+            return None
+        self._expected_exits.add(process.pid)
+        return code
+
+    def get_upstream(self, position: int) -> "subprocess.Popen[bytes]":
+        """Return the upstream's process."""
+        process = self.cluster.endpoints[position].upstream_process
+        if process is None:
+            raise RuntimeError("expected an upstream process, found none")
+        return process
+
+    async def switch_upstream(
+        self, address: settings.Address, **faults: object
+    ) -> None:
+        """Switch faults of an upstream stand-in that may not run."""
+        client = processes.build_client(address)
+        await client.request("POST", "/standin/slow", faults, is_write=False)
+        client.close()
+
+
+async def read_status(
+    endpoint: processes.RunningEndpoint,
+) -> dict[str, object] | None:
+    """Return what a daemon reports of itself, None if it does not answer."""
+    client = processes.build_client(endpoint.admin)
+    answer = await client.request("GET", "/v1/status", {}, is_write=False)
+    client.close()
+    return answer.ok if answer.is_ok() else None
