Compress long documents and fetch them from the own zone first

Every daemon fetched the document, some 20 routes to several hundred, from whichever peer named it first.

Change: documents of 400 bytes or more travel in the zlib format, bounded on arrival; `FetchChoice` asks a peer of the own zone at once and one of another zone after 0.3 s or when this daemon has no document; a push goes to one peer of another zone.

Tests: gossip.feature, compression, unreadable documents, whom to ask.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -8,7 +8,13 @@
 import trio
 
 from umberdrum import logs, membership, peerlink, settings, wire
-from umberdrum.gossip import _budget, _datagram, _state, _synchronizer
+from umberdrum.gossip import (
+    _budget,
+    _datagram,
+    _fetch_choice,
+    _state,
+    _synchronizer,
+)
 
 PERIOD_SECONDS = 0.4
 ANSWER_TIMEOUT_SECONDS = 0.4
@@ -67,8 +73,8 @@
         self._urgent: set[str] = set()
         self._n_mismatches = 0
         self._sync_peer: peerlink.PeerAddress | None = None
-        self._fetch_peer: peerlink.PeerAddress | None = None
-        self._is_fetching = False
+        self._fetch_choice = _fetch_choice.FetchChoice()
+        self._fetch_wake = trio.Event()
         self._next_sync_at = 0.0
         self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
         self._budget = _budget.ControlBudget(0.0)
@@ -93,6 +99,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._receive_forever)
             nursery.start_soon(self._forget_forever)
+            nursery.start_soon(self._fetch_forever)
             while True:
                 self._wake = trio.Event()
                 with trio.move_on_after(self._draw_period()):
@@ -110,9 +117,21 @@
         await self._ask(address, 0, None, None)
 
     async def push_news(self, n_peers: int) -> None:
-        """Send news to a few peers at once, for a change that must not wait."""
-        members = self._list_members()
-        for record in self._rng.sample(members, min(n_peers, len(members))):
+        """Send news to a few peers at once, for a change that must not wait.
+
+        One of them is of another availability zone: long documents are then fetched
+        from zone to zone a few times only.
+        """
+        own_zone = self._state.table.own.availability_zone
+        near: list[membership.EndpointRecord] = []
+        distant: list[membership.EndpointRecord] = []
+        for row in self._list_members():
+            is_near = row.availability_zone == own_zone
+            (near if is_near else distant).append(row)
+        n_distant = min(len(distant), max(1, n_peers - len(near)))
+        chosen = self._rng.sample(distant, n_distant)
+        chosen += self._rng.sample(near, min(len(near), n_peers - n_distant))
+        for record in chosen:
             await self._ask(record.address, record.process_id, record, None)
 
     async def _run_period(self, nursery: trio.Nursery) -> None:
@@ -127,8 +146,6 @@
             await self._ask(record.address, record.process_id, record, None)
         if self._should_sync(now):
             nursery.start_soon(self._sync)
-        if self._fetch_peer is not None and not self._is_fetching:
-            nursery.start_soon(self._fetch, self._fetch_peer)
 
     def _draw_period(self) -> float:
         jitter = self._rng.uniform(0.8, 1.2)
@@ -257,8 +274,7 @@
         self._state.take_records(message.records, now)
         self._state.take_messages_of_entries(message.classes)
         try:
-            if message.catalog_revision > self._state.catalog.revision:
-                self._fetch_from(message)
+            self._note_revision(message)
             self._compare_digests(message)
         except ValueError:
             # The sender gave no address; it can't be synchronised with.
@@ -350,11 +366,20 @@
             self._n_mismatches = MISMATCHES_BEFORE_SYNC
             self._wake.set()
 
-    def _fetch_from(self, message: wire.messages.Gossip) -> None:
-        """Synchronise soon with a daemon that has a document which is news here."""
+    def _note_revision(self, message: wire.messages.Gossip) -> None:
+        """Synchronise soon if the sender has a document which is news here."""
         address = settings.parse_address(message.sender_id)
-        self._fetch_peer = peerlink.PeerAddress(address, message.sender_process_id)
-        self._wake.set()
+        record = self._state.table.get(message.sender_id)
+        own_zone = self._state.table.own.availability_zone
+        is_newer = self._fetch_choice.note_revision(
+            peerlink.PeerAddress(address, message.sender_process_id),
+            message.catalog_revision,
+            self._state.catalog.revision,
+            record is not None and record.availability_zone == own_zone,
+            trio.current_time(),
+        )
+        if is_newer:
+            self._fetch_wake.set()
 
     def _should_sync(self, now: float) -> bool:
         if self._n_mismatches < MISMATCHES_BEFORE_SYNC or now < self._next_sync_at:
@@ -380,15 +405,17 @@
             return
         self._sync_interval = min(SYNC_MAX_INTERVAL_SECONDS, self._sync_interval * 2)
 
-    async def _fetch(self, peer: peerlink.PeerAddress) -> None:
-        """Get a document that ``peer`` has named, and pass its name on."""
-        self._is_fetching = True
-        try:
-            await self._synchronizer.sync_with(peer, trio.current_time())
-        finally:
-            self._is_fetching = False
-            if self._fetch_peer == peer:
-                self._fetch_peer = None
+    async def _fetch_forever(self) -> None:
+        """Get documents that peers have named, and pass their names on."""
+        while True:
+            now = trio.current_time()
+            peer = self._fetch_choice.take(self._state.catalog.revision, now)
+            if peer is not None:
+                await self._synchronizer.sync_with(peer, now)
+                continue
+            self._fetch_wake = trio.Event()
+            with trio.move_on_after(self._fetch_choice.get_wait(now)):
+                await self._fetch_wake.wait()
 
     async def _forget_forever(self) -> None:
         while True:
--- a/umberdrum/gossip/_state.py
+++ b/umberdrum/gossip/_state.py
@@ -62,8 +62,13 @@
         """Merge classes that came from another daemon."""
         entries: list[classes.CatalogEntry] = []
         for message in messages:
-            if not message.is_stub:
-                entries.append(_convert.decode_entry(message))
+            if message.is_stub:
+                continue
+            decoded = _convert.decode_entry(message)
+            if decoded.is_error():
+                self._log.warn("document_refused", reason=decoded.error.detail)
+                continue
+            entries.append(decoded.ok)
         self.take_entries(entries, is_news)
 
     def take_entries(
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -33,3 +33,30 @@
   Scenario: Sent bytes stay within the control budget
     When a daemon spends whatever its budget has, for 60 s
     Then it spends at most 2500 bytes a second on average over the last 50 s
+
+  Scenario: A long document travels compressed
+    When a document of 600 routes is encoded
+    Then it takes at most a fifth of its bytes and decodes to the same
+
+  Scenario Outline: A compressed document that can't be read names no entry
+    When a compressed document is <change>
+    Then no entry is taken and a line says why
+
+    Examples:
+      | change            |
+      | cut short         |
+      | not compressed    |
+      | longer than 2 MB  |
+
+  Scenario Outline: Whom a document is fetched from
+    Given a daemon at revision <own>
+    When a peer of <first> zone names revision 9, and after 0.1 s one of <second> zone
+    Then it asks <asked>
+
+    Examples:
+      | own | first   | second  | asked                               |
+      | 5   | another | its own | the second peer after 0.1 s         |
+      | 5   | its own | another | the first peer at once              |
+      | 5   | another | another | the second peer after 0.3 s         |
+      | 0   | another | its own | the first peer at once              |
+      | 9   | another | its own | nobody                              |
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -1,11 +1,14 @@
 """Steps on gossip datagrams, news and the control budget."""
 
+import json
+import logging
 import random
+import zlib
 
 import behave
 from behave import runner
 
-from umberdrum import gossip, membership, wire
+from umberdrum import classes, gossip, logs, membership, peerlink, settings, wire
 from umberdrum.membership.tests import membership_steps
 
 KEY = bytes(range(16))
@@ -134,3 +137,85 @@
 )
 def check_spent(context: runner.Context, n_bytes: int, seconds: int) -> None:
     assert 0 < context.n_late_bytes <= n_bytes * seconds, context.n_late_bytes
+
+
+def _build_document(n_routes: int) -> bytes:
+    rules = [
+        {"prefix": f"/r{index}/", "service": f"s{index % 7}", "timeout-s": 2}
+        for index in range(n_routes)
+    ]
+    return json.dumps({"rules": rules}).encode()
+
+
+@behave.when("a document of {n_routes:d} routes is encoded")
+def encode_document(context: runner.Context, n_routes: int) -> None:
+    document = _build_document(n_routes)
+    context.entry = classes.CatalogEntry("config", 4, document, False)
+    context.message = gossip.encode_entry(context.entry)
+
+
+@behave.then("it takes at most a fifth of its bytes and decodes to the same")
+def check_encoded(context: runner.Context) -> None:
+    n_bytes = len(context.entry.document)
+    assert context.message.ByteSize() * 5 <= n_bytes, context.message.ByteSize()
+    assert gossip.decode_entry(context.message).ok == context.entry
+
+
+@behave.when("a compressed document is {change}")
+def change_document(context: runner.Context, change: str) -> None:
+    document = zlib.compress(_build_document(600))
+    if change == "cut short":
+        document = document[:-9]
+    elif change == "not compressed":
+        document = b"[]" * 300
+    else:
+        document = zlib.compress(bytes(3 << 20))
+    context.message = wire.messages.ClassEntry(
+        name="config", revision=4, document=document, is_compressed=True
+    )
+
+
+@behave.then("no entry is taken and a line says why")
+def check_not_taken(context: runner.Context) -> None:
+    logger = logging.Logger("state")
+    lines: list[str] = []
+    handler = logging.Handler()
+    handler.emit = lambda record: lines.append(record.getMessage())  # type: ignore[method-assign]
+    logger.addHandler(handler)
+    table = membership.MembershipTable(membership_steps.RECORD)
+    state = gossip.SharedState(table, logs.EventLog(logger, "d1"))
+    state.take_messages_of_entries([context.message])
+    assert state.catalog.revision == 0
+    assert ["event=document_refused" in line for line in lines] == [True], lines
+
+
+@behave.given("a daemon at revision {own:d}")
+def build_choice(context: runner.Context, own: int) -> None:
+    context.own_revision = own
+    context.choice = gossip.FetchChoice()
+
+
+@behave.when(
+    "a peer of {first} zone names revision 9, and after 0.1 s one of {second} zone"
+)
+def name_revisions(context: runner.Context, first: str, second: str) -> None:
+    context.asked = "nobody"
+    names: dict[settings.Address, str] = {}
+    for step in range(6):
+        now = step / 10
+        if step < 2:
+            address = settings.Address("10.0.0.1", 7000 + step)
+            names[address] = ("first", "second")[step]
+            is_near = (first, second)[step] == "its own"
+            peer = peerlink.PeerAddress(address, 1)
+            context.choice.note_revision(peer, 9, context.own_revision, is_near, now)
+        taken = context.choice.take(context.own_revision, now)
+        if taken is not None:
+            moment = f"after {now:g} s" if now else "at once"
+            context.asked = f"the {names[taken.address]} peer {moment}"
+            return
+
+
+@behave.then("it asks {asked}")
+def check_asked(context: runner.Context, asked: str) -> None:
+    assert context.asked == asked, context.asked
