Keep fewer contacts, hand over those that lose the store

Ten contacts listed each other at 1, 2, 4 s and so on, and daemons that started together all wrote a lease for the same key.

Since fewer contacts are left, one that the store turns away says so after its next renewal (2 s) and another daemon of the zone takes a further key; those beyond the number wanted resign. Watches come back within 2 s of the store.

Ruled out: one contact in the whole cluster (a change right after its loss would miss the bound of 2 s); giving the key back while the store is away (it can't be told).

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -1,5 +1,6 @@
 """Contacts: the few daemons of each availability zone that talk to the store."""
 
+import math
 import random
 from typing import NamedTuple
 
@@ -9,12 +10,19 @@
 from umberdrum.configuration import _watcher
 
 LEASE_SECONDS = 10
-KEEP_ALIVE_SECONDS = 3.0
-MAX_KEEP_ALIVE_SECONDS = 10.0
-CLAIM_CHECK_SECONDS = 1.0
+# A contact that loses the store is found out in this time and one call's timeout of
+# 2 s, so that another one has taken over within the users' 7 s for such a change.
+KEEP_ALIVE_SECONDS = 2.0
+CLAIM_CHECK_SECONDS = 0.5
 CLAIM_SPREAD_PER_MEMBER_SECONDS = 0.1
+# Daemons that start together claim one after the other: the first to do so is known
+# to the others after two gossip periods.
+FIRST_CLAIM_SPREAD_SECONDS = 2.0
 MAX_CLAIM_SPREAD_SECONDS = 10.0
+# Until then a daemon that has just started knows too few zones to count them.
+SETTLE_SECONDS = 5.0
 MIN_LIST_INTERVAL_SECONDS = 1.0
+LIST_INTERVAL_GROWTH = 4.0
 MAX_LIST_INTERVAL_SECONDS = 30.0
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 30.0
@@ -22,11 +30,16 @@
 
 
 class ContactKeys(NamedTuple):
-    """Names of the contact keys of one availability zone."""
+    """Names of the contact keys of one availability zone, and how many are wanted.
+
+    A zone has ``n_per_zone`` contacts, more if there are so few zones that the cluster
+    would have fewer than ``min_contacts``.
+    """
 
     prefix: str
     availability_zone: str
-    n_contacts: int
+    n_per_zone: int
+    min_contacts: int
 
     @property
     def all_zones_prefix(self) -> str:
@@ -50,6 +63,10 @@
     contacts now and then, which joins parts of the cluster that lost each other. Two
     holders at once cost a few calls and harm nothing, so nothing is fenced. Daemons
     that are no contacts call the store only to join and to claim a free key.
+
+    A contact that the store turns away says so in its record and keeps its key; another
+    daemon of the zone then takes a further one. Contacts beyond those wanted resign,
+    those with the highest keys first.
     """
 
     def __init__(
@@ -72,10 +89,14 @@
         self._rng = rng
         self._log = log
         self._lease_id = 0
+        self._key_index = 0
+        self._started_at = 0.0
+        self._has_claimed = False
         self.has_joined = False
 
     async def run(self) -> None:
         """Join the cluster, then be a contact whenever the zone needs one."""
+        self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load_first_documents)
             await self._join()
@@ -130,9 +151,10 @@
             await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
             backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
 
-    async def _meet_contacts(self) -> bool:
+    async def _meet_contacts(self, may_be_stale: bool = False) -> bool:
         """Introduce this daemon to contacts that it does not know."""
-        listed = await self._store.list_prefix(self._keys.all_zones_prefix)
+        prefix = self._keys.all_zones_prefix
+        listed = await self._store.list_prefix(prefix, may_be_stale)
         if listed.is_error():
             self._log.warn("store_read", reason=listed.error.detail)
             return False
@@ -156,14 +178,26 @@
     async def _wait_until_needed(self) -> None:
         """Return once the zone has had too few contacts for a random while."""
         while True:
-            while self._count_contacts() >= self._keys.n_contacts:
+            while self._count_contacts() >= self._get_wanted():
                 await trio.sleep(CLAIM_CHECK_SECONDS)
             spread = CLAIM_SPREAD_PER_MEMBER_SECONDS * self._count_zone_members()
+            if not self._has_claimed:
+                spread = max(spread, FIRST_CLAIM_SPREAD_SECONDS)
+            self._has_claimed = True
             spread = min(MAX_CLAIM_SPREAD_SECONDS, spread)
             await trio.sleep(self._rng.uniform(0.0, spread))
-            if self._count_contacts() < self._keys.n_contacts:
+            if self._count_contacts() < self._get_wanted():
                 return
 
+    def _get_wanted(self) -> int:
+        """Return how many contacts the own zone should have."""
+        n_per_zone = self._keys.n_per_zone
+        if trio.current_time() - self._started_at < SETTLE_SECONDS:
+            return n_per_zone
+        records = self._state.table.records
+        zones = {row.availability_zone for row in records if row.is_live}
+        return max(n_per_zone, math.ceil(self._keys.min_contacts / len(zones)))
+
     async def _claim(self) -> bool:
         """Take a free contact key; False when there is none or the store fails."""
         listed = await self._store.list_prefix(self._keys.zone_prefix)
@@ -173,23 +207,41 @@
         await self._introduce_to_holders(listed.ok.items)
         taken = {item.key: item for item in listed.ok.items}
         own_address = self._state.table.own.endpoint_id.encode()
-        for index in range(self._keys.n_contacts):
+        n_wanted = self._get_wanted()
+        index = 0
+        while index < n_wanted:
             key = self._keys.get_key(index)
             held = taken.get(key)
             if held is not None and held.value != own_address:
+                # A holder that has lost the store leaves room for one more.
+                n_wanted += self._has_resigned(held)
+                index += 1
                 continue
             # A key with the own address was left by an earlier process.
             revision = held.mod_revision if held is not None else 0
-            granted = await self._store.grant_lease(LEASE_SECONDS)
-            if granted.is_error():
-                return False
-            lease_id = granted.ok.lease_id
-            swapped = await self._store.swap(key, revision, own_address, lease_id)
-            if swapped.is_ok() and swapped.ok.is_applied:
-                self._lease_id = lease_id
-                self._log.write("contact_claimed", key=key)
-                return True
-            await self._store.revoke_lease(lease_id)
+            return await self._take_key(index, revision)
+        return False
+
+    def _has_resigned(self, held: store.KeyValue) -> bool:
+        """Return whether the holder of a key is known and says it is no contact now."""
+        record = self._state.table.get(held.value.decode("utf-8", "replace"))
+        return record is not None and record.is_live and not record.is_contact
+
+    async def _take_key(self, index: int, revision: int) -> bool:
+        """Write a contact key under a new lease, if it is still at ``revision``."""
+        key = self._keys.get_key(index)
+        own_address = self._state.table.own.endpoint_id.encode()
+        granted = await self._store.grant_lease(LEASE_SECONDS)
+        if granted.is_error():
+            return False
+        lease_id = granted.ok.lease_id
+        swapped = await self._store.swap(key, revision, own_address, lease_id)
+        if swapped.is_ok() and swapped.ok.is_applied:
+            self._lease_id = lease_id
+            self._key_index = index
+            self._log.write("contact_claimed", key=key)
+            return True
+        await self._store.revoke_lease(lease_id)
         return False
 
     async def _be_contact(self) -> None:
@@ -203,33 +255,44 @@
         self._log.write("contact_lost")
 
     async def _keep_lease(self) -> None:
-        """Return once the store says that the lease has lapsed.
+        """Return once the lease has lapsed or been given up.
 
-        While the store does not answer, this daemon goes on as a contact, so that no
-        other daemon starts to ask the store in its place.
+        While the store does not answer, this daemon keeps asking for its lease, but its
+        record says that it is no contact: another one may have a way to the store.
         """
-        pause = KEEP_ALIVE_SECONDS
         while self._lease_id:
-            await trio.sleep(pause * self._rng.uniform(0.8, 1.2))
+            await trio.sleep(KEEP_ALIVE_SECONDS * self._rng.uniform(0.8, 1.2))
+            if self._is_surplus():
+                self._log.write("contact_resigned", n_contacts=self._count_contacts())
+                await self.resign()
+                return
             kept = await self._store.keep_alive(self._lease_id)
             if kept.is_error():
-                pause = min(MAX_KEEP_ALIVE_SECONDS, pause * 2)
+                self._change_contact(False)
                 continue
-            pause = KEEP_ALIVE_SECONDS
             if kept.ok.ttl_seconds <= 0:
                 self._lease_id = 0
+                return
+            self._change_contact(True)
+
+    def _is_surplus(self) -> bool:
+        """Return whether the zone has enough contacts with lower keys."""
+        n_wanted = self._get_wanted()
+        return self._key_index >= n_wanted and self._count_contacts() > n_wanted
 
     async def _list_forever(self) -> None:
         """List the contacts, often at first and then at long intervals.
 
-        The list follows the claim, so that of two contacts that claimed at the same
-        moment at least one finds the other.
+        The first list follows the claim, so that of two contacts that claimed at the
+        same moment at least one finds the other; later ones may be stale.
         """
         interval = MIN_LIST_INTERVAL_SECONDS
+        may_be_stale = False
         while True:
-            await self._meet_contacts()
+            await self._meet_contacts(may_be_stale)
+            may_be_stale = True
             await trio.sleep(interval * self._rng.uniform(0.5, 1.5))
-            interval = min(MAX_LIST_INTERVAL_SECONDS, interval * 2)
+            interval = min(MAX_LIST_INTERVAL_SECONDS, interval * LIST_INTERVAL_GROWTH)
 
     def _change_contact(self, is_contact: bool) -> None:
         now = trio.current_time()
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -7,7 +7,8 @@
 from umberdrum import classes, gossip, logs, store
 
 MIN_BACKOFF_SECONDS = 0.5
-MAX_BACKOFF_SECONDS = 30.0
+# The users count a change as late 2 s after it, 3 s after the store's return.
+MAX_BACKOFF_SECONDS = 2.0
 
 
 class ConfigurationWatcher:
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -154,6 +154,7 @@
                 prefix,
                 own_settings.availability_zone,
                 own_settings.n_contacts_per_zone,
+                own_settings.min_contacts,
             ),
             self.state,
             self.exchange,
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -28,6 +28,7 @@
     cluster_key: bytes
     seeds: tuple[_address.Address, ...]
     n_contacts_per_zone: int
+    min_contacts: int
     store_addresses: tuple[_address.Address, ...]
     store_prefix: str
     measuring_bytes_per_second: int
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -125,6 +125,7 @@
         _whole_number(1, 5),
         "2",
     ),
+    _Field("min_contacts", "cluster", "min_contacts", _whole_number(1, 20), "3"),
     _Field("store_addresses", "store", "addresses", _ADDRESSES, None),
     _Field("store_prefix", "store", "prefix", _PREFIX, "umberdrum"),
     _Field(
--- a/umberdrum/store/_etcd.py
+++ b/umberdrum/store/_etcd.py
@@ -45,10 +45,16 @@
         return expression.Ok(items[0] if items else None)
 
     async def list_prefix(
-        self, prefix: str
+        self, prefix: str, may_be_stale: bool = False
     ) -> expression.Result[_store.Listing, errors.Failure]:
         """Return all keys that start with ``prefix``."""
-        body = {"key": _encode(prefix), "range_end": _encode_bytes(_find_end(prefix))}
+        body: JsonObject = {
+            "key": _encode(prefix),
+            "range_end": _encode_bytes(_find_end(prefix)),
+        }
+        if may_be_stale:
+            # Served by the member that is asked, without a round of agreement.
+            body["serializable"] = True
         answer = await self._call("range", "/v3/kv/range", body)
         if answer.is_error():
             return expression.Error(answer.error)
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -83,9 +83,12 @@
         """Return the key, or None if it does not exist."""
 
     async def list_prefix(
-        self, prefix: str
+        self, prefix: str, may_be_stale: bool = False
     ) -> expression.Result[Listing, errors.Failure]:
-        """Return all keys that start with ``prefix``."""
+        """Return all keys that start with ``prefix``.
+
+        One that may be stale costs the store less and may be seconds old.
+        """
 
     async def swap(
         self, key: str, expected_revision: int, value: bytes, lease_id: int = 0
