Reach daemons that start again while the store is away

Machines were stopped and started in turn while the store was down (18 s to 27 s). Daemons that came back had neither the store nor a seed: they refused 235 calls as `no-routes-yet` between 22 s and 27 s, and the endpoints beside them ran nothing, so that the others were overloaded. The others still knew their addresses, but a probe names the process that has ended and is refused.

Ruled out: readiness (they did say "not ready"); the contacts' back-off (the store was down for all).

Change: all daemons together send each departed address one introduction a period, which names no process. It carries the revision in force; the newcomer synchronises at once.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -144,6 +144,9 @@
         record = self._choose_peer()
         if record is not None:
             await self._ask(record.address, record.process_id, record, None)
+        departed = self._choose_departed()
+        if departed is not None:
+            await self.introduce(departed.address)
         if self._should_sync(now):
             nursery.start_soon(self._sync)
 
@@ -158,6 +161,18 @@
         records = self._state.table.records
         return [row for row in records if row.is_live and row.endpoint_id != own_id]
 
+    def _choose_departed(self) -> membership.EndpointRecord | None:
+        """Draw a daemon that has left or does not answer, now and then.
+
+        Its successor at the same address may have no way to the store and know nobody.
+        All daemons together send each such address one datagram a period.
+        """
+        departed = [row for row in self._state.table.records if not row.is_live]
+        n_members = len(self._list_members()) + 1
+        if self._rng.random() * n_members >= len(departed):
+            return None
+        return self._rng.choice(departed)
+
     def _choose_peer(self) -> membership.EndpointRecord | None:
         """Draw a peer: mostly of the own zone, some of the region, few of others."""
         own = self._state.table.own
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -5,7 +5,6 @@
 import json
 import pathlib
 import random
-import signal
 import sys
 import tempfile
 from collections.abc import Sequence
@@ -120,8 +119,6 @@
 
 def _run_soak(options: argparse.Namespace) -> int:
     """Run seeds that once failed, the seeds asked for, and fresh ones."""
-    # A soak that is told to stop ends its processes first.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     seeds = [int(seed) for seed in options.seeds.split(",") if seed]
     if options.regressions:
         seeds = [row.seed for row in soak.read_regressions()] + seeds
@@ -138,6 +135,8 @@
             result = trio.run(soak.run_seed, wanted)
         soak.print_result(result)
         n_broken += bool(result.findings.broken)
+        if result.is_interrupted:
+            break
     print(f"{len(seeds) - n_broken} seeds kept every promise, {n_broken} did not")
     return 1 if n_broken else 0
 
--- a/umberdrum_bench/soak/_run.py
+++ b/umberdrum_bench/soak/_run.py
@@ -1,6 +1,7 @@
 """One soak from start to verdict."""
 
 import pathlib
+import signal
 import sys
 from typing import NamedTuple
 
@@ -32,6 +33,7 @@
     n_faults: int
     recovery_seconds: float
     findings: _judgement.SoakFindings
+    is_interrupted: bool
 
 
 class _Watcher:
@@ -81,6 +83,7 @@
                 await nursery.start(standin.run)
             await site.create_classes()
             await site.cluster.wait_until_ready(len(_site.CLASS_PLANS))
+            nursery.start_soon(_stop_on_signal, site, nursery.cancel_scope)
             nursery.start_soon(_Watcher(site).run)
             nursery.start_soon(load.watch_lag)
             async with trio.open_nursery() as acts:
@@ -101,10 +104,23 @@
     )
     broken = (*site.broken, *findings.broken)
     return SoakResult(
-        options.seed, len(plan), recovery_seconds, findings._replace(broken=broken)
+        options.seed,
+        len(plan),
+        recovery_seconds,
+        findings._replace(broken=broken),
+        site.is_interrupted,
     )
 
 
+async def _stop_on_signal(site: _site.SoakSite, scope: trio.CancelScope) -> None:
+    """End the soak on SIGTERM, so that its processes end with it."""
+    with trio.open_signal_receiver(signal.SIGTERM) as received:
+        async for _ in received:
+            site.broken.append("interrupted: the soak got SIGTERM")
+            site.is_interrupted = True
+            scope.cancel()
+
+
 async def _wait_for_recovery(site: _site.SoakSite) -> float:
     """Return how long it took until every daemon knows everything again."""
     began_at = trio.current_time()
--- a/umberdrum_bench/soak/_site.py
+++ b/umberdrum_bench/soak/_site.py
@@ -63,6 +63,7 @@
         self.disturbances: list[_judgement.Disturbance] = []
         self.broken: list[str] = []
         self.accepted_revision = 0
+        self.is_interrupted = False
         self._expected_exits: set[int] = set()
         self._n_faults: collections.Counter[int] = collections.Counter()
         self._n_active: collections.Counter[int] = collections.Counter()
