Follow the steady pace of upstreams that have just started

The gate took 2 for a slow episode, sent calls on to the next upstream three times and refused the rest, while 4 to 9 of 14 slots ran; 35 to 51 calls ran in half a second, 122 once they were warm.

Ruled out: slots held by lost answers (`upstream_running` equals `running`), the limit (13 to 14 of 18), routes and members (known 0.1 s after the start).

Change: `LowestSteadyPace` takes the lowest pace of the last 0.5 to 1 s for the steady one, from the first statement on when nothing was known. An episode is what is 1.5 times slower than that; expected times, waits and return times follow the steady pace. The former rule stays as `UsualSteadyPace`. The tests of slow episodes now state the usual pace first, since a first statement alone no longer tells an episode from a cold start.

Test: target_gate.feature replays 130 calls/s on four cold upstreams, with each rule.

--- a/umberdrum/admission/__init__.py
+++ b/umberdrum/admission/__init__.py
@@ -12,7 +12,11 @@
     LatencySlotLimit,
     SlotLimit,
 )
-from umberdrum.admission._pace import PaceTracker
+from umberdrum.admission._pace import (
+    LowestSteadyPace,
+    PaceTracker,
+    UsualSteadyPace,
+)
 from umberdrum.admission._target_gate import TargetGate
 
 __all__ = [
@@ -23,8 +27,10 @@
     "Gate",
     "KneeSlotLimit",
     "LatencySlotLimit",
+    "LowestSteadyPace",
     "PaceTracker",
     "SlotLimit",
     "SlotTicket",
     "TargetGate",
+    "UsualSteadyPace",
 ]
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -79,6 +79,8 @@
     - Refused callers are told to come back in the order of refusal, at the pace at
       which slots become free, so that they don't return together, and early enough to
       be in time yet.
+    - Upstreams that have just started are slow for seconds: expected times follow their
+      steady pace, and only what is slower than that counts as a slow episode.
     - Answers get lost: calls that the upstream has stopped running hold no slot, though
       their callers still wait.
     - A class with long targets never holds every slot while one with short targets is
@@ -88,10 +90,12 @@
     sends anything and knows nothing of connections.
     """
 
-    def __init__(self, occupancy_limit: OccupancyLimit) -> None:
+    def __init__(
+        self, occupancy_limit: OccupancyLimit, pace: _pace.PaceTracker | None = None
+    ) -> None:
         self.slot_limit: _limit.SlotLimit = occupancy_limit
         self._occupancy = occupancy_limit
-        self.pace = _pace.PaceTracker()
+        self.pace = pace or _pace.PaceTracker()
         self.n_running = 0
         self._queue: list[_Waiter] = []
         self._began_at: list[float] = []
@@ -115,7 +119,7 @@
         now = trio.current_time()
         self._note_class(request, now)
         if self.pace.is_slowed(now) and not request.is_last_resort:
-            detail = f"work takes {self.pace.pace:.1f} times as long as usual"
+            detail = f"work takes {self.pace.ratio:.1f} times as long as usual"
             return expression.Error(
                 self._refuse(errors.ErrorKind.UPSTREAM_SLOWED, detail, request, now)
             )
@@ -285,7 +289,7 @@
         """Return whether the end of a slow episode is nearer than the time it costs."""
         if not self.pace.is_slowed(now):
             return False
-        lost_seconds = self._get_own_seconds(request) * (self.pace.pace - 1.0)
+        lost_seconds = self._get_own_seconds(request) * (self.pace.ratio - 1.0)
         return lost_seconds > self.pace.mean_episode_seconds
 
     def _get_class_cap(self, state: _ClassState, limit: int, now: float) -> int:
@@ -322,7 +326,7 @@
     def _estimate_wait(self, request: _gate.AdmissionRequest, now: float) -> float:
         """Return the expected wait for a slot behind the calls that go first."""
         own_order = self._get_order(request, now)
-        seconds = self._mean_seconds
+        seconds = self._get_mean_seconds()
         for waiter in self._queue:
             if self._get_order(waiter.request, now) <= own_order:
                 seconds += self._get_own_seconds(waiter.request)
@@ -340,8 +344,13 @@
     def _get_own_seconds(self, request: _gate.AdmissionRequest) -> float:
         """Return the expected time of the call when it runs at the limit."""
         slowness = self._occupancy.get_slowness(self.slot_limit.get_limit())
+        slowness *= self.pace.steady.pace
         return self._classes[request.class_name].mean_seconds * slowness
 
+    def _get_mean_seconds(self) -> float:
+        """Return the expected time of a call of any class."""
+        return self._mean_seconds * self.pace.steady.pace
+
     def _get_safe_seconds(self, request: _gate.AdmissionRequest) -> float:
         """Return the time within which most calls of the class end."""
         return self._get_own_seconds(request) * TIME_MARGIN
@@ -367,8 +376,9 @@
         """Return the failure with the time after which room is expected."""
         limit = self.slot_limit.get_limit()
         queued = sum(self._get_own_seconds(row.request) for row in self._queue)
-        drained_at = now + (queued + self._mean_seconds) / limit
-        return_at = max(drained_at, self._last_return_at + self._mean_seconds / limit)
+        mean_seconds = self._get_mean_seconds()
+        drained_at = now + (queued + mean_seconds) / limit
+        return_at = max(drained_at, self._last_return_at + mean_seconds / limit)
         latest = now + MAX_RETRY_AFTER_SHARE * max(0.0, request.deadline - now)
         # A caller that comes back can still be in time only up to here.
         in_time_until = request.target_at - self._get_safe_seconds(request)
--- a/umberdrum/admission/tests/target_gate.feature
+++ b/umberdrum/admission/tests/target_gate.feature
@@ -13,6 +13,29 @@
       | load between knee and all slots              | 90    | 1.15  |
       | all slots useful                             | 93    | 0.95  |
 
+  Scenario Outline: Upstreams that have just started are used at their own pace
+    When "<pattern>" is replayed with and without the steady pace
+    Then at least <share> % of calls are in time, and <ratio> times as many as before
+
+    Examples:
+      | pattern                         | share | ratio |
+      | all upstreams have just started | 60    | 1.15  |
+      | slow episodes of neighbours     | 70    | 0.95  |
+
+  Scenario Outline: The steady pace is the lowest one stated of late
+    When a new upstream states paces "<paces>", one every 20 ms
+    Then it is <state> and its steady pace is <pace>
+
+    Examples:
+      | paces                   | state   | pace |
+      | 2                       | steady  | 2.0  |
+      | 2, 10                   | slowed  | 2.0  |
+      | 2, 10, 1                | steady  | 1.0  |
+      | 1, 5 x 20               | slowed  | 1.0  |
+      | 1, 2 x 60               | steady  | 2.0  |
+      | 1, 2 x 60, 1            | steady  | 1.0  |
+      | 0.8                     | steady  | 1.0  |
+
   Scenario Outline: The limit finds the knee
     Given an upstream of <slots> slots that slows down <factor> times beyond <knee> calls
     When calls arrive faster than it serves them for 60 s
--- a/umberdrum/admission/tests/target_gate_steps.py
+++ b/umberdrum/admission/tests/target_gate_steps.py
@@ -1,5 +1,6 @@
 """Steps on the target gate and the limit that finds the knee."""
 
+import functools
 import itertools
 import random
 
@@ -19,13 +20,26 @@
 
 @behave.when('"{pattern}" is replayed on both policies')
 def replay_pattern(context: runner.Context, pattern: str) -> None:
-    context.in_time = {}
-    for policy in ("early_refusal", "target"):
-        shares: list[float] = []
-        for seed in SEEDS:
-            gate = replay.build_gate(policy)
-            shares.append(replay.replay(gate, replay.PATTERNS[pattern], seed).in_time)
-        context.in_time[policy] = sum(shares) / len(shares)
+    context.in_time = {
+        policy: _replay_all(policy, pattern) for policy in ("early_refusal", "target")
+    }
+
+
+def _replay_all(policy: str, pattern: str) -> float:
+    """Return the share of calls in time, over all seeds."""
+    build = functools.partial(replay.build_gate, policy)
+    shares: list[float] = []
+    for seed in SEEDS:
+        shares.append(replay.replay(build, replay.PATTERNS[pattern], seed).in_time)
+    return sum(shares) / len(shares)
+
+
+@behave.when('"{pattern}" is replayed with and without the steady pace')
+def replay_steady_pace(context: runner.Context, pattern: str) -> None:
+    context.in_time = {
+        "early_refusal": _replay_all("target without steady pace", pattern),
+        "target": _replay_all("target", pattern),
+    }
 
 
 @behave.then(
@@ -64,6 +78,24 @@
     context.is_slowed = True
 
 
+@behave.when('a new upstream states paces "{paces}", one every {step_ms:d} ms')
+def state_paces(context: runner.Context, paces: str, step_ms: int) -> None:
+    context.tracker = admission.PaceTracker()
+    now = 0.0
+    for part in paces.split(", "):
+        pace, _, n_times = part.partition(" x ")
+        for _ in range(int(n_times or 1)):
+            now += step_ms / 1000
+            context.tracker.observe(float(pace), now)
+    context.now = now
+
+
+@behave.then("it is {state} and its steady pace is {pace:f}")
+def check_tracker(context: runner.Context, state: str, pace: float) -> None:
+    assert context.tracker.is_slowed(context.now) == (state == "slowed")
+    assert context.tracker.steady.pace == pace, context.tracker.steady.pace
+
+
 @behave.given("a target gate with all slots taken and {queue}")
 def prepare_full(context: runner.Context, queue: str) -> None:
     context.is_slowed = False
@@ -108,6 +140,7 @@
 ) -> None:
     async def run() -> None:
         gate = await build_gate(seconds)
+        gate.note_pace(1.0, trio.current_time())
         gate.note_pace(5.0, trio.current_time())
         began_at = trio.current_time()
         async with trio.open_nursery() as nursery:
