Receive bodies before admission

Ruled out: waiting (queue_ms about 1), the choice of the endpoint (the slow ones spread over all), work of more than 1.8 s (the largest of the class).

Change: `BodyGatherer` receives up to 256 KB of a body, 16 MB in all, before the gate is asked for a slot. A call that would be refused at once is refused before, without costing the bytes; afterwards it counts as a last resort, because no other endpoint can have it.

Tests: scenes "a body comes over a slow link" (one slot; lookups beside it were refused before) and "a caller leaves while it uploads" (was begun at the upstream before).

--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -87,6 +87,9 @@
     def n_queued(self) -> int:
         """Calls that wait for a slot."""
 
+    def find_refusal(self, request: AdmissionRequest) -> errors.Failure | None:
+        """Return why the call would be refused at once, None if it may run or wait."""
+
     async def acquire(
         self, request: AdmissionRequest
     ) -> expression.Result[SlotTicket, errors.Failure]:
@@ -151,17 +154,25 @@
         state = self._classes.get(class_name)
         return state.mean_seconds if state else 0.0
 
+    def find_refusal(self, request: AdmissionRequest) -> errors.Failure | None:
+        """Return why the call would be refused at once, None if it may run or wait."""
+        now = trio.current_time()
+        self._note_class(request, now)
+        if self._may_run_now(request, now):
+            return None
+        return self._find_refusal(request, now)
+
     async def acquire(
         self, request: AdmissionRequest
     ) -> expression.Result[SlotTicket, errors.Failure]:
         """Return a ticket once the call may run, or the reason why it is refused."""
         now = trio.current_time()
-        state = self._note_class(request, now)
-        if not self._queue and self._may_run(request.class_name, now):
-            return expression.Ok(self._start(request.class_name, state, now))
-        refusal = self._find_refusal(request, now)
+        refusal = self.find_refusal(request)
         if refusal is not None:
             return expression.Error(refusal)
+        if self._may_run_now(request, now):
+            state = self._classes[request.class_name]
+            return expression.Ok(self._start(request.class_name, state, now))
         return await self._wait(request, now)
 
     def release(self, ticket: SlotTicket, is_observed: bool) -> None:
@@ -258,6 +269,9 @@
         for row in passed_over:
             heapq.heappush(self._queue, row)
 
+    def _may_run_now(self, request: AdmissionRequest, now: float) -> bool:
+        return not self._queue and self._may_run(request.class_name, now)
+
     def _may_run(self, class_name: str, now: float) -> bool:
         limit = self.slot_limit.get_limit()
         if self.n_running >= limit:
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -114,24 +114,30 @@
         """Slots that are in use at the upstream, as far as is known."""
         return self.n_running - self._n_lost
 
-    async def acquire(self, request: _gate.AdmissionRequest) -> AcquireResult:
-        """Return a ticket once the call may run, or the reason why it is refused."""
+    def find_refusal(self, request: _gate.AdmissionRequest) -> errors.Failure | None:
+        """Return why the call would be refused at once, None if it may run or wait."""
         now = trio.current_time()
         self._note_class(request, now)
         if self.pace.is_slowed(now) and not request.is_last_resort:
             detail = f"work takes {self.pace.ratio:.1f} times as long as usual"
-            return expression.Error(
-                self._refuse(errors.ErrorKind.UPSTREAM_SLOWED, detail, request, now)
-            )
-        if not self._queue and self._may_run(request, now):
-            return expression.Ok(self._start(request, now))
+            kind = errors.ErrorKind.UPSTREAM_SLOWED
+            return self._refuse(kind, detail, request, now)
+        if self._may_run_now(request, now):
+            return None
         if request.is_hedge:
             detail = "a hedge runs only where a slot is free"
             kind = errors.ErrorKind.OVERLOADED
-            return expression.Error(self._refuse(kind, detail, request, now))
-        refusal = self._find_refusal(request, now)
+            return self._refuse(kind, detail, request, now)
+        return self._find_refusal(request, now)
+
+    async def acquire(self, request: _gate.AdmissionRequest) -> AcquireResult:
+        """Return a ticket once the call may run, or the reason why it is refused."""
+        now = trio.current_time()
+        refusal = self.find_refusal(request)
         if refusal is not None:
             return expression.Error(refusal)
+        if self._may_run_now(request, now):
+            return expression.Ok(self._start(request, now))
         return await self._wait(request)
 
     def release(self, ticket: _gate.SlotTicket, is_observed: bool) -> None:
@@ -269,6 +275,9 @@
         """Return whether a call that begins now is likely to miss its target."""
         return now + self._get_safe_seconds(request) > request.target_at
 
+    def _may_run_now(self, request: _gate.AdmissionRequest, now: float) -> bool:
+        return not self._queue and self._may_run(request, now)
+
     def _may_run(self, request: _gate.AdmissionRequest, now: float) -> bool:
         limit = self.slot_limit.get_limit()
         n_occupied = self._n_occupied
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -18,6 +18,7 @@
     _announcement,
     _call,
     _dialect,
+    _gathering,
     _headers,
     _prober,
     _recording,
@@ -82,6 +83,7 @@
         self._budget = budget
         self._log = log
         self._nursery = nursery
+        self._gatherer = _gathering.BodyGatherer()
         self.state = _announcement.EndpointState.ABSENT
         self.n_in_progress = 0
         self._idle_event = trio.Event()
@@ -114,14 +116,51 @@
             )
         self.n_in_progress += 1
         try:
-            if call.is_idempotent:
-                return await self._run_repeatable(call, body, sink)
-            return await self._run_recorded(call, body, sink)
+            if not body.is_complete:
+                return await self._run_gathered(call, body, sink)
+            return await self._run_by_kind(call, body, sink)
         finally:
             self.n_in_progress -= 1
             if self.n_in_progress == 0:
                 self._idle_event.set()
 
+    async def _run_by_kind(
+        self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
+    ) -> CallResult:
+        if call.is_idempotent:
+            return await self._run_repeatable(call, body, sink)
+        return await self._run_recorded(call, body, sink)
+
+    async def _run_gathered(
+        self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
+    ) -> CallResult:
+        """Receive the body, then admit the call and run it.
+
+        A call that would be refused now costs no bytes. Afterwards no other endpoint
+        can be tried, since its body was received here.
+        """
+        await self._refresh_pace()
+        refusal = self.gate.find_refusal(_describe(call))
+        if refusal is not None:
+            return expression.Error(refusal)
+        gathered: _call.RequestBody | None = None
+        try:
+            with trio.move_on_at(call.deadline):
+                gathered = await self._gatherer.gather(body)
+        except _call.BodyLostError as fault:
+            return expression.Error(fault.failure)
+        if gathered is None:
+            detail = "the deadline passed before the body was received"
+            kind = errors.ErrorKind.DEADLINE_EXCEEDED
+            return expression.Error(errors.fail(kind, detail))
+        try:
+            if self.state is not _announcement.EndpointState.SERVING:
+                return expression.Error(self._refuse_leaving())
+            call = call._replace(is_last_resort=True)
+            return await self._run_by_kind(call, gathered, sink)
+        finally:
+            self._gatherer.release(body, gathered)
+
     async def wait_until_idle(self) -> None:
         """Return once no call is in progress."""
         while self.n_in_progress:
@@ -140,11 +179,14 @@
 
     async def _admit(self, call: _call.Call) -> AdmissionResult:
         """Return a ticket for the call, with fresh knowledge of the upstream's pace."""
+        await self._refresh_pace()
+        if self._prober is not None and call.is_last_resort and self.gate.is_slowed():
+            self._prober.wake()
+        return await self.gate.acquire(_describe(call))
+
+    async def _refresh_pace(self) -> None:
         if self._prober is not None:
             await self._prober.refresh()
-            if call.is_last_resort and self.gate.is_slowed():
-                self._prober.wake()
-        return await self.gate.acquire(_describe(call))
 
     async def _run_repeatable(
         self, call: _call.Call, body: _call.RequestBody, sink: _call.AnswerSink
--- a/umberdrum/callpath/_peer_server.py
+++ b/umberdrum/callpath/_peer_server.py
@@ -113,7 +113,7 @@
     ) -> bool:
         if not sink.is_sent:
             await self._refuse(channel, call, failure)
-            return body.is_complete
+            return body.is_complete or (isinstance(body, _FrameBody) and body.is_ended)
         head = _frames.encode_refusal(call.request_id, failure, None)
         await channel.send(peerlink.FrameKind.ABORT, head)
         return False
--- a/umberdrum/tests/call_scenes.py
+++ b/umberdrum/tests/call_scenes.py
@@ -235,6 +235,49 @@
         listener.close()
 
 
+async def upload_over_slow_link() -> None:
+    """A body that comes slowly holds no slot, and its call runs once it is whole."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1, n_slots=1)
+        for at_endpoint in (False, True):
+            node = site.nodes[0] if at_endpoint else entry
+            nonce = f"slow-{at_endpoint}"
+            caller = await sockets.connect(node.settings.caller_listen, 1.0)
+            head = (
+                f"POST /pay HTTP/1.1\r\nhost: payments\r\nx-nonce: {nonce}\r\n"
+                f"umberdrum-deadline-ms: 5000\r\ncontent-length: 200000\r\n\r\n"
+            )
+            await caller.send(head.encode() + bytes(100_000))
+            for index in range(10):
+                await trio.sleep(0.1)
+                look = f"{nonce}-look-{index}"
+                answer = await site.call(entry, "payments", look, "/look")
+                assert answer.status == 200 and answer.seconds < 0.1, answer
+            assert nonce not in site.nodes[0].upstream.begun
+            await caller.send(bytes(100_000))
+            answer_head = await caller.receive()
+            assert answer_head.startswith(b"HTTP/1.1 200"), answer_head
+            assert site.count_runs(nonce) == 1
+            caller.close()
+
+
+async def lose_caller_in_upload() -> None:
+    """A caller that leaves while it sends its body has nothing run for it."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1, n_slots=1)
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await caller.send(
+            b"POST /pay HTTP/1.1\r\nhost: payments\r\nx-nonce: left\r\n"
+            b"content-length: 200000\r\n\r\n" + bytes(100_000)
+        )
+        await trio.sleep(0.2)
+        caller.close()
+        await trio.sleep(0.5)
+        assert "left" not in site.nodes[0].upstream.begun
+        answer = await site.call(entry, "payments", "p1", "/pay", body=bytes(60_000))
+        assert answer.status == 200, answer
+
+
 SCENES: dict[str, Callable[[], Awaitable[None]]] = {
     "one connection fails": fail_one_connection,
     "a silent payment is settled": settle_silent_payment,
@@ -247,4 +290,6 @@
     "a target changes without a restart": change_target_without_restart,
     "the measuring budget is reloaded": reload_measuring_cap,
     "an upstream sheds load": leave_shedding_endpoint,
+    "a body comes over a slow link": upload_over_slow_link,
+    "a caller leaves while it uploads": lose_caller_in_upload,
 }
--- a/umberdrum/tests/scenes.feature
+++ b/umberdrum/tests/scenes.feature
@@ -24,4 +24,6 @@
       | all daemons are replaced in turn |
       | an upstream sheds load |
       | the measuring budget is reloaded |
+      | a body comes over a slow link |
+      | a caller leaves while it uploads |
       | one connection fails |
