Keep large bodies in their zone while their target is not at risk

Each of its zones has an endpoint for uploads, but 60 KB counted as 60 ms, so that any load or a slow episode of that endpoint sent them to another zone.

Ruled out: small calls (2 KB each), gossip (1.2 KB a second a daemon).

Change: `CallNeeds` tells the router the body's size and the time to the target. A body of 16 KB or more goes to an endpoint of its zone that is expected to finish within that time with a margin of 1.3; if it is the only one there, the call counts as a last resort and waits for the end of a slow episode. The expected time of a slowed endpoint is no more than the wait for the end of the episode, as the endpoint does it.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -33,6 +33,7 @@
     )
 )
 MIN_SERVER_ERROR = 500
+NO_NEEDS = routing.CallNeeds()
 
 
 class IncomingRequest(NamedTuple):
@@ -159,12 +160,12 @@
         service: str,
         class_name: str,
         excluded: frozenset[str],
-        n_body_bytes: int = 0,
+        needs: routing.CallNeeds = NO_NEEDS,
     ) -> routing.RoutingDecision | None:
         """Return the endpoint for the next attempt of a call of the class."""
         candidates = self._directory.list_candidates(service)
         return self.router.choose(
-            class_name, candidates, excluded, trio.current_time(), n_body_bytes
+            class_name, candidates, excluded, trio.current_time(), needs
         )
 
     async def attempt(
--- a/umberdrum/callpath/_journey.py
+++ b/umberdrum/callpath/_journey.py
@@ -39,7 +39,7 @@
         service: str,
         class_name: str,
         excluded: frozenset[str],
-        n_body_bytes: int,
+        needs: routing.CallNeeds,
     ) -> routing.RoutingDecision | None:
         """Return the endpoint for the next attempt of a call of the class."""
 
@@ -97,10 +97,11 @@
 
     def _choose(self) -> routing.RoutingDecision | None:
         excluded = frozenset(self._tried)
-        n_body_bytes = self._call.content_length or len(self._body.initial)
-        return self._entry.choose(
-            self._service, self._call.class_name, excluded, n_body_bytes
+        needs = routing.CallNeeds(
+            self._call.content_length or len(self._body.initial),
+            self._call.target_at - trio.current_time(),
         )
+        return self._entry.choose(self._service, self._call.class_name, excluded, needs)
 
     async def _make_attempt(
         self, decision: routing.RoutingDecision
@@ -111,7 +112,7 @@
         self._tried.add(decision.candidate.key)
         call = self._call._replace(
             n_extra_attempts=self._allowance.hand_on(index),
-            is_last_resort=self._is_last_resort(),
+            is_last_resort=decision.is_only_near or self._is_last_resort(),
         )
         may_hedge = (
             self._row.policy.hedge_after_ms > 0
--- a/umberdrum/routing/__init__.py
+++ b/umberdrum/routing/__init__.py
@@ -10,6 +10,7 @@
 from umberdrum.routing._finish_time import FinishTimeRouter
 from umberdrum.routing._router import (
     AttemptEnd,
+    CallNeeds,
     Candidate,
     Observation,
     OutstandingCall,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "AttemptEnd",
+    "CallNeeds",
     "Candidate",
     "EndpointView",
     "FinishTimeRouter",
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -14,6 +14,13 @@
 MS_PER_SECOND = 1000.0
 CROSS_ZONE_SECONDS_PER_BYTE = 1e-6
 TYPICAL_CALL_BYTES = 2000
+# Uploads of photos and scans are larger, all other bodies smaller.
+LARGE_BODY_BYTES = 16_384
+# Most calls end within this multiple of the expected time.
+NEAR_MARGIN = 1.3
+# Mean length of a slow episode, as seen on the users' deployments.
+EPISODE_SECONDS = 0.15
+NO_NEEDS = _router.CallNeeds()
 
 
 class FinishTimeRouter(_tracking.TrackingRouter):
@@ -39,20 +46,22 @@
         candidates: Sequence[_router.Candidate],
         excluded: frozenset[str],
         now: float,
-        n_body_bytes: int = 0,
+        needs: _router.CallNeeds = NO_NEEDS,
     ) -> _router.RoutingDecision | None:
         """Return one of the sampled candidates that are expected to finish first."""
         allowed = _tracking.filter_candidates(candidates, excluded)
         if not allowed:
             return None
         warm = self._leave_out_cold(allowed, now)
-        sampled = self._rng.sample(warm, min(N_SAMPLED, len(warm)))
         typical = self._get_class_seconds(class_name)
+        near = self._list_near(warm, typical, needs, now)
+        warm = near or warm
+        sampled = self._rng.sample(warm, min(N_SAMPLED, len(warm)))
         expected: list[float] = []
         for row in sampled:
             seconds = self._estimate_seconds(row, typical, now)
             if row.availability_zone != self._place.availability_zone:
-                n_bytes = TYPICAL_CALL_BYTES + n_body_bytes
+                n_bytes = TYPICAL_CALL_BYTES + needs.n_body_bytes
                 seconds += n_bytes * CROSS_ZONE_SECONDS_PER_BYTE
             expected.append(seconds)
         bound = min(expected) * NEARLY_BEST_FACTOR + NEARLY_BEST_SECONDS
@@ -74,8 +83,32 @@
             len(sampled),
             POLICY_NAME,
             self._get_report_age_ms(sampled[chosen], now),
+            len(near) == 1,
         )
 
+    def _list_near(
+        self,
+        candidates: list[_router.Candidate],
+        typical: float,
+        needs: _router.CallNeeds,
+        now: float,
+    ) -> list[_router.Candidate]:
+        """Return the candidates of the own zone if a large body had better stay there.
+
+        That is when one of them is expected to finish well before the target is missed,
+        if need be after the end of a slow episode.
+        """
+        if needs.n_body_bytes < LARGE_BODY_BYTES:
+            return []
+        near: list[_router.Candidate] = []
+        for row in candidates:
+            if row.availability_zone != self._place.availability_zone:
+                continue
+            seconds = self._estimate_seconds(row, typical, now) * NEAR_MARGIN
+            if seconds <= needs.slack_seconds:
+                near.append(row)
+        return near
+
     def _get_report_age_ms(
         self, candidate: _router.Candidate, now: float
     ) -> float | None:
@@ -122,7 +155,10 @@
         waiting_factor = max(1.0, occupancy) + BUSY_SHARE * min(1.0, occupancy)
         slowness = view.get_slowness(now)
         pace = view.get_pace(now, self._usual_pace)
-        return view.network_seconds + typical * slowness * pace * waiting_factor
+        own_seconds = typical * slowness * waiting_factor
+        # The endpoint lets a call wait for the end of a slow episode if that is faster.
+        own_seconds += min(own_seconds * (pace - 1.0), EPISODE_SECONDS)
+        return view.network_seconds + own_seconds
 
 
 def _get_slot_limit(view: _view.EndpointView, candidate: _router.Candidate) -> int:
--- a/umberdrum/routing/_router.py
+++ b/umberdrum/routing/_router.py
@@ -1,6 +1,7 @@
 """Interface of routers and the values that pass through it."""
 
 import enum
+import math
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
@@ -22,11 +23,24 @@
     is_suspected: bool
 
 
+class CallNeeds(NamedTuple):
+    """What of a call matters for its placement.
+
+    ``n_body_bytes`` is the size of the request's body, as far as it is known,
+    ``slack_seconds`` the time until its target is missed.
+    """
+
+    n_body_bytes: int = 0
+    slack_seconds: float = math.inf
+
+
 class RoutingDecision(NamedTuple):
     """Endpoint that was chosen, with what a log line says of the choice.
 
     ``expected_ms`` is the expected finishing time, 0 for policies without one.
     ``report_age_ms`` is the age of the load report that it rests on, None without one.
+    ``is_only_near`` marks the choice of the one endpoint of the own zone for a call
+    that had better stay there.
     """
 
     candidate: Candidate
@@ -34,6 +48,7 @@
     n_considered: int
     policy: str
     report_age_ms: float | None = None
+    is_only_near: bool = False
 
 
 class OutstandingCall(NamedTuple):
@@ -80,12 +95,9 @@
         candidates: Sequence[Candidate],
         excluded: frozenset[str],
         now: float,
-        n_body_bytes: int = 0,
+        needs: CallNeeds = CallNeeds(),  # noqa: B008
     ) -> RoutingDecision | None:
-        """Return the choice among candidates outside ``excluded``, or None.
-
-        ``n_body_bytes`` is the size of the request's body, as far as it is known.
-        """
+        """Return the choice among candidates outside ``excluded``, or None."""
 
     def begin(self, key: str, class_name: str, now: float) -> OutstandingCall:
         """Note that an attempt is sent to the endpoint ``key``."""
