Judge a drain in the soak only if nothing else struck

Four drains of the same upstream overlapped there; the third had ended the process, and the calls began at its successor, which the fourth took for the old one. The daemon's log (level warning, by a reload) and the plan show no other end.

Change: `count_faults` gives no count while other faults strike the endpoint.

--- a/umberdrum_bench/soak/_site.py
+++ b/umberdrum_bench/soak/_site.py
@@ -160,11 +160,11 @@
         for position in positions:
             self._n_active[position] -= 1
 
-    def count_faults(self, position: int) -> int:
-        """Return how many faults have struck the endpoint so far."""
-        return self._n_faults[position]
+    def count_faults(self, position: int) -> int | None:
+        """Return how many faults have struck the endpoint, None if others still do."""
+        return self._n_faults[position] if self._n_active[position] == 1 else None
 
-    def is_left_alone(self, position: int, n_faults: int) -> bool:
+    def is_left_alone(self, position: int, n_faults: int | None) -> bool:
         """Return whether nothing else struck since the count was ``n_faults``."""
         return self._n_active[position] == 1 and self._n_faults[position] == n_faults
 
