Deliver an answer whose head came before the deadline

Daemon 4 was paused for 2.1 s with two lookups at its upstream. When it went on, both answers had come (lines `ran`, status 200), and the calls were cancelled at their deadline between the head and the end of the answer. The sink had been started, so that no refusal could be sent either: the callers' connections were closed without an answer. The same happens without a pause where an answer comes at the deadline.

Ruled out: the callers' side (deadline 2 s, they wait 20 s), the links (the entry was the endpoint's own daemon), the upstream (both lines `end` in its record).

Test: scene "an answer is whole just after the deadline"; before, the caller got nothing.

--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -254,6 +254,10 @@
         try:
             with trio.move_on_at(call.deadline):
                 await detached.done.wait()
+            if recording.is_started and not detached.done.is_set():
+                until = max(trio.current_time(), call.deadline) + OVERDUE_SECONDS
+                with trio.move_on_at(until):
+                    await detached.done.wait()
         finally:
             if not detached.done.is_set():
                 recording.detach()
@@ -414,9 +418,17 @@
             ticket.pace,
         )
         await sink.start(head, report)
-        await upstream.relay_body(sink, _is_short(head))
-        await sink.finish()
-        return expression.Ok(report)
+        if not _is_short(head):
+            await upstream.relay_body(sink)
+            await sink.finish()
+            return expression.Ok(report)
+        # A ready answer is delivered, also when its last bytes come after the deadline.
+        relay_until = max(now, call.deadline) + OVERDUE_SECONDS
+        with trio.CancelScope(shield=True, deadline=relay_until):
+            await upstream.relay_body(sink, is_whole_wanted=True)
+            await sink.finish()
+            return expression.Ok(report)
+        return expression.Error(_report_overdue(call))
 
     def _take_upstream_load(
         self, head: _call.AnswerHead
--- a/umberdrum/callpath/_recording.py
+++ b/umberdrum/callpath/_recording.py
@@ -17,6 +17,11 @@
         self._parts: list[bytes] = []
         self._n_bytes = 0
 
+    @property
+    def is_started(self) -> bool:
+        """Whether the head of the answer has come."""
+        return self._head is not None
+
     def detach(self) -> None:
         """Write nothing more to the sink behind."""
         self._sink = None
--- a/umberdrum/tests/call_scenes.py
+++ b/umberdrum/tests/call_scenes.py
@@ -296,6 +296,25 @@
         assert n_failed <= 3, n_failed
 
 
+async def deliver_late_answer() -> None:
+    """An answer whose head came before the deadline is delivered when it is whole."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site, n_nodes=1)
+        site.nodes[0].upstream.service_seconds = 0.45
+        for node in (site.nodes[0], entry):
+            for path, body in (("/look", b""), ("/pay", b"x")):
+                answer = await site.call(
+                    node,
+                    "payments",
+                    f"late-{node.endpoint_id}{path}",
+                    path,
+                    fault="late-body",
+                    body=body,
+                    deadline_ms=500,
+                )
+                assert answer.status == 200, (path, answer)
+
+
 SCENES: dict[str, Callable[[], Awaitable[None]]] = {
     "one connection fails": fail_one_connection,
     "a silent payment is settled": settle_silent_payment,
@@ -310,5 +329,6 @@
     "an upstream sheds load": leave_shedding_endpoint,
     "a body comes over a slow link": upload_over_slow_link,
     "a caller leaves while it uploads": lose_caller_in_upload,
+    "an answer is whole just after the deadline": deliver_late_answer,
     "an upstream forgets idle connections": use_fresh_connections,
 }
--- a/umberdrum/tests/scenes.feature
+++ b/umberdrum/tests/scenes.feature
@@ -26,5 +26,6 @@
       | the measuring budget is reloaded |
       | a body comes over a slow link |
       | a caller leaves while it uploads |
+      | an answer is whole just after the deadline |
       | an upstream forgets idle connections |
       | one connection fails |
