--- a/umberdrum_bench/upstream.py
+++ b/umberdrum_bench/upstream.py
@@ -162,6 +162,7 @@
             await http_server.send_json(connection, http, {})
             return
         if self.is_failing:
+            self._write_record("end", request_id, nonce)
             await http_server.send_json(connection, http, {"error": "failing"}, 500)
             return
         await self._work(path)
