Split the exchange with the upstream from the endpoint service

Cause: `callpath/_endpoint.py` had grown to 513 lines with three concerns: admission, runs that outlive their callers, and the exchange with the upstream.

Change: `UpstreamRelay` holds the exchange, what answers tell of load, and what counts as not run.

--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -1,7 +1,5 @@
 """Endpoint service: admits calls to the upstream beside this daemon and runs them."""
 
-from collections.abc import Callable
-
 import expression
 import trio
 
@@ -12,30 +10,20 @@
     measuring,
     outcomes,
     routing,
-    sockets,
 )
 from umberdrum.callpath import (
     _announcement,
     _call,
     _dialect,
     _gathering,
-    _headers,
     _prober,
     _recording,
-    _sending,
-    _sinks,
     _upstream,
-    _upstream_load,
+    _upstream_relay,
 )
 
-MS_PER_SECOND = 1000.0
 LOAD_REPORT_BYTES = 12
-SHED_STATUS = 503
 MIN_SERVER_ERROR = 500
-MISDIRECTED_STATUS = 421
-MAX_HELD_ANSWER_BYTES = 65_536
-OVERDUE_SECONDS = 0.25
-DEFAULT_SHED_RETRY_MS = 1000
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
 AdmissionResult = expression.Result[admission.SlotTicket, errors.Failure]
@@ -75,8 +63,6 @@
         self._dialect = dialect
         self._prober = prober
         self.service = ""
-        self.instance_id = ""
-        self.on_misdirected: Callable[[], None] | None = None
         self.gate = gate
         self.record = record
         self.pool = pool
@@ -84,6 +70,9 @@
         self._log = log
         self._nursery = nursery
         self._gatherer = _gathering.BodyGatherer()
+        self.relay = _upstream_relay.UpstreamRelay(
+            gate, pool, self.build_load_report, log, dialect
+        )
         self.state = _announcement.EndpointState.ABSENT
         self.n_in_progress = 0
         self._idle_event = trio.Event()
@@ -255,8 +244,8 @@
             with trio.move_on_at(call.deadline):
                 await detached.done.wait()
             if recording.is_started and not detached.done.is_set():
-                until = max(trio.current_time(), call.deadline) + OVERDUE_SECONDS
-                with trio.move_on_at(until):
+                now = trio.current_time()
+                with trio.move_on_at(_upstream_relay.get_overdue_time(call, now)):
                     await detached.done.wait()
         finally:
             if not detached.done.is_set():
@@ -284,12 +273,12 @@
         self.n_in_progress += 1
         result: CallResult | None = None
         try:
-            with trio.move_on_at(call.deadline + OVERDUE_SECONDS):
+            with trio.move_on_at(call.deadline + _upstream_relay.OVERDUE_SECONDS):
                 result = await self._run_with_ticket(
                     call, body, recording, ticket, queue_seconds
                 )
             if result is None:
-                result = expression.Error(_report_overdue(call))
+                result = expression.Error(_upstream_relay.report_overdue(call))
                 self._log.warn("answer_lost", request=call.request_id)
             now = trio.current_time()
             if result.is_ok():
@@ -313,193 +302,18 @@
     ) -> CallResult:
         is_observed = False
         try:
-            result = await self._exchange(call, body, sink, ticket, queue_seconds)
+            result = await self.relay.run(call, body, sink, ticket, queue_seconds)
             is_observed = result.is_ok() and result.ok.status < MIN_SERVER_ERROR
             return result
         finally:
             self.gate.release(ticket, is_observed)
 
-    async def _exchange(
-        self,
-        call: _call.Call,
-        body: _call.RequestBody,
-        sink: _call.AnswerSink,
-        ticket: admission.SlotTicket,
-        queue_seconds: float,
-    ) -> CallResult:
-        """Exchange one request and answer with the upstream."""
-        try:
-            upstream = await self.pool.acquire(call.is_idempotent)
-        except _upstream.UpstreamFailureError as fault:
-            return expression.Error(fault.failure)
-        is_clean = False
-        try:
-            result = await self._relay(
-                call, body, sink, ticket, queue_seconds, upstream
-            )
-            is_clean = True
-            return result
-        except _upstream.UpstreamFailureError as fault:
-            if fault.failure.kind is errors.ErrorKind.UPSTREAM_BROKE_OFF:
-                self.pool.note_lost(upstream)
-            return expression.Error(fault.failure)
-        except sockets.ConnectionLostError as fault:
-            self.pool.note_lost(upstream)
-            execution = errors.Execution.NOT_RUN
-            if upstream.has_sent:
-                execution = errors.Execution.MAY_HAVE_RUN
-            return expression.Error(
-                errors.fail(errors.ErrorKind.UPSTREAM_BROKE_OFF, str(fault), execution)
-            )
-        except _call.BodyLostError as fault:
-            failure = fault.failure
-            return expression.Error(
-                failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
-            )
-        except _call.SinkLostError as fault:
-            return expression.Error(
-                errors.fail(
-                    errors.ErrorKind.CALLER_GONE, str(fault), errors.Execution.RAN
-                )
-            )
-        finally:
-            self.pool.release(upstream, is_clean)
-
-    async def _relay(
-        self,
-        call: _call.Call,
-        body: _call.RequestBody,
-        sink: _call.AnswerSink,
-        ticket: admission.SlotTicket,
-        queue_seconds: float,
-        upstream: _upstream.UpstreamConnection,
-    ) -> CallResult:
-        sent_at = trio.current_time()
-        remaining_ms = int((call.deadline - sent_at) * MS_PER_SECOND)
-        if remaining_ms <= 0:
-            detail = "the deadline passed before the request was sent to the upstream"
-            return expression.Error(
-                errors.fail(errors.ErrorKind.DEADLINE_EXCEEDED, detail)
-            )
-        await upstream.send_request(call, body, remaining_ms, self.instance_id)
-        if body.is_complete:
-            head = await upstream.receive_head(call.request_id)
-        else:
-            exchange = _sending.StreamedExchange(body, upstream, call.request_id)
-            head = await exchange.run()
-        refusal = self._find_upstream_refusal(call, head)
-        if refusal is not None:
-            await upstream.relay_body(_sinks.DiscardingSink())
-            return expression.Error(refusal)
-        now = trio.current_time()
-        load = self._take_upstream_load(head)
-        self._log.write(
-            "ran",
-            request=call.request_id,
-            cls=call.class_name,
-            status=head.status,
-            instance=self.instance_id or None,
-            queue_ms=queue_seconds * MS_PER_SECOND,
-            upstream_ms=(now - sent_at) * MS_PER_SECOND,
-            running=self.gate.n_running,
-            queued=self.gate.n_queued,
-            limit=self.gate.slot_limit.get_limit(),
-            start_pace=ticket.pace,
-            start_running=ticket.n_running,
-            pace=load.pace if load else None,
-            upstream_running=load.n_running if load else None,
-            upstream_queued=load.n_queued if load else None,
-        )
-        report = _call.CallReport(
-            head.status,
-            now - sent_at,
-            queue_seconds,
-            self.build_load_report(now),
-            ticket.pace,
-        )
-        await sink.start(head, report)
-        if not _is_short(head):
-            await upstream.relay_body(sink)
-            await sink.finish()
-            return expression.Ok(report)
-        # A ready answer is delivered, also when its last bytes come after the deadline.
-        relay_until = max(now, call.deadline) + OVERDUE_SECONDS
-        with trio.CancelScope(shield=True, deadline=relay_until):
-            await upstream.relay_body(sink, is_whole_wanted=True)
-            await sink.finish()
-            return expression.Ok(report)
-        return expression.Error(_report_overdue(call))
-
-    def _take_upstream_load(
-        self, head: _call.AnswerHead
-    ) -> _upstream_load.UpstreamLoad | None:
-        """Return the load that came with an answer, if the dialect has a field."""
-        if not self._dialect.load_report:
-            return None
-        value = _headers.get_header(head.headers, self._dialect.load_report)
-        if value is None:
-            return None
-        load = _upstream_load.parse_upstream_load(value)
-        if load is not None:
-            now = trio.current_time()
-            self.gate.note_pace(load.pace, now)
-            self.gate.note_upstream_running(load.n_running, now)
-        return load
-
-    def _find_upstream_refusal(
-        self, call: _call.Call, head: _call.AnswerHead
-    ) -> errors.Failure | None:
-        """Return the failure for an answer that says the request was not run."""
-        marker = self._dialect.not_run
-        if not marker:
-            if call.is_idempotent and head.status == SHED_STATUS:
-                return _describe_shedding(head, errors.Execution.MAY_HAVE_RUN)
-            return None
-        if head.status == MISDIRECTED_STATUS:
-            if self.on_misdirected is not None:
-                self.on_misdirected()
-            detail = f"another upstream than {self.instance_id} has the address"
-            return errors.fail(errors.ErrorKind.STALE_INCARNATION, detail)
-        if _headers.get_header(head.headers, marker) is not None:
-            return _describe_shedding(head, errors.Execution.NOT_RUN)
-        return None
-
     def _refuse_leaving(self) -> errors.Failure:
         return errors.fail(
             errors.ErrorKind.ENDPOINT_LEAVING, f"the endpoint is {self.state.value}"
         )
 
 
-def _report_overdue(call: _call.Call) -> errors.Failure:
-    return errors.fail(
-        errors.ErrorKind.DEADLINE_EXCEEDED,
-        f"the upstream did not end request {call.request_id} at its deadline",
-        errors.Execution.MAY_HAVE_RUN,
-    )
-
-
-def _is_short(head: _call.AnswerHead) -> bool:
-    """Return whether the whole answer fits into the bytes that are held back."""
-    length = _headers.get_header(head.headers, b"content-length")
-    return length is not None and int(length) <= MAX_HELD_ANSWER_BYTES
-
-
-def _describe_shedding(
-    head: _call.AnswerHead, execution: errors.Execution
-) -> errors.Failure:
-    """Return the failure for an upstream that sheds; another endpoint may answer."""
-    retry_after_ms = DEFAULT_SHED_RETRY_MS
-    for name, value in head.headers:
-        if name == b"retry-after" and value.isdigit():
-            retry_after_ms = int(value) * int(MS_PER_SECOND)
-    return errors.Failure(
-        errors.ErrorKind.UPSTREAM_SHED,
-        execution,
-        f"the upstream answered {head.status}",
-        retry_after_ms,
-    )
-
-
 def _describe(call: _call.Call) -> admission.AdmissionRequest:
     return admission.AdmissionRequest(
         call.class_name,
--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -43,12 +43,12 @@
         if self.is_stopping:
             return
         self._pool.set_address(announcement.address)
-        if announcement.instance_id != self._endpoint.instance_id:
+        if announcement.instance_id != self._endpoint.relay.instance_id:
             # Connections to an earlier run of the upstream lead nowhere.
             self._pool.close_all()
         self._endpoint.service = announcement.service
         self._prober.service = announcement.service
-        self._endpoint.instance_id = announcement.instance_id
+        self._endpoint.relay.instance_id = announcement.instance_id
         self._endpoint.gate.slot_limit.set_slots(announcement.n_slots)
         self._endpoint.set_state(announcement.state)
         record = self._state.table.change_own(
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -141,7 +141,7 @@
             self._get_health_path,
             log,
         )
-        self.endpoint.on_misdirected = self._drop_misdirected
+        self.endpoint.relay.on_misdirected = self._drop_misdirected
         self._handle_announcement = integration.build_announcement_handler(self.desk)
         self._store = integration.build_store(own_settings, counter)
         prefix = own_settings.store_prefix
