--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -6,7 +6,7 @@
 import trio
 
 from umberdrum import errors
-from umberdrum.admission import _gate, _limit, _pace
+from umberdrum.admission import _gate, _limit, _pace, _return_schedule
 
 MAX_QUEUED_PER_SLOT = 8
 MEAN_WEIGHT = 0.1
@@ -18,9 +18,7 @@
 LONG_CLASS_RATIO = 4.0
 LONG_CLASS_SLOT_SHARE = 0.67
 CLASS_ACTIVE_SECONDS = 10.0
-MIN_RETRY_AFTER_SECONDS = 0.02
 LATE_SLOT_SHARE = 0.75
-MAX_RETRY_AFTER_SHARE = 0.33
 RECHECK_SECONDS = 0.1
 SETTLED_SECONDS = 0.05
 MS_PER_SECOND = 1000.0
@@ -102,7 +100,7 @@
         self._n_lost = 0
         self._classes: dict[str, _ClassState] = {}
         self._mean_seconds = INITIAL_SECONDS
-        self._last_return_at = 0.0
+        self._returns = _return_schedule.ReturnSchedule()
 
     @property
     def n_queued(self) -> int:
@@ -385,17 +383,14 @@
         """Return the failure with the time after which room is expected."""
         limit = self.slot_limit.get_limit()
         queued = sum(self._get_own_seconds(row.request) for row in self._queue)
-        mean_seconds = self._get_mean_seconds()
-        drained_at = now + (queued + mean_seconds) / limit
-        return_at = max(drained_at, self._last_return_at + mean_seconds / limit)
-        latest = now + MAX_RETRY_AFTER_SHARE * max(0.0, request.deadline - now)
-        # A caller that comes back can still be in time only up to here.
-        in_time_until = request.target_at - self._get_safe_seconds(request)
-        if in_time_until > now + MIN_RETRY_AFTER_SECONDS:
-            latest = min(latest, in_time_until)
-        return_at = min(return_at, latest)
-        self._last_return_at = return_at
-        seconds = max(MIN_RETRY_AFTER_SECONDS, return_at - now)
+        slot_seconds = self._get_mean_seconds() / limit
+        seconds = self._returns.choose(
+            now,
+            now + queued / limit + slot_seconds,
+            slot_seconds,
+            request.target_at - self._get_safe_seconds(request),
+            request.deadline,
+        )
         return errors.Failure(
             kind, errors.Execution.NOT_RUN, detail, int(seconds * MS_PER_SECOND)
         )
