Let the last daemon of a cluster stop in order

Cause: found in reading the diff. A daemon that leaves is no longer live in its own table; if it is the only one, the number of zones was 0 and the renewal of its contact key divided by it, which ended the daemon with an error in the midst of its stop.

Change: at least one zone is counted. `NO_NEEDS` stands once.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -33,7 +33,6 @@
     )
 )
 MIN_SERVER_ERROR = 500
-NO_NEEDS = routing.CallNeeds()
 
 
 class IncomingRequest(NamedTuple):
@@ -160,7 +159,7 @@
         service: str,
         class_name: str,
         excluded: frozenset[str],
-        needs: routing.CallNeeds = NO_NEEDS,
+        needs: routing.CallNeeds = routing.NO_NEEDS,
     ) -> routing.RoutingDecision | None:
         """Return the endpoint for the next attempt of a call of the class."""
         candidates = self._directory.list_candidates(service)
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -198,7 +198,9 @@
             return n_per_zone
         records = self._state.table.records
         zones = {row.availability_zone for row in records if row.is_live}
-        return max(n_per_zone, math.ceil(self._keys.min_contacts / len(zones)))
+        # The record of a daemon that leaves is no longer live.
+        n_zones = max(1, len(zones))
+        return max(n_per_zone, math.ceil(self._keys.min_contacts / n_zones))
 
     async def _claim(self) -> bool:
         """Take a free contact key; False when there is none or the store fails."""
--- a/umberdrum/routing/__init__.py
+++ b/umberdrum/routing/__init__.py
@@ -9,6 +9,7 @@
 from umberdrum.routing._factory import build_router
 from umberdrum.routing._finish_time import FinishTimeRouter
 from umberdrum.routing._router import (
+    NO_NEEDS,
     AttemptEnd,
     CallNeeds,
     Candidate,
@@ -20,6 +21,7 @@
 from umberdrum.routing._view import EndpointView, LoadReport
 
 __all__ = [
+    "NO_NEEDS",
     "AttemptEnd",
     "CallNeeds",
     "Candidate",
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -20,7 +20,6 @@
 NEAR_MARGIN = 1.3
 # Mean length of a slow episode, as seen on the users' deployments.
 EPISODE_SECONDS = 0.15
-NO_NEEDS = _router.CallNeeds()
 
 
 class FinishTimeRouter(_tracking.TrackingRouter):
@@ -46,7 +45,7 @@
         candidates: Sequence[_router.Candidate],
         excluded: frozenset[str],
         now: float,
-        needs: _router.CallNeeds = NO_NEEDS,
+        needs: _router.CallNeeds = _router.NO_NEEDS,
     ) -> _router.RoutingDecision | None:
         """Return one of the sampled candidates that are expected to finish first."""
         allowed = _tracking.filter_candidates(candidates, excluded)
--- a/umberdrum/routing/_router.py
+++ b/umberdrum/routing/_router.py
@@ -34,6 +34,9 @@
     slack_seconds: float = math.inf
 
 
+NO_NEEDS = CallNeeds()
+
+
 class RoutingDecision(NamedTuple):
     """Endpoint that was chosen, with what a log line says of the choice.
 
@@ -95,7 +98,7 @@
         candidates: Sequence[Candidate],
         excluded: frozenset[str],
         now: float,
-        needs: CallNeeds = CallNeeds(),  # noqa: B008
+        needs: CallNeeds = NO_NEEDS,
     ) -> RoutingDecision | None:
         """Return the choice among candidates outside ``excluded``, or None."""
 
