Keep a withdrawal that comes before the endpoint is known

A daemon started again while the store turned it away; its endpoint withdrew 0.1 s later (line `withdrawal_ignored`) and was acknowledged. Nothing was kept of it. The daemon then got its routes from a peer, probed the endpoint, which answers 200 until it ends, took it for serving and sent it work 2.3 s after the acknowledgement. Before peers reached such daemons they had no routes in that time, which hid the fault.

Ruled out: late heartbeats (none came), stale beliefs of entries (the request came from the endpoint's own daemon).

Change: the desk keeps the end of each run by the name and the latest start of it; a withdrawal of an unknown run ends whatever began before now, a probe's announcement, whose start is unknown, counts as old.

--- a/umberdrum/announcements/_desk.py
+++ b/umberdrum/announcements/_desk.py
@@ -1,5 +1,8 @@
 """Desk that takes announcements and notices when they cease."""
 
+import time
+from collections.abc import Callable
+
 import trio
 
 from umberdrum import callpath, controlhttp, errors, logs
@@ -8,6 +11,12 @@
 CHECK_INTERVAL_SECONDS = 0.5
 UPSTREAM_PATH = "/v1/upstream"
 MAX_ENDED_RUNS = 1000
+MS_PER_SECOND = 1000
+
+
+def get_unix_ms() -> int:
+    """Return the time of day in milliseconds, by which upstreams tell their start."""
+    return int(time.time() * MS_PER_SECOND)
 
 
 class AnnouncementDesk:
@@ -17,7 +26,8 @@
     silent for the timeout it counts as gone. ``DELETE`` says that it is gone at once
     and ``GET`` shows the last announcement. Where announcements name the run of the
     upstream, one of an older run or an earlier one of the same run changes nothing,
-    and a run that has said that it leaves never serves again. A drain that an operator
+    and a run that has said that it leaves never serves again, also when this daemon did
+    not know it before. A drain that an operator
     asked for outweighs what the upstream announces until it is lifted.
     """
 
@@ -26,13 +36,16 @@
         listener: _listener.EndpointListener,
         timeout_seconds: float,
         log: logs.EventLog,
+        get_unix_ms: Callable[[], int] = get_unix_ms,
     ) -> None:
         self._listener = listener
         self._timeout_seconds = timeout_seconds
         self._log = log
+        self._get_unix_ms = get_unix_ms
         self._last: callpath.UpstreamAnnouncement | None = None
         self._last_at = 0.0
-        self._ended: set[tuple[str, int]] = set()
+        # Latest start of a run that has ended, by the name that it gave itself.
+        self._ended_born_ms: dict[str, int] = {}
         self._announced = trio.Event()
         self.is_drain_ordered = False
 
@@ -88,8 +101,7 @@
         """Use what the upstream says of itself unless it is outdated."""
         if self._is_outdated(announcement):
             return
-        run = (announcement.instance_id, announcement.born_ms)
-        if announcement.instance_id and run in self._ended:
+        if self._has_ended(announcement):
             leaving = callpath.EndpointState.DRAINING
             announcement = announcement._replace(state=leaving)
         if announcement.state is callpath.EndpointState.DRAINING:
@@ -120,11 +132,13 @@
     def withdraw(self, instance_id: str) -> None:
         """Take note that the run ``instance_id`` of the upstream leaves."""
         last = self._last
-        if last is None or last.instance_id != instance_id:
-            self._log.write("withdrawal_ignored", instance=instance_id)
+        if last is not None and last.instance_id == instance_id:
+            self._note_end(last)
+            self._drop("withdrawn")
             return
-        self._note_end(last)
-        self._drop("withdrawn")
+        # A daemon that has just started does not know when the run began: before now.
+        self._keep_end(instance_id, self._get_unix_ms())
+        self._log.write("withdrawal_of_unknown", instance=instance_id)
 
     def drop(self, reason: str) -> None:
         """Take the upstream for gone until it announces itself again."""
@@ -143,12 +157,22 @@
         )
         return is_same_run and announcement.sequence < last.sequence
 
+    def _has_ended(self, announcement: callpath.UpstreamAnnouncement) -> bool:
+        """Return whether the run has said that it leaves; a start of 0 is unknown."""
+        ended_born_ms = self._ended_born_ms.get(announcement.instance_id)
+        return ended_born_ms is not None and announcement.born_ms <= ended_born_ms
+
     def _note_end(self, announcement: callpath.UpstreamAnnouncement) -> None:
         if not announcement.instance_id:
             return
-        if len(self._ended) >= MAX_ENDED_RUNS:
-            self._ended.clear()
-        self._ended.add((announcement.instance_id, announcement.born_ms))
+        born_ms = announcement.born_ms or self._get_unix_ms()
+        self._keep_end(announcement.instance_id, born_ms)
+
+    def _keep_end(self, instance_id: str, born_ms: int) -> None:
+        if len(self._ended_born_ms) >= MAX_ENDED_RUNS:
+            self._ended_born_ms.clear()
+        known = self._ended_born_ms.get(instance_id, 0)
+        self._ended_born_ms[instance_id] = max(known, born_ms)
 
     def _drop(self, reason: str) -> None:
         if self._last is None:
--- a/umberdrum/announcements/tests/announcements.feature
+++ b/umberdrum/announcements/tests/announcements.feature
@@ -36,3 +36,9 @@
       | a1 1 serving, a1 gone               | absent   | -   |
       | a1 1 serving, a1 gone, a1 2 serving | draining | a1  |
       | a1 1 serving, b1 gone               | serving  | a1  |
+      | b1 gone, b1 7 serving               | draining | b1  |
+      | b1 gone, b0 0 serving               | draining | b0  |
+      | b1 gone, b5 1 serving               | serving  | b5  |
+      | a1 1 serving, a1 gone, a0 0 serving | draining | a0  |
+      | a0 0 serving, a0 gone, a1 9 serving | draining | a1  |
+      | a0 0 serving, a1 9 draining, a0 0 serving | draining | a1 |
--- a/umberdrum/announcements/tests/announcements_steps.py
+++ b/umberdrum/announcements/tests/announcements_steps.py
@@ -10,6 +10,8 @@
 from umberdrum import announcements, callpath, controlhttp, logs, settings
 from umberdrum.tests import harness
 
+WITHDRAWN_AT_MS = 3
+
 VALID = b'{"service":"cards","address":"1.2.3.4:5","slots":1,"state":"serving"}'
 
 
@@ -29,7 +31,9 @@
 def _build_desk(context: runner.Context) -> announcements.AnnouncementDesk:
     context.listener = ListenerFake()
     log = logs.EventLog(logging.Logger("desk"), "d")
-    return announcements.AnnouncementDesk(context.listener, 5.0, log)
+    return announcements.AnnouncementDesk(
+        context.listener, 5.0, log, lambda: WITHDRAWN_AT_MS
+    )
 
 
 async def _put(
