Let an acknowledged withdrawal outlive the daemon that took it

A daemon that took a withdrawal and is killed within the endpoint's last seconds starts again without a memory, and the probe of its first look finds an endpoint that answers well until it ends.

Ruled out: a key in the store for each withdrawal (calls that are priced, and the store may be away, as it was); the endpoint's id in every record (not needed: its daemon's last state tells the same).

Change: the other daemons still hold the last record of the process before, and tell its successor. The first look waits 0.3 s to be told, and looks only if that process had not taken leave of its upstream; one that left in order says nothing of its upstream.

Test: platform.feature, "An endpoint that has withdrawn gets no new work when its daemon is killed": 20 payments ran at it before.

--- a/umberdrum/daemon/_first_look.py
+++ b/umberdrum/daemon/_first_look.py
@@ -2,9 +2,18 @@
 
 import trio
 
-from umberdrum import announcements, callpath, logs, settings, sockets
+from umberdrum import (
+    announcements,
+    callpath,
+    logs,
+    membership,
+    settings,
+    sockets,
+)
 
 INTERVAL_SECONDS = 0.1
+# Peers answer the first datagram of a daemon within a few ms.
+HEAR_SECONDS = 0.3
 PROBE_TIMEOUT_SECONDS = 0.5
 MAX_LOOK_SECONDS = 5.0
 HEALTHY_STATUS = 200
@@ -16,11 +25,16 @@
     A daemon that starts again beside a running upstream would else have nothing to
     offer before the next announcement. A probe tells the run of the upstream, its slots
     and that it is not leaving; announcements replace what was seen.
+
+    Some upstreams answer well until they end. If the process before this one had taken
+    leave of its upstream, its record at the other daemons says so, and only an
+    announcement counts.
     """
 
     def __init__(
         self,
         own_settings: settings.Settings,
+        table: membership.MembershipTable,
         desk: announcements.AnnouncementDesk,
         pool: callpath.UpstreamPool,
         dialect: callpath.Dialect,
@@ -28,6 +42,8 @@
         log: logs.EventLog,
     ) -> None:
         self._settings = own_settings
+        self._table = table
+        self._began_at = 0.0
         self._desk = desk
         self._pool = pool
         self._dialect = dialect
@@ -40,13 +56,23 @@
         service = self._settings.own_service
         if address is None or not service or not self._dialect.instance_id:
             return
+        self._began_at = trio.current_time()
         with trio.move_on_after(MAX_LOOK_SECONDS):
             while self._desk.announcement is None:
                 path = self._health_paths(service)
-                if path:
+                if path and self._may_look():
                     await self._look(address, service, path)
                 await trio.sleep(INTERVAL_SECONDS)
 
+    def _may_look(self) -> bool:
+        """Return whether nothing is known that speaks against the upstream."""
+        earlier = self._table.earlier_own
+        if earlier is None:
+            return trio.current_time() - self._began_at >= HEAR_SECONDS
+        # The record of a process that left in order tells of itself only.
+        is_serving = earlier.state is membership.RecordState.SERVING
+        return earlier.is_final or is_serving
+
     async def _look(self, address: settings.Address, service: str, path: str) -> None:
         self._pool.set_address(address)
         upstream: callpath.UpstreamConnection | None = None
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -135,6 +135,7 @@
         counter.on_health_change = self._log_store_health
         self.first_look = _first_look.FirstLook(
             own_settings,
+            self.table,
             self.desk,
             self.upstream_pool,
             dialect,
--- a/umberdrum/membership/_table.py
+++ b/umberdrum/membership/_table.py
@@ -20,6 +20,9 @@
     own record: when others suspect it, or hold a newer record under its id, it answers
     with one that is newer still. Nothing here is agreement between daemons.
 
+    ``earlier_own`` is what others still hold of the process that was at the own address
+    before, None until they have told.
+
     Digests cover the live records only, so that two daemons which forget a record of a
     dead one at different moments still agree.
     """
@@ -30,6 +33,7 @@
         self._hashes: dict[str, int] = {}
         self._buckets = [0] * N_BUCKETS
         self._own_id = own.endpoint_id
+        self.earlier_own: _record.EndpointRecord | None = None
         self.generation = 0
         self._put(own, 0.0)
 
@@ -177,6 +181,8 @@
     ) -> _record.EndpointRecord | None:
         """Answer a record under the own id that is newer than the own one."""
         own = self.own
+        if record.process_id != own.process_id:
+            self.earlier_own = record
         if not _record.is_newer(record, own):
             return None
         incarnation = own.incarnation
