Give back the bytes of bodies that were lost while they were gathered

Parts of a body whose caller left, or that was cancelled at its deadline, stayed counted for ever; after 16 MB of them bodies would no longer be received before admission.

Change: what was received is subtracted when gathering doesn't come to its end.

Test: callpath.feature, "Bodies are gathered within bounds, and their bytes given back"; before, 180000 bytes stayed in both rows with a loss.

--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -17,6 +17,7 @@
 from umberdrum.callpath._directory import EndpointDirectory
 from umberdrum.callpath._endpoint import EndpointService
 from umberdrum.callpath._entry import EntryOutcome, EntryService, IncomingRequest
+from umberdrum.callpath._gathering import BodyGatherer
 from umberdrum.callpath._headers import (
     CallFields,
     filter_request_headers,
@@ -44,6 +45,7 @@
     "OWN_DIALECT",
     "AnswerHead",
     "AnswerSink",
+    "BodyGatherer",
     "BodyLostError",
     "Call",
     "CallFields",
--- a/umberdrum/callpath/_gathering.py
+++ b/umberdrum/callpath/_gathering.py
@@ -28,15 +28,25 @@
         bytes back.
         """
         parts = [body.initial]
-        n_bytes = len(body.initial)
-        while n_bytes < MAX_BODY_BYTES and self.n_bytes < MAX_TOTAL_BYTES:
-            data = await body.receive()
-            if not data:
-                return _call.WholeBody(b"".join(parts), can_be_sent_again=False)
-            parts.append(data)
-            n_bytes += len(data)
-            self.n_bytes += len(data)
-        return _GatheredBody(b"".join(parts), body)
+        n_received = 0
+        is_done = False
+        try:
+            while self._may_receive(len(body.initial) + n_received):
+                data = await body.receive()
+                if not data:
+                    is_done = True
+                    return _call.WholeBody(b"".join(parts), can_be_sent_again=False)
+                parts.append(data)
+                n_received += len(data)
+                self.n_bytes += len(data)
+            is_done = True
+            return _GatheredBody(b"".join(parts), body)
+        finally:
+            if not is_done:
+                self.n_bytes -= n_received
+
+    def _may_receive(self, n_bytes: int) -> bool:
+        return n_bytes < MAX_BODY_BYTES and self.n_bytes < MAX_TOTAL_BYTES
 
     def release(self, before: _call.RequestBody, after: _call.RequestBody) -> None:
         """Note that a gathered body is held no longer."""
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -24,6 +24,17 @@
       | GET /look HTTP/1.1~Host: pay~umberdrum-attempts: -1~~                            |
       | GET /look HTTP/1.1~Host: pay~umberdrum-request-id: a b~~                         |
 
+  Scenario Outline: Bodies are gathered within bounds, and their bytes given back
+    When a body of <parts> parts of 60000 bytes is gathered and <end>
+    Then <held> bytes were at hand and none are held afterwards
+
+    Examples:
+      | parts | end                   | held   |
+      | 3     | ends                  | 180000 |
+      | 9     | ends                  | 300000 |
+      | 3     | is lost on the way    | 0      |
+      | 3     | its caller is too slow | 0     |
+
   Scenario Outline: Requests that are out of bounds are refused, not run
     When a caller sends "<request>"
     Then it gets a <status> of kind "<kind>" and execution "not-run"
--- a/umberdrum/callpath/tests/callpath_steps.py
+++ b/umberdrum/callpath/tests/callpath_steps.py
@@ -4,8 +4,10 @@
 from collections.abc import Awaitable, Callable
 
 import behave
+import trio
 from behave import runner
 
+from umberdrum import callpath, errors
 from umberdrum.tests import harness
 
 LONG_FIELD = "x" * 40_000
@@ -150,3 +152,52 @@
         found = "cut"
     assert found == told, answer
     assert context.n_runs == n_runs, context.n_runs
+
+
+class _PartedBody:
+    """Request body that comes in parts and then ends as it is told to."""
+
+    initial = b""
+    is_complete = False
+    can_be_sent_again = True
+
+    def __init__(self, n_parts: int, end: str) -> None:
+        self._n_left = n_parts
+        self._end = end
+
+    async def receive(self) -> bytes:
+        await trio.sleep(0.01)
+        if self._n_left:
+            self._n_left -= 1
+            return bytes(60_000)
+        if self._end == "is lost on the way":
+            kind = errors.ErrorKind.CALLER_GONE
+            raise callpath.BodyLostError(errors.fail(kind, "closed"))
+        if self._end == "its caller is too slow":
+            await trio.sleep(100.0)
+        return b""
+
+
+@behave.when("a body of {n_parts:d} parts of 60000 bytes is gathered and {end}")
+def gather_body(context: runner.Context, n_parts: int, end: str) -> None:
+    async def run() -> None:
+        gatherer = callpath.BodyGatherer()
+        body = _PartedBody(n_parts, end)
+        context.n_gathered = 0
+        with trio.move_on_after(1.0):
+            try:
+                gathered = await gatherer.gather(body)
+            except callpath.BodyLostError:
+                pass
+            else:
+                context.n_gathered = len(gathered.initial)
+                gatherer.release(body, gathered)
+        context.n_held = gatherer.n_bytes
+
+    harness.run_on_virtual_clock(run)
+
+
+@behave.then("{n_bytes:d} bytes were at hand and none are held afterwards")
+def check_gathered(context: runner.Context, n_bytes: int) -> None:
+    assert context.n_gathered == n_bytes, context.n_gathered
+    assert context.n_held == 0, context.n_held
