--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -32,13 +32,14 @@
 def list_groups() -> list[list[str]]:
     """Return the feature paths of each process; the first is below ``TESTS``."""
     parts = sorted(ROOT.glob("umberdrum/*/tests/*.feature"))
-    parts += sorted(ROOT.glob("platform/*/tests/*.feature"))
     groups = [[f"{TESTS}/scenes.feature"]]
     groups[0] += [str(path.relative_to(ROOT)) for path in parts]
     for path in sorted((ROOT / TESTS).glob("fault_*.feature")):
         groups.append([str(path.relative_to(ROOT))])
-    for path in sorted(ROOT.glob("umberdrum_bench/*/tests/*.feature")):
-        groups[-1].append(str(path.relative_to(ROOT)))
+    others = sorted(ROOT.glob("umberdrum_bench/*/tests/*.feature"))
+    others += sorted(ROOT.glob("platform/*/tests/*.feature"))
+    for index, path in enumerate(others):
+        groups[-1 - index % (len(groups) - 1)].append(str(path.relative_to(ROOT)))
     return groups
 
 
--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -14,7 +14,7 @@
 from umberdrum_bench import added, cost, experiment, fleet, sizes, soak
 
 GC_THRESHOLDS = (50_000, 20, 50)
-SOAK_BASE_PORT = 29_000
+SOAK_BASE_PORT = 32_000
 
 
 def run_program(arguments: Sequence[str] | None = None) -> int:
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -11,7 +11,7 @@
 
 from umberdrum_bench import caller, soak, verdict
 
-BASE_PORT = 28_500
+BASE_PORT = 32_400
 DEADLINE_SECONDS = 2.0
 NONCE = "n1"
 BODY_SHA256 = "ab"
