Recover within 5 s whatever is lost; end the wait for a nearer peer exactly

Ruled out: a slow machine (the process was busy at one instant of its clock), ports, a stop that does not end. The wait now ends at the very moment that the choice compares with.

Two causes: peers that still knew the earlier process were refused without a word; they now get an introduction. Contacts keep the addresses of each zone's daemons in the store, without a lease, and introduce themselves to those that they don't know (configuration/_member_list.py).

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -7,7 +7,7 @@
 import trio
 
 from umberdrum import gossip, logs, membership, settings, store
-from umberdrum.configuration import _watcher
+from umberdrum.configuration import _introduction, _member_list, _watcher
 
 LEASE_SECONDS = 10
 # A contact that loses the store is found out in this time and one call's timeout of
@@ -27,6 +27,8 @@
 MIN_BACKOFF_SECONDS = 0.5
 MAX_BACKOFF_SECONDS = 30.0
 MAX_LOAD_BACKOFF_SECONDS = 2.0
+# A daemon that knows nobody serves nothing; it is to serve again within 5 s.
+MAX_JOIN_BACKOFF_SECONDS = 2.0
 # While the store is away from all, every daemon finds too few contacts.
 MIN_CLAIM_BACKOFF_SECONDS = 2.0
 
@@ -43,6 +45,11 @@
     n_per_zone: int
     min_contacts: int
 
+    @property
+    def members_prefix(self) -> str:
+        """Prefix of the keys that list the daemons of each zone."""
+        return f"{self.prefix}/members/"
+
     @property
     def all_zones_prefix(self) -> str:
         """Prefix of the contact keys of all zones."""
@@ -90,6 +97,15 @@
         self._seeds = seeds
         self._rng = rng
         self._log = log
+        self._member_list = _member_list.MemberList(
+            target_store,
+            keys.members_prefix,
+            keys.availability_zone,
+            state,
+            exchange,
+            rng,
+            log,
+        )
         self._lease_id = 0
         self._key_index = 0
         self._started_at = 0.0
@@ -143,15 +159,17 @@
     async def _join(self) -> None:
         """Introduce this daemon to contacts and seeds, until one of them answers."""
         backoff = MIN_BACKOFF_SECONDS
-        while True:
-            for address in self._seeds:
-                await self._introduce(address)
-            is_listed = await self._meet_contacts()
-            self.has_joined = is_listed or self._count_members() > 1
-            if self.has_joined:
+        while not self.has_joined:
+            await _introduction.introduce_to_unknown(
+                map(str, self._seeds), self._state, self._exchange
+            )
+            if await self._meet_contacts():
+                self.has_joined = True
                 return
             await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-            backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
+            backoff = min(MAX_JOIN_BACKOFF_SECONDS, backoff * 2)
+            # Others may have found this daemon meanwhile.
+            self.has_joined = self._count_members() > 1
 
     async def _meet_contacts(self, may_be_stale: bool = False) -> bool:
         """Introduce this daemon to contacts that it does not know."""
@@ -164,18 +182,8 @@
         return True
 
     async def _introduce_to_holders(self, items: tuple[store.KeyValue, ...]) -> None:
-        for item in items:
-            try:
-                address = settings.parse_address(item.value.decode("utf-8", "replace"))
-            except ValueError:
-                continue
-            held = self._state.table.get(str(address))
-            if held is None or not held.is_live:
-                await self._introduce(address)
-
-    async def _introduce(self, address: settings.Address) -> None:
-        if str(address) != self._state.table.own.endpoint_id:
-            await self._exchange.introduce(address)
+        addresses = [item.value.decode("utf-8", "replace") for item in items]
+        await _introduction.introduce_to_unknown(addresses, self._state, self._exchange)
 
     async def _wait_until_needed(self) -> None:
         """Return once the zone has had too few contacts for a random while."""
@@ -288,15 +296,18 @@
         """List the contacts, often at first and then at long intervals.
 
         The first list follows the claim, so that of two contacts that claimed at the
-        same moment at least one finds the other; later ones may be stale.
+        same moment at least one finds the other; later ones may be stale. The list of
+        all daemons is looked at a little later, when those that start together with
+        this one have met it.
         """
         interval = MIN_LIST_INTERVAL_SECONDS
-        may_be_stale = False
+        await self._meet_contacts()
         while True:
-            await self._meet_contacts(may_be_stale)
-            may_be_stale = True
             await trio.sleep(interval * self._rng.uniform(0.5, 1.5))
+            is_settled = interval >= MAX_LIST_INTERVAL_SECONDS
             interval = min(MAX_LIST_INTERVAL_SECONDS, interval * LIST_INTERVAL_GROWTH)
+            await self._member_list.refresh(may_prune=is_settled)
+            await self._meet_contacts(may_be_stale=True)
 
     def _change_contact(self, is_contact: bool) -> None:
         now = trio.current_time()
--- a/umberdrum/gossip/__init__.py
+++ b/umberdrum/gossip/__init__.py
@@ -7,7 +7,8 @@
 from umberdrum.gossip._fetch_choice import FetchChoice
 from umberdrum.gossip._news import NewsQueue
 from umberdrum.gossip._state import SharedState
-from umberdrum.gossip._synchronizer import PeerSynchronizer
+from umberdrum.gossip._sync_schedule import SyncSchedule
+from umberdrum.gossip._synchronizer import PeerSynchronizer, SyncResult
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
@@ -18,6 +19,8 @@
     "NewsQueue",
     "PeerSynchronizer",
     "SharedState",
+    "SyncResult",
+    "SyncSchedule",
     "decode_entry",
     "encode_entry",
 ]
--- a/umberdrum/gossip/_datagram.py
+++ b/umberdrum/gossip/_datagram.py
@@ -30,8 +30,9 @@
 class DatagramCodec:
     """Encodes and decodes datagrams that carry a tag made with the cluster key.
 
-    A datagram that was altered or forged, was meant for another process, or was seen
-    before is refused. The codec never looks at what the message says.
+    A datagram that was altered or forged, was seen before, or was meant for another
+    process is refused; the last, which is authentic, as a stale incarnation. The codec
+    never looks at what the message says.
     """
 
     def __init__(self, cluster_key: bytes, process_id: int) -> None:
@@ -60,10 +61,13 @@
             return self._refuse(f"expected a gossip message: {fault}")
         if message.protocol_version < PROTOCOL_VERSION:
             return self._refuse(f"unknown version {message.protocol_version}")
-        if message.target_process_id not in (0, self._process_id):
-            return self._refuse("the datagram is meant for another process")
         if not self._is_fresh(message.sender_process_id, message.sequence):
             return self._refuse(f"sequence {message.sequence} was seen before")
+        if message.target_process_id not in (0, self._process_id):
+            return self._refuse(
+                "the datagram is meant for another process",
+                errors.ErrorKind.STALE_INCARNATION,
+            )
         return expression.Ok(message)
 
     def _is_fresh(self, process_id: int, sequence: int) -> bool:
@@ -85,11 +89,12 @@
         return True
 
     def _refuse(
-        self, detail: str
+        self,
+        detail: str,
+        kind: errors.ErrorKind = errors.ErrorKind.PEER_NOT_AUTHENTIC,
     ) -> expression.Result[wire.messages.Gossip, errors.Failure]:
         self.n_refused += 1
-        failure = errors.fail(errors.ErrorKind.PEER_NOT_AUTHENTIC, detail)
-        return expression.Error(failure)
+        return expression.Error(errors.fail(kind, detail))
 
     def _compute_tag(self, payload: bytes) -> bytes:
         state = self._hasher.copy()
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -1,18 +1,18 @@
 """Periodic exchange of datagrams with a few peers, and detection of dead ones."""
 
-import math
 import random
 import socket
 from typing import NamedTuple
 
 import trio
 
-from umberdrum import logs, membership, peerlink, settings, wire
+from umberdrum import errors, logs, membership, peerlink, settings, wire
 from umberdrum.gossip import (
     _budget,
     _datagram,
     _fetch_choice,
     _state,
+    _sync_schedule,
     _synchronizer,
 )
 
@@ -20,11 +20,6 @@
 ANSWER_TIMEOUT_SECONDS = 0.4
 CONFIRM_TIMEOUT_SECONDS = 1.0
 N_HELPERS = 2
-SYNC_MIN_INTERVAL_SECONDS = 5.0
-SYNC_MAX_INTERVAL_SECONDS = 60.0
-MISMATCHES_BEFORE_SYNC = 4
-SYNC_RETRY_SECONDS = 1.0
-JOIN_FACTOR = 2
 SAME_ZONE_SHARE = 0.6
 SAME_REGION_SHARE = 0.3
 SUSPECTED_PROBE_SHARE = 0.1
@@ -71,12 +66,9 @@
         self._sequence = 0
         self._probes: dict[int, _Probe] = {}
         self._urgent: set[str] = set()
-        self._n_mismatches = 0
-        self._sync_peer: peerlink.PeerAddress | None = None
+        self._sync_schedule = _sync_schedule.SyncSchedule(rng)
         self._fetch_choice = _fetch_choice.FetchChoice()
         self._fetch_wake = trio.Event()
-        self._next_sync_at = 0.0
-        self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
         self._budget = _budget.ControlBudget(0.0)
         self._wake = trio.Event()
         self.n_bytes_sent = 0
@@ -147,8 +139,9 @@
         departed = self._choose_departed()
         if departed is not None:
             await self.introduce(departed.address)
-        if self._should_sync(now):
-            nursery.start_soon(self._sync)
+        peer = self._sync_schedule.take(len(self._state.table), now)
+        if peer is not None:
+            nursery.start_soon(self._sync, peer)
 
     def _draw_period(self) -> float:
         jitter = self._rng.uniform(0.8, 1.2)
@@ -243,7 +236,7 @@
             catalog_digest=self._state.catalog.digest,
             records=batch.records,
             classes=batch.entries,
-            n_endpoints=len(table),
+            n_endpoints=table.n_live,
             catalog_revision=self._state.catalog.revision,
             target_process_id=process_id,
         )
@@ -272,15 +265,18 @@
                 # A peer's host reported its port closed; its silence is judged anyway.
                 continue
             self.n_bytes_received += len(datagram) + _datagram.PACKET_OVERHEAD_BYTES
+            peer = settings.Address(*sender[:2])
             decoded = self._codec.decode(datagram)
-            if decoded.is_error():
-                self._log.warn(
-                    "datagram_refused",
-                    peer=f"{sender[0]}:{sender[1]}",
-                    reason=decoded.error.detail,
-                )
+            if decoded.is_ok():
+                await self._take_message(decoded.ok, peer)
                 continue
-            await self._take_message(decoded.ok, settings.Address(*sender[:2]))
+            self._log.warn(
+                "datagram_refused", peer=str(peer), reason=decoded.error.detail
+            )
+            if decoded.error.kind is errors.ErrorKind.STALE_INCARNATION:
+                # The sender knows the process that was here before this one. Its answer
+                # names that process's record, which this one then replaces.
+                await self.introduce(peer)
 
     async def _take_message(
         self, message: wire.messages.Gossip, sender: settings.Address
@@ -370,15 +366,14 @@
             and message.catalog_digest == self._state.catalog.digest
         )
         if is_same:
-            self._n_mismatches = 0
-            self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
+            self._sync_schedule.note_agreement()
             return
-        self._n_mismatches += 1
-        address = settings.parse_address(message.sender_id)
-        self._sync_peer = peerlink.PeerAddress(address, message.sender_process_id)
-        if message.n_endpoints > JOIN_FACTOR * len(table):
-            # This daemon has just joined, or was cut off for long.
-            self._n_mismatches = MISMATCHES_BEFORE_SYNC
+        peer = peerlink.PeerAddress(
+            settings.parse_address(message.sender_id), message.sender_process_id
+        )
+        if self._sync_schedule.note_mismatch(
+            peer, message.n_endpoints, table.n_live, trio.current_time()
+        ):
             self._wake.set()
 
     def _note_revision(self, message: wire.messages.Gossip) -> None:
@@ -396,29 +391,10 @@
         if is_newer:
             self._fetch_wake.set()
 
-    def _should_sync(self, now: float) -> bool:
-        if self._n_mismatches < MISMATCHES_BEFORE_SYNC or now < self._next_sync_at:
-            return False
-        size_factor = max(1.0, math.log2(len(self._state.table) + 1) / 4)
-        jitter = self._rng.uniform(0.5, 1.5)
-        self._next_sync_at = now + self._sync_interval * size_factor * jitter
-        self._n_mismatches = 0
-        return True
-
-    async def _sync(self) -> None:
-        """Synchronise with the peer whose digests differed last."""
-        if self._sync_peer is None:
-            return
-        result = await self._synchronizer.sync_with(
-            self._sync_peer, trio.current_time()
-        )
-        if not result.is_done:
-            # Another peer may be reachable; try as soon as one differs.
-            self._next_sync_at = trio.current_time() + SYNC_RETRY_SECONDS
-        if result.n_newer_records:
-            self._sync_interval = SYNC_MIN_INTERVAL_SECONDS
-            return
-        self._sync_interval = min(SYNC_MAX_INTERVAL_SECONDS, self._sync_interval * 2)
+    async def _sync(self, peer: peerlink.PeerAddress) -> None:
+        """Synchronise with a peer whose digests differ."""
+        result = await self._synchronizer.sync_with(peer, trio.current_time())
+        self._sync_schedule.note_result(result, trio.current_time())
 
     async def _fetch_forever(self) -> None:
         """Get documents that peers have named, and pass their names on."""
@@ -429,7 +405,7 @@
                 await self._synchronizer.sync_with(peer, now)
                 continue
             self._fetch_wake = trio.Event()
-            with trio.move_on_after(self._fetch_choice.get_wait(now)):
+            with trio.move_on_at(self._fetch_choice.get_due_at()):
                 await self._fetch_wake.wait()
 
     async def _forget_forever(self) -> None:
--- a/umberdrum/gossip/_fetch_choice.py
+++ b/umberdrum/gossip/_fetch_choice.py
@@ -55,14 +55,22 @@
         if peer is not None:
             self._near = None
             return peer
-        if own_revision and now - self._behind_since < DISTANT_WAIT_SECONDS:
+        if own_revision and now < self._get_distant_at():
             return None
         peer = self._distant
         self._distant = None
         return peer
 
-    def get_wait(self, now: float) -> float:
-        """Return the seconds until a distant peer may be asked; infinite if none is."""
+    def get_due_at(self) -> float:
+        """Return when a distant peer may be asked; infinite if none is known.
+
+        From that very moment on ``take`` returns the peer. The caller waits until then
+        rather than for a difference of times: a difference is rounded, and a wait that
+        ends too early by a rounding error would be repeated without an end.
+        """
         if self._distant is None:
             return math.inf
-        return max(0.0, self._behind_since + DISTANT_WAIT_SECONDS - now)
+        return self._get_distant_at()
+
+    def _get_distant_at(self) -> float:
+        return self._behind_since + DISTANT_WAIT_SECONDS
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -60,3 +60,24 @@
       | 5   | another | another | the second peer after 0.3 s         |
       | 0   | another | its own | the first peer at once              |
       | 9   | another | its own | nobody                              |
+
+  Scenario: A wait for a nearer peer ends at the moment that was named
+    When peers of another zone name a newer revision at 10000 random moments
+    Then each time one is asked exactly when the wait has ended
+
+  Scenario Outline: When a daemon synchronises with peers that know more
+    Given a daemon that knows <here> endpoints and has just synchronised
+    When peers that know <there> name other digests each 0.1 s
+    Then it synchronises again <again>
+
+    Examples:
+      | here | there | again                |
+      | 3    | 6     | within 0.6 s         |
+      | 64   | 72    | within 0.6 s         |
+      | 64   | 71    | not for 2.5 s        |
+      | 64   | 64    | not for 2.5 s        |
+
+  Scenario: A daemon that learns much asks for more at bounded intervals
+    Given a daemon that knows 1 endpoints and has just synchronised
+    When each synchronisation adds an eighth, for 60 s among peers that know 560
+    Then it synchronises at most 60 times
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -219,3 +219,83 @@
 @behave.then("it asks {asked}")
 def check_asked(context: runner.Context, asked: str) -> None:
     assert context.asked == asked, context.asked
+
+
+@behave.when(
+    "peers of another zone name a newer revision at {n_moments:d} random moments"
+)
+def name_at_random(context: runner.Context, n_moments: int) -> None:
+    rng = random.Random(1)
+    peer = peerlink.PeerAddress(settings.Address("10.0.0.1", 7000), 1)
+    context.taken = []
+    for _ in range(n_moments):
+        choice = gossip.FetchChoice()
+        named_at = rng.uniform(1000.0, 5000.0)
+        choice.note_revision(peer, 9, 5, False, named_at)
+        looked_at = named_at + rng.uniform(0.0, 0.1)
+        assert choice.take(5, looked_at) is None
+        context.taken.append(choice.take(5, choice.get_due_at()))
+
+
+@behave.then("each time one is asked exactly when the wait has ended")
+def check_waits(context: runner.Context) -> None:
+    n_early = context.taken.count(None)
+    assert n_early == 0, f"{n_early} of {len(context.taken)} waits ended too early"
+
+
+_PEER = peerlink.PeerAddress(settings.Address("10.0.0.1", 7000), 1)
+_SYNCED = gossip.SyncResult(True, 1)
+
+
+@behave.given("a daemon that knows {n_known:d} endpoints and has just synchronised")
+def build_schedule(context: runner.Context, n_known: int) -> None:
+    context.n_known = n_known
+    context.schedule = gossip.SyncSchedule(random.Random(3))
+    for _ in range(4):
+        context.schedule.note_mismatch(_PEER, n_known, n_known, 0.0)
+    assert context.schedule.take(n_known, 0.0) is not None
+    context.schedule.note_result(_SYNCED, 0.0)
+
+
+@behave.when("peers that know {n_there:d} name other digests each 0.1 s")
+def name_digests(context: runner.Context, n_there: int) -> None:
+    context.again_at = None
+    for step in range(1, 100):
+        now = step / 10
+        context.schedule.note_mismatch(_PEER, n_there, context.n_known, now)
+        if context.schedule.take(context.n_known, now) is not None:
+            context.again_at = now
+            return
+
+
+@behave.then("it synchronises again {again}")
+def check_again(context: runner.Context, again: str) -> None:
+    seconds = float(again.split()[-2])
+    if again.startswith("within"):
+        assert context.again_at <= seconds, context.again_at
+    else:
+        assert context.again_at >= seconds, context.again_at
+
+
+@behave.when(
+    "each synchronisation adds an eighth, for {seconds:d} s among peers that know "
+    "{n_there:d}"
+)
+def learn_slowly(context: runner.Context, seconds: int, n_there: int) -> None:
+    context.n_syncs = 0
+    known = float(context.n_known)
+    for step in range(1, seconds * 10):
+        now = step / 10
+        if known < n_there:
+            context.schedule.note_mismatch(_PEER, n_there, int(known), now)
+        else:
+            context.schedule.note_agreement()
+        if context.schedule.take(int(known), now) is not None:
+            context.schedule.note_result(_SYNCED, now)
+            known = min(n_there, max(known + 1, known * 9 / 8))
+            context.n_syncs += 1
+
+
+@behave.then("it synchronises at most {n_syncs:d} times")
+def check_syncs(context: runner.Context, n_syncs: int) -> None:
+    assert 0 < context.n_syncs <= n_syncs, context.n_syncs
--- a/umberdrum/membership/_table.py
+++ b/umberdrum/membership/_table.py
@@ -50,6 +50,11 @@
         """All records, suspected and final ones included."""
         return list(self._records.values())
 
+    @property
+    def n_live(self) -> int:
+        """Number of the live records, the own one included."""
+        return len(self._hashes)
+
     @property
     def digest(self) -> int:
         """Digest of all live records, in 64 bits."""
