Give each feature on whole daemons its own process and ports

A group that overruns its time counts as one failure with its output; a scene whose clock stands still for 300 s ends with its stacks. Two test runs at the same time took the same ports (Address already in use, seen when two runs of all groups overlapped); each port is now marked as taken for the life of the process.

--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -15,7 +15,8 @@
 TESTS = "umberdrum/tests"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 GROUP_VARIABLE = "UMBERDRUM_TEST_GROUP"
-TIMEOUT_SECONDS = 1800
+# The slowest group takes some 100 s beside a busy machine.
+TIMEOUT_SECONDS = 900
 _COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
 _FAILING = re.compile(r"^  (\S+\.feature):\d+\s+(.+)$", re.M)
 
@@ -30,16 +31,24 @@
 
 
 def list_groups() -> list[list[str]]:
-    """Return the feature paths of each process; the first is below ``TESTS``."""
-    parts = sorted(ROOT.glob("umberdrum/*/tests/*.feature"))
-    groups = [[f"{TESTS}/scenes.feature"]]
-    groups[0] += [str(path.relative_to(ROOT)) for path in parts]
-    for path in sorted((ROOT / TESTS).glob("fault_*.feature")):
-        groups.append([str(path.relative_to(ROOT))])
+    """Return the feature paths of each process.
+
+    Each feature on whole daemons has a process of its own, since it mostly waits for
+    its virtual clock; those of parts share one. Behave takes its steps from beside the
+    first path, so that a feature without steps comes first in all others.
+    """
+    steps = f"{TESTS}/steps.feature"
+    groups = [[steps]]
+    for path in sorted(ROOT.glob("umberdrum/*/tests/*.feature")):
+        groups[0].append(str(path.relative_to(ROOT)))
+    for path in sorted((ROOT / TESTS).glob("*.feature")):
+        relative = str(path.relative_to(ROOT))
+        if relative != steps:
+            groups.append([relative])
     others = sorted(ROOT.glob("umberdrum_bench/*/tests/*.feature"))
     others += sorted(ROOT.glob("platform/*/tests/*.feature"))
-    for index, path in enumerate(others):
-        groups[-1 - index % (len(groups) - 1)].append(str(path.relative_to(ROOT)))
+    for path in others:
+        groups.append([steps, str(path.relative_to(ROOT))])
     return groups
 
 
@@ -69,7 +78,12 @@
 
 def collect(process: "subprocess.Popen[str]") -> GroupResult:
     """Wait for one process; one that printed no counts is one failure."""
-    output, _ = process.communicate(timeout=TIMEOUT_SECONDS)
+    try:
+        output, _ = process.communicate(timeout=TIMEOUT_SECONDS)
+    except subprocess.TimeoutExpired:
+        process.kill()
+        output, _ = process.communicate()
+        output += f"\nended after {TIMEOUT_SECONDS} s without a result\n"
     counts = _COUNTS.search(output)
     if counts is None:
         return GroupResult(0, 1, ["no counts were printed"], output)
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import faulthandler
 import itertools
 import json
 import logging
@@ -23,10 +24,14 @@
 from umberdrum_bench import caller, link, store_server, store_state
 
 AUTOJUMP_SECONDS = 0.002
+# The longest scene takes some 20 s beside a busy machine.
+FROZEN_SECONDS = 300.0
 ANNOUNCE_SECONDS = 1.0
 HOST = "127.0.0.1"
-N_PORTS = 3000
-FIRST_PORT = 10_000 + int(os.environ.get("UMBERDRUM_TEST_GROUP", "6")) * N_PORTS
+RESERVATION_HOST = "127.99.0.1"
+# Ports end below those that the system gives to outgoing connections.
+N_PORTS = 1200
+FIRST_PORT = 10_000 + int(os.environ.get("UMBERDRUM_TEST_GROUP", "17")) * N_PORTS
 LAST_PORT = FIRST_PORT + N_PORTS
 CLUSTER_KEY = bytes(range(16))
 CALL_TIMEOUT_SECONDS = 60.0
@@ -36,21 +41,33 @@
 
 
 def run_on_virtual_clock(function: Callable[[], Awaitable[_Result]]) -> _Result:
-    """Run ``function`` in a trio loop whose clock jumps over waiting times."""
+    """Run ``function`` in a trio loop whose clock jumps over waiting times.
+
+    The clock stands still as long as some task is ready to run. A loop that repeats a
+    wait of no length would stop it for good; the process then ends with all stacks.
+    """
     clock = trio.testing.MockClock(autojump_threshold=AUTOJUMP_SECONDS)
-    return trio.run(function, clock=clock)
+    faulthandler.dump_traceback_later(FROZEN_SECONDS, exit=True)
+    try:
+        return trio.run(function, clock=clock)
+    finally:
+        faulthandler.cancel_dump_traceback_later()
 
 
 _ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+_reservations: dict[int, socket.socket] = {}
 
 
 def find_free_address(host: str = HOST) -> settings.Address:
     """Return a loopback address whose TCP and UDP ports are free now.
 
     The ports lie below those that the system gives to outgoing connections, so that no
-    connection takes one before it is bound.
+    connection takes one before it is bound. They stay reserved for this process, so
+    that two test runs on one machine don't meet.
     """
     for port in _ports:
+        if not _reserve(port):
+            continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
             with contextlib.suppress(OSError):
                 tcp.bind((host, port))
@@ -59,6 +76,20 @@
     raise OSError("no port is free")
 
 
+def _reserve(port: int) -> bool:
+    """Return whether ``port`` is this process's, marked at an address of its own."""
+    if port in _reservations:
+        return True
+    mark = socket.socket()
+    try:
+        mark.bind((RESERVATION_HOST, port))
+    except OSError:
+        mark.close()
+        return False
+    _reservations[port] = mark
+    return True
+
+
 class Node(NamedTuple):
     """One endpoint of a site: daemon, upstream, and the link in front, if any."""
 
--- a/umberdrum/tests/system_steps.py
+++ b/umberdrum/tests/system_steps.py
@@ -24,6 +24,11 @@
     assert context.is_cell_done
 
 
+@behave.then("the steps of all features are loaded")
+def check_steps(context: runner.Context) -> None:
+    assert set(SCENES) and set(matrix.FAULTS)
+
+
 @behave.then('the scene "{name}" holds')
 def run_scene(context: runner.Context, name: str) -> None:
     harness.run_on_virtual_clock(SCENES[name])
