--- a/umberdrum/admin/_desk.py
+++ b/umberdrum/admin/_desk.py
@@ -1,9 +1,8 @@
 """Requests to the admin address."""
 
+from collections.abc import Callable
 from typing import Protocol
 
-import prometheus_client
-
 from umberdrum import controlhttp, errors
 from umberdrum.admin import _reports
 
@@ -27,11 +26,9 @@
 class AdminDesk:
     """Answers operators and monitoring on the admin address."""
 
-    def __init__(
-        self, view: DaemonView, registry: prometheus_client.CollectorRegistry
-    ) -> None:
+    def __init__(self, view: DaemonView, render_metrics: Callable[[], str]) -> None:
         self._view = view
-        self._registry = registry
+        self._render_metrics = render_metrics
 
     async def handle(
         self, request: controlhttp.ControlRequest
@@ -55,8 +52,7 @@
                 return controlhttp.answer_text("ready\n")
             return controlhttp.answer_text("not ready\n", 503)
         if request.path == "/metrics":
-            text = prometheus_client.generate_latest(self._registry).decode()
-            return controlhttp.answer_text(text)
+            return controlhttp.answer_text(self._render_metrics())
         if request.path == "/v1/status":
             return controlhttp.answer_json(dict(self._view.build_status()))
         if request.path == "/v1/explain":
--- a/umberdrum/announcements/_desk.py
+++ b/umberdrum/announcements/_desk.py
@@ -54,6 +54,11 @@
         """Last announcement, None while the upstream is gone."""
         return self._last
 
+    @property
+    def announced_at(self) -> float | None:
+        """Time of the last announcement, None while the upstream is gone."""
+        return self._last_at if self._last is not None else None
+
     async def handle(
         self, request: controlhttp.ControlRequest
     ) -> controlhttp.ControlAnswer:
--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -32,7 +32,12 @@
 from umberdrum.callpath._peer_server import PeerServer
 from umberdrum.callpath._prober import HealthPathSource, UpstreamProber
 from umberdrum.callpath._sinks import CountingSink, ForwardingSink
-from umberdrum.callpath._statistics import CallStatistics, TargetReport
+from umberdrum.callpath._statistics import (
+    LATENCY_BUCKETS_SECONDS,
+    CallStatistics,
+    LatencyHistogram,
+    TargetReport,
+)
 from umberdrum.callpath._sync import Synchronizer
 from umberdrum.callpath._upstream import (
     UpstreamConnection,
@@ -42,6 +47,7 @@
 from umberdrum.callpath._upstream_load import UpstreamLoad, parse_upstream_load
 
 __all__ = [
+    "LATENCY_BUCKETS_SECONDS",
     "OWN_DIALECT",
     "AnswerHead",
     "AnswerSink",
@@ -65,6 +71,7 @@
     "ForwardingSink",
     "HealthPathSource",
     "IncomingRequest",
+    "LatencyHistogram",
     "LivenessWatch",
     "PeerLeg",
     "PeerServer",
--- a/umberdrum/callpath/_statistics.py
+++ b/umberdrum/callpath/_statistics.py
@@ -1,10 +1,10 @@
 """Counts of calls: metrics for scraping and the window in which targets are judged."""
 
+import bisect
 import collections
 import math
 from typing import NamedTuple
 
-import prometheus_client
 import trio
 
 from umberdrum import classes, errors
@@ -59,47 +59,48 @@
         self.buckets: collections.Counter[int] = collections.Counter()
 
 
+class LatencyHistogram:
+    """Latencies of one class, counted by the buckets of ``LATENCY_BUCKETS_SECONDS``.
+
+    ``n_by_bucket`` has one more entry, for latencies beyond the last bucket.
+    """
+
+    __slots__ = ("n_by_bucket", "total_seconds")
+
+    def __init__(self) -> None:
+        self.n_by_bucket = [0] * (len(LATENCY_BUCKETS_SECONDS) + 1)
+        self.total_seconds = 0.0
+
+    def observe(self, seconds: float) -> None:
+        """Count one latency."""
+        self.n_by_bucket[bisect.bisect_left(LATENCY_BUCKETS_SECONDS, seconds)] += 1
+        self.total_seconds += seconds
+
+
 class CallStatistics:
-    """Latencies and ends of the calls that entered at this daemon."""
+    """Latencies and ends of the calls that entered at this daemon.
 
-    def __init__(self, registry: prometheus_client.CollectorRegistry) -> None:
+    They are plain numbers, from which metrics are made when they are scraped.
+    """
+
+    def __init__(self) -> None:
         self._windows: dict[str, collections.deque[_Second]] = {}
-        self._n_calls = prometheus_client.Counter(
-            "umberdrum_calls",
-            "Calls by class and end",
-            ["cls", "end"],
-            registry=registry,
-        )
-        self._latency = prometheus_client.Histogram(
-            "umberdrum_call_seconds",
-            "Time from request head to whole answer",
-            ["cls"],
-            buckets=LATENCY_BUCKETS_SECONDS,
-            registry=registry,
-        )
-        self._n_retries = prometheus_client.Counter(
-            "umberdrum_retries", "Attempts after a failure", ["cls"], registry=registry
-        )
-        self._n_hedges = prometheus_client.Counter(
-            "umberdrum_hedges",
-            "Second attempts beside a slow one",
-            ["cls"],
-            registry=registry,
-        )
-        self._call_children: dict[tuple[str, str], prometheus_client.Counter] = {}
-        self._latency_children: dict[str, prometheus_client.Histogram] = {}
+        self.n_calls: collections.Counter[tuple[str, str]] = collections.Counter()
+        self.n_retries: collections.Counter[str] = collections.Counter()
+        self.n_hedges: collections.Counter[str] = collections.Counter()
+        self.latencies: dict[str, LatencyHistogram] = {}
 
     def count_unmatched(self, kind: errors.ErrorKind) -> None:
         """Count a request that belongs to no class."""
-        self._get_counter("-", kind.token).inc()
+        self.n_calls["-", kind.token] += 1
 
     def count_retry(self, class_name: str) -> None:
         """Count an attempt that follows a failure."""
-        self._n_retries.labels(class_name).inc()
+        self.n_retries[class_name] += 1
 
     def count_hedge(self, class_name: str) -> None:
         """Count a second attempt beside a slow one."""
-        self._n_hedges.labels(class_name).inc()
+        self.n_hedges[class_name] += 1
 
     def record(
         self,
@@ -110,10 +111,10 @@
         """Record the end of one call."""
         end = "answered" if result.is_ok() else result.error.kind.token
         name = request_class.name
-        self._get_counter(name, end).inc()
-        latency = self._latency_children.get(name)
+        self.n_calls[name, end] += 1
+        latency = self.latencies.get(name)
         if latency is None:
-            latency = self._latency_children[name] = self._latency.labels(name)
+            latency = self.latencies[name] = LatencyHistogram()
         latency.observe(seconds)
         self._record_in_window(request_class, seconds, result.is_ok())
 
@@ -157,13 +158,6 @@
             row.n_within += 1
         row.buckets[_get_bucket(ms)] += 1
 
-    def _get_counter(self, name: str, end: str) -> prometheus_client.Counter:
-        counter = self._call_children.get((name, end))
-        if counter is None:
-            counter = self._n_calls.labels(name, end)
-            self._call_children[(name, end)] = counter
-        return counter
-
 
 _INFINITE_BUCKET = 1 << 30
 
--- a/umberdrum/daemon/_metrics.py
+++ b/umberdrum/daemon/_metrics.py
@@ -1,28 +1,18 @@
-"""Metrics of a daemon that are read from its parts when they are scraped."""
+"""Metrics of a daemon, made of its parts' numbers when they are scraped.
 
-from collections.abc import Callable
+The first scrape imports this module; see ``_metric_page``.
+"""
+
+import itertools
+from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
 import prometheus_client
 import trio
+from prometheus_client import metrics_core, registry
 
-from umberdrum import callpath, gossip, logs, measuring, peerlink, store
-
-
-class MetricSources(NamedTuple):
-    """Parts of the daemon that the metrics are read from."""
-
-    endpoint: callpath.EndpointService
-    upstream_pool: callpath.UpstreamPool
-    peer_pool: peerlink.PeerLinkPool
-    peer_leg: callpath.PeerLeg
-    watch: callpath.LivenessWatch
-    state: gossip.SharedState
-    exchange: gossip.GossipExchange
-    synchronizer: gossip.PeerSynchronizer
-    budget: measuring.MeasuringBudget
-    counter: store.StoreCallCounter
-    writer: logs.LineWriter
+from umberdrum import callpath, measuring, routetable
+from umberdrum.daemon import _metric_page
 
 
 class _Gauge(NamedTuple):
@@ -33,20 +23,136 @@
     read: Callable[[], float]
 
 
-def register_metrics(
-    sources: MetricSources, registry: prometheus_client.CollectorRegistry
-) -> None:
-    """Add the metrics of the daemon's parts to ``registry``."""
+class _Dependency(NamedTuple):
+    """State of something that the daemon depends on.
+
+    ``last_seen_at`` is when it last gave a sign, None if it never did.
+    """
+
+    name: str
+    is_up: bool
+    last_seen_at: float | None
+
+
+class MetricRenderer:
+    """Registry with all metrics of the daemon, rendered for each scrape."""
+
+    def __init__(self, sources: _metric_page.MetricSources) -> None:
+        self._registry = _build_registry(sources)
+
+    def render(self) -> str:
+        """Return the page with the present values."""
+        return prometheus_client.generate_latest(self._registry).decode()
+
+
+def _build_registry(
+    sources: _metric_page.MetricSources,
+) -> prometheus_client.CollectorRegistry:
+    found = prometheus_client.CollectorRegistry()
     for row in _list_gauges(sources):
-        gauge = prometheus_client.Gauge(row.name, row.documentation, registry=registry)
+        gauge = prometheus_client.Gauge(row.name, row.documentation, registry=found)
         gauge.set_function(row.read)
     for use in measuring.MeasuringUse:
         gauge = prometheus_client.Gauge(
             f"umberdrum_measuring_{use.value}_bytes",
             f"Bytes of the measuring budget spent on {use.value}",
-            registry=registry,
+            registry=found,
         )
         gauge.set_function(_read_use(sources.budget, use))
+    found.register(_CallCollector(sources.statistics))
+    found.register(_DependencyCollector(sources))
+    return found
+
+
+class _CallCollector(registry.Collector):
+    """Counters and latency histograms of the calls that entered at the daemon."""
+
+    def __init__(self, statistics: callpath.CallStatistics) -> None:
+        self._statistics = statistics
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Return the metrics with their present values."""
+        calls = metrics_core.CounterMetricFamily(
+            "umberdrum_calls", "Calls by class and end", labels=["cls", "end"]
+        )
+        for labels, n_calls in self._statistics.n_calls.items():
+            calls.add_metric(labels, n_calls)
+        yield calls
+        latencies = metrics_core.HistogramMetricFamily(
+            "umberdrum_call_seconds",
+            "Time from request head to whole answer",
+            labels=["cls"],
+        )
+        for name, histogram in self._statistics.latencies.items():
+            buckets = _list_buckets(histogram)
+            latencies.add_metric([name], buckets, histogram.total_seconds)
+        yield latencies
+        retries = metrics_core.CounterMetricFamily(
+            "umberdrum_retries", "Attempts after a failure", labels=["cls"]
+        )
+        for name, n_retries in self._statistics.n_retries.items():
+            retries.add_metric([name], n_retries)
+        yield retries
+        hedges = metrics_core.CounterMetricFamily(
+            "umberdrum_hedges", "Second attempts beside a slow one", labels=["cls"]
+        )
+        for name, n_hedges in self._statistics.n_hedges.items():
+            hedges.add_metric([name], n_hedges)
+        yield hedges
+
+
+class _DependencyCollector(registry.Collector):
+    """State of the store, the upstream and the peers, and the age of what is known."""
+
+    def __init__(self, sources: _metric_page.MetricSources) -> None:
+        self._sources = sources
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Return the metrics with their present values."""
+        states = metrics_core.GaugeMetricFamily(
+            "umberdrum_dependency_up",
+            "Whether the dependency answered last time, 1 or 0",
+            labels=["name"],
+        )
+        ages = metrics_core.GaugeMetricFamily(
+            "umberdrum_dependency_age_seconds",
+            "Time since the dependency last gave a sign, absent if it never did",
+            labels=["name"],
+        )
+        now = trio.current_time()
+        for row in self._list_dependencies():
+            states.add_metric([row.name], float(row.is_up))
+            if row.last_seen_at is not None:
+                ages.add_metric([row.name], now - row.last_seen_at)
+        yield states
+        yield ages
+
+    def _list_dependencies(self) -> list[_Dependency]:
+        sources = self._sources
+        counter = sources.counter
+        desk = sources.desk
+        exchange = sources.exchange
+        has_peers = sources.state.table.n_live > 1
+        return [
+            _Dependency("store", counter.is_answering, counter.last_answer_at),
+            _Dependency("upstream", desk.announcement is not None, desk.announced_at),
+            _Dependency("peers", has_peers, exchange.last_received_at),
+        ]
+
+
+def _list_buckets(
+    histogram: callpath.LatencyHistogram,
+) -> list[tuple[str, float]]:
+    """Return the upper edge of each bucket with the count of all up to it."""
+    edges = [str(edge) for edge in callpath.LATENCY_BUCKETS_SECONDS]
+    counts = itertools.accumulate(histogram.n_by_bucket)
+    return list(zip([*edges, "+Inf"], map(float, counts), strict=True))
+
+
+def _get_routes_version(source: routetable.RouteTableSource | None) -> int:
+    if source is None or source.table is None:
+        return 0
+    return source.table.version
 
 
 def _read_use(
@@ -55,7 +161,7 @@
     return lambda: float(budget.spent_bytes[use])
 
 
-def _list_gauges(sources: MetricSources) -> list[_Gauge]:
+def _list_gauges(sources: _metric_page.MetricSources) -> list[_Gauge]:
     gate = sources.endpoint.gate
     exchange = sources.exchange
     budget = sources.budget
@@ -99,11 +205,21 @@
             "Endpoint records known",
             lambda: len(sources.state.table),
         ),
+        _Gauge(
+            "umberdrum_live_members",
+            "Endpoint records of daemons that are believed to run",
+            lambda: sources.state.table.n_live,
+        ),
         _Gauge(
             "umberdrum_catalog_revision",
             "Highest revision of a class in force",
             lambda: sources.state.catalog.revision,
         ),
+        _Gauge(
+            "umberdrum_routes_version",
+            "Version of the route table in force, 0 if there is none",
+            lambda: _get_routes_version(sources.routes),
+        ),
         _Gauge(
             "umberdrum_gossip_sent_bytes",
             "Gossip bytes sent, with packet overhead",
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -2,7 +2,6 @@
 
 import random
 
-import prometheus_client
 import trio
 
 from umberdrum import (
@@ -26,7 +25,13 @@
     sockets,
     store,
 )
-from umberdrum.daemon import _endpoint_state, _first_look, _integration, _metrics, _view
+from umberdrum.daemon import (
+    _endpoint_state,
+    _first_look,
+    _integration,
+    _metric_page,
+    _view,
+)
 
 INITIAL_SLOTS = 1
 RETRY_SAFETY = 0.5
@@ -53,7 +58,7 @@
         dialect = integration.dialect
         self._nursery = nursery
         self._settings = own_settings
-        self.registry = prometheus_client.CollectorRegistry()
+        self.statistics = callpath.CallStatistics()
         self.table = membership.MembershipTable(_build_record(own_settings, identity))
         self.state = gossip.SharedState(self.table, log)
         self.peer_pool = peerlink.PeerLinkPool(identity, key)
@@ -101,7 +106,7 @@
             ),
             self.endpoint,
             self.peer_leg,
-            callpath.CallStatistics(self.registry),
+            self.statistics,
             log,
             nursery,
             self.matcher,
@@ -183,9 +188,8 @@
             self._handle_readiness = integration.build_readiness_handler(
                 self.reporter.is_ready
             )
-        self._admin_desk = admin.AdminDesk(self.reporter, self.registry)
-        _metrics.register_metrics(
-            _metrics.MetricSources(
+        metric_page = _metric_page.MetricPage(
+            _metric_page.MetricSources(
                 self.endpoint,
                 self.upstream_pool,
                 self.peer_pool,
@@ -197,9 +201,12 @@
                 budget,
                 counter,
                 writer,
-            ),
-            self.registry,
+                self.statistics,
+                self.desk,
+                self.routes,
+            )
         )
+        self._admin_desk = admin.AdminDesk(self.reporter, metric_page.render)
 
     async def serve_admin(self, connection: sockets.Connection) -> None:
         """Serve one connection of the admin address."""
--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -149,9 +149,9 @@
 
 def _keep_collector_off_calls() -> None:
     """Make passes of the garbage collector rare, and small by leaving out the code."""
-    gc.collect()
     gc.freeze()
     gc.set_threshold(*GC_THRESHOLDS)
+    gc.enable()
 
 
 def _print_faults(faults: list[settings.SettingsFault]) -> None:
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -73,6 +73,7 @@
         self._wake = trio.Event()
         self.n_bytes_sent = 0
         self.n_bytes_received = 0
+        self.last_received_at: float | None = None
 
     async def bind(self) -> None:
         """Bind the UDP socket; raises ``OSError``."""
@@ -282,6 +283,7 @@
         self, message: wire.messages.Gossip, sender: settings.Address
     ) -> None:
         now = trio.current_time()
+        self.last_received_at = now
         self._state.take_records(message.records, now)
         self._state.take_messages_of_entries(message.classes)
         try:
--- a/umberdrum/store/_calls.py
+++ b/umberdrum/store/_calls.py
@@ -3,6 +3,8 @@
 import collections
 from collections.abc import Callable
 
+import trio
+
 HealthListener = Callable[[bool, str], None]
 
 
@@ -10,13 +12,15 @@
     """Calls by operation; a watch counts as one call when it is opened.
 
     ``on_health_change``, if set, is told when a call fails after others were answered
-    and when one is answered again.
+    and when one is answered again. ``last_answer_at`` is the time of the last valid
+    answer on the daemon's monotonic clock, None before the first.
     """
 
     def __init__(self) -> None:
         self.n_calls: collections.Counter[str] = collections.Counter()
         self.n_failed = 0
         self.is_answering = True
+        self.last_answer_at: float | None = None
         self.on_health_change: HealthListener | None = None
 
     @property
@@ -35,6 +39,7 @@
 
     def count_answer(self) -> None:
         """Note that a call got a valid answer."""
+        self.last_answer_at = trio.current_time()
         self._note_health(True, "")
 
     def _note_health(self, is_answering: bool, reason: str) -> None:
