--- a/umberdrum/callpath/_journey.py
+++ b/umberdrum/callpath/_journey.py
@@ -9,7 +9,8 @@
 from umberdrum.callpath import _call, _endpoint, _hedging, _sinks, _statistics
 
 MS_PER_SECOND = 1000.0
-NO_ENDPOINT_RETRY_MS = 1000
+# After a loss of power daemons announce their endpoints 0.3 to 0.5 s after their start.
+NO_ENDPOINT_RETRY_MS = 400
 MAX_DETOURS = 3
 DETOUR_KINDS = frozenset(
     (
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -21,7 +21,10 @@
 MISDIRECTED_STATUS = 421
 MAX_HELD_ANSWER_BYTES = 65_536
 OVERDUE_SECONDS = 0.25
-DEFAULT_SHED_RETRY_MS = 1000
+# An upstream that sheds at random is as likely to serve a call now as later, so that a
+# call which comes back early has time for its run; one that is full needs a moment.
+SHED_RETURN_SHARE = 0.25
+MIN_SHED_RETURN_SECONDS = 0.05
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
 LoadBuilder = Callable[[float], routing.LoadReport | None]
@@ -184,7 +187,7 @@
         marker = self._dialect.not_run
         if not marker:
             if call.is_idempotent and head.status == SHED_STATUS:
-                return _describe_shedding(head, errors.Execution.MAY_HAVE_RUN)
+                return _describe_shedding(call, head, errors.Execution.MAY_HAVE_RUN)
             return None
         if head.status == MISDIRECTED_STATUS:
             if self.on_misdirected is not None:
@@ -192,7 +195,7 @@
             detail = f"another upstream than {self.instance_id} has the address"
             return errors.fail(errors.ErrorKind.STALE_INCARNATION, detail)
         if _headers.get_header(head.headers, marker) is not None:
-            return _describe_shedding(head, errors.Execution.NOT_RUN)
+            return _describe_shedding(call, head, errors.Execution.NOT_RUN)
         return None
 
 
@@ -217,16 +220,21 @@
 
 
 def _describe_shedding(
-    head: _call.AnswerHead, execution: errors.Execution
+    call: _call.Call, head: _call.AnswerHead, execution: errors.Execution
 ) -> errors.Failure:
-    """Return the failure for an upstream that sheds; another endpoint may answer."""
-    retry_after_ms = DEFAULT_SHED_RETRY_MS
+    """Return the failure for an upstream that sheds; another endpoint may answer.
+
+    The caller comes back when the upstream says, else after a part of the time that is
+    left until the target is missed.
+    """
+    left_seconds = call.target_at - trio.current_time()
+    seconds = max(MIN_SHED_RETURN_SECONDS, SHED_RETURN_SHARE * left_seconds)
     for name, value in head.headers:
         if name == b"retry-after" and value.isdigit():
-            retry_after_ms = int(value) * int(MS_PER_SECOND)
+            seconds = float(value)
     return errors.Failure(
         errors.ErrorKind.UPSTREAM_SHED,
         execution,
         f"the upstream answered {head.status}",
-        retry_after_ms,
+        int(seconds * MS_PER_SECOND),
     )
--- a/umberdrum/daemon/_first_look.py
+++ b/umberdrum/daemon/_first_look.py
@@ -11,9 +11,10 @@
     sockets,
 )
 
-INTERVAL_SECONDS = 0.1
-# Peers answer the first datagram of a daemon within a few ms.
-HEAR_SECONDS = 0.3
+INTERVAL_SECONDS = 0.05
+# Peers of the region answer the first datagram of a daemon within a few ms, busy ones
+# within 100 ms.
+HEAR_SECONDS = 0.15
 PROBE_TIMEOUT_SECONDS = 0.5
 MAX_LOOK_SECONDS = 5.0
 HEALTHY_STATUS = 200
