Take contact keys back first, and tell of the own record without room

Load pattern: all daemons of a zone start together. Found by counting the store's calls on a virtual clock, 32 daemons in two zones: 14 to 19 leases and 19 to 23 writes on the first start, 26 to 38 of each after a loss of power, for four contacts. Causes: daemons that had just started took holders whose new record they did not know yet for resigned, and claimed further keys; and a claim was not told of, because the bytes for gossip were used up by news passed on for others (budget -2 to -3 KB a quarter of a second after the start).

Change: who finds its own address in a key claims within 0.3 s, others 1.5 s later at least; a daemon judges no resignation in its first 5 s, and looks again after 0.8 s later on; a new contact tells its zone at once; a change of the own record is part of every datagram, with room or without; the first list of contacts may be stale.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -18,6 +18,13 @@
 # Daemons that start together claim one after the other: the first to do so is known
 # to the others after two gossip periods.
 FIRST_CLAIM_SPREAD_SECONDS = 2.0
+# A daemon that starts again takes its own key back before others look for a place.
+OWN_KEY_SPREAD_SECONDS = 0.3
+HOLDERS_FIRST_SECONDS = 1.5
+# Some 4 KB of datagrams.
+MAX_PUSHES = 16
+# A claim that has just been made is known to the zone in this time.
+RESIGNED_CHECK_SECONDS = 0.8
 MAX_CLAIM_SPREAD_SECONDS = 10.0
 # Until then a daemon that has just started knows too few zones to count them.
 SETTLE_SECONDS = 5.0
@@ -110,6 +117,8 @@
         self._key_index = 0
         self._started_at = 0.0
         self._has_claimed = False
+        # Holders of the zone's keys when this daemon joined.
+        self._first_holders: frozenset[str] = frozenset()
         self.has_joined = False
 
     async def run(self) -> None:
@@ -163,7 +172,7 @@
             await _introduction.introduce_to_unknown(
                 map(str, self._seeds), self._state, self._exchange
             )
-            if await self._meet_contacts():
+            if await self._meet_contacts(may_be_stale=True):
                 self.has_joined = True
                 return
             await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
@@ -178,31 +187,54 @@
         if listed.is_error():
             self._log.warn("store_read", reason=listed.error.detail)
             return False
+        zone_prefix = self._keys.zone_prefix
+        zone = [row for row in listed.ok.items if row.key.startswith(zone_prefix)]
+        if not self.has_joined:
+            self._first_holders = frozenset(map(_get_holder, zone))
         await self._introduce_to_holders(listed.ok.items)
         return True
 
     async def _introduce_to_holders(self, items: tuple[store.KeyValue, ...]) -> None:
-        addresses = [item.value.decode("utf-8", "replace") for item in items]
-        await _introduction.introduce_to_unknown(addresses, self._state, self._exchange)
+        await _introduction.introduce_to_unknown(
+            map(_get_holder, items), self._state, self._exchange
+        )
 
     async def _wait_until_needed(self) -> None:
         """Return once the zone has had too few contacts for a random while."""
         while True:
             while self._count_contacts() >= self._get_wanted():
                 await trio.sleep(CLAIM_CHECK_SECONDS)
-            spread = CLAIM_SPREAD_PER_MEMBER_SECONDS * self._count_zone_members()
-            if not self._has_claimed:
-                spread = max(spread, FIRST_CLAIM_SPREAD_SECONDS)
+            await trio.sleep(self._draw_claim_delay())
             self._has_claimed = True
-            spread = min(MAX_CLAIM_SPREAD_SECONDS, spread)
-            await trio.sleep(self._rng.uniform(0.0, spread))
             if self._count_contacts() < self._get_wanted():
                 return
 
+    def _draw_claim_delay(self) -> float:
+        """Return for how long a claim waits, so that few daemons claim at once.
+
+        Load pattern: all daemons of a zone start together, for the first time or after
+        a loss of power. In the second case the keys are still there, under the leases
+        of processes that have ended; those that held them go first, so that the others
+        find enough contacts and call the store no more.
+        """
+        spread = CLAIM_SPREAD_PER_MEMBER_SECONDS * self._count_zone_members()
+        spread = min(MAX_CLAIM_SPREAD_SECONDS, spread)
+        if self._has_claimed:
+            return self._rng.uniform(0.0, spread)
+        if self._state.table.own.endpoint_id in self._first_holders:
+            return self._rng.uniform(0.0, OWN_KEY_SPREAD_SECONDS)
+        spread = max(spread, FIRST_CLAIM_SPREAD_SECONDS)
+        least = HOLDERS_FIRST_SECONDS if self._first_holders else 0.0
+        return least + self._rng.uniform(0.0, spread)
+
+    def _is_settled(self) -> bool:
+        """Return whether this daemon has had time to learn of the others."""
+        return trio.current_time() - self._started_at >= SETTLE_SECONDS
+
     def _get_wanted(self) -> int:
         """Return how many contacts the own zone should have."""
         n_per_zone = self._keys.n_per_zone
-        if trio.current_time() - self._started_at < SETTLE_SECONDS:
+        if not self._is_settled():
             return n_per_zone
         records = self._state.table.records
         zones = {row.availability_zone for row in records if row.is_live}
@@ -220,23 +252,39 @@
         taken = {item.key: item for item in listed.ok.items}
         own_address = self._state.table.own.endpoint_id.encode()
         n_wanted = self._get_wanted()
+        n_resigned = 0
         index = 0
-        while index < n_wanted:
+        while index < n_wanted + n_resigned:
             key = self._keys.get_key(index)
             held = taken.get(key)
             if held is not None and held.value != own_address:
                 # A holder that has lost the store leaves room for one more.
-                n_wanted += self._has_resigned(held)
+                n_resigned += self._has_resigned(held)
                 index += 1
                 continue
+            if index >= n_wanted and not await self._is_still_needed():
+                return False
             # A key with the own address was left by an earlier process.
             revision = held.mod_revision if held is not None else 0
             return await self._take_key(index, revision)
         return False
 
+    async def _is_still_needed(self) -> bool:
+        """Return whether the zone lacks contacts after a moment too.
+
+        The record of a holder that has claimed its key just now may not have come yet.
+        """
+        await trio.sleep(RESIGNED_CHECK_SECONDS)
+        return self._count_contacts() < self._get_wanted()
+
     def _has_resigned(self, held: store.KeyValue) -> bool:
-        """Return whether the holder of a key is known and says it is no contact now."""
-        record = self._state.table.get(held.value.decode("utf-8", "replace"))
+        """Return whether the holder of a key is known and says it is no contact now.
+
+        A daemon that has just started may not know yet that it is one again.
+        """
+        if not self._is_settled():
+            return False
+        record = self._state.table.get(_get_holder(held))
         return record is not None and record.is_live and not record.is_contact
 
     async def _take_key(self, index: int, revision: int) -> bool:
@@ -259,6 +307,9 @@
     async def _be_contact(self) -> None:
         """Keep the lease and follow the configuration until the lease has lapsed."""
         self._change_contact(True)
+        # Most of the zone hears of it at once, so that few other daemons claim too.
+        n_peers = min(MAX_PUSHES, self._count_zone_members())
+        await self._exchange.push_news(n_peers)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watcher.run)
             nursery.start_soon(self._list_forever)
@@ -329,3 +380,8 @@
 
     def _count_members(self) -> int:
         return len(self._state.table)
+
+
+def _get_holder(item: store.KeyValue) -> str:
+    """Return the address of the daemon that holds a contact key."""
+    return item.value.decode("utf-8", "replace")
--- a/umberdrum/gossip/_news.py
+++ b/umberdrum/gossip/_news.py
@@ -45,9 +45,14 @@
     A change is sent about three times the binary logarithm of the number of endpoints,
     after which nearly all daemons have it; digests find those that have not. A newer
     change of the same record or class replaces the older one.
+
+    The own record comes first, and also where there is no room: nobody else can tell of
+    it yet. Load pattern: many daemons start together and use up their bytes on what
+    they pass on for each other, just when each has to say that it serves.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, own_id: str) -> None:
+        self._own_name = _name_record(own_id)
         self._items: dict[str, _Item] = {}
 
     def __len__(self) -> int:
@@ -56,7 +61,7 @@
     def add_record(self, record: membership.EndpointRecord) -> None:
         """Queue a record that has changed."""
         message = membership.encode_record(record)
-        self._items["endpoint " + record.endpoint_id] = _Item(message, None)
+        self._items[_name_record(record.endpoint_id)] = _Item(message, None)
 
     def add_entry(self, entry: classes.CatalogEntry) -> None:
         """Queue a class that has changed.
@@ -70,13 +75,16 @@
         self._items["class " + entry.name] = _Item(None, message)
 
     def take_batch(self, max_bytes: int, n_endpoints: int) -> NewsBatch:
-        """Return changes of at most ``max_bytes`` and count them as sent once more."""
+        """Return changes of at most ``max_bytes`` and count them as sent once more.
+
+        A change of the own record is part of it in any case.
+        """
         max_sends = SENDS_PER_LOG2 * math.ceil(math.log2(n_endpoints + 2))
         batch = NewsBatch([], [], 0)
         n_bytes = 0
-        by_sends = sorted(self._items.items(), key=_get_n_sends)
-        for name, item in by_sends:
-            if n_bytes + item.n_bytes > max_bytes:
+        for name, item in sorted(self._items.items(), key=self._get_order):
+            is_own = name == self._own_name
+            if not is_own and n_bytes + item.n_bytes > max_bytes:
                 continue
             n_bytes += item.n_bytes
             if item.record is not None:
@@ -88,6 +96,10 @@
                 del self._items[name]
         return batch._replace(n_bytes=n_bytes)
 
+    def _get_order(self, row: tuple[str, _Item]) -> tuple[bool, int]:
+        name, item = row
+        return name != self._own_name, item.n_sends
+
 
-def _get_n_sends(row: tuple[str, _Item]) -> int:
-    return row[1].n_sends
+def _name_record(endpoint_id: str) -> str:
+    return f"endpoint {endpoint_id}"
--- a/umberdrum/gossip/_state.py
+++ b/umberdrum/gossip/_state.py
@@ -16,7 +16,7 @@
     def __init__(self, table: membership.MembershipTable, log: logs.EventLog) -> None:
         self.table = table
         self.catalog = classes.Catalog()
-        self.news = _news.NewsQueue()
+        self.news = _news.NewsQueue(table.own.endpoint_id)
         self._log = log
         self._catalog_listeners: list[Callable[[classes.Catalog], None]] = []
         self.news.add_record(table.own)
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -25,6 +25,11 @@
     When batches of 1000 bytes are taken until the queue is empty
     Then each change was sent 30 times, and no batch exceeds 1000 bytes
 
+  Scenario: A change of the own record goes first, also where there is no room
+    Given 100 changes in the queue of a daemon among 560
+    When its own record changes
+    Then a batch of 0 bytes has the own record only, and one of 1000 bytes has it first
+
   Scenario: A newer change replaces the older one in the queue
     Given 100 changes in the queue of a daemon among 560
     When one of them changes again
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -14,6 +14,7 @@
 KEY = bytes(range(16))
 SENDER_PROCESS = 7
 OWN_PROCESS = 9
+OWN_ID = "127.0.0.1:9999"
 
 
 def _encode(sequence: int, key: bytes = KEY, target: int = OWN_PROCESS) -> bytes:
@@ -81,7 +82,7 @@
 
 @behave.given("{n_changes:d} changes in the queue of a daemon among {n_endpoints:d}")
 def fill_queue(context: runner.Context, n_changes: int, n_endpoints: int) -> None:
-    context.queue = gossip.NewsQueue()
+    context.queue = gossip.NewsQueue(OWN_ID)
     context.n_endpoints = n_endpoints
     for index in range(n_changes):
         context.queue.add_record(_build_record(index))
@@ -299,3 +300,19 @@
 @behave.then("it synchronises at most {n_syncs:d} times")
 def check_syncs(context: runner.Context, n_syncs: int) -> None:
     assert 0 < context.n_syncs <= n_syncs, context.n_syncs
+
+
+@behave.when("its own record changes")
+def change_own(context: runner.Context) -> None:
+    context.queue.add_record(_build_record(9998))
+
+
+@behave.then(
+    "a batch of 0 bytes has the own record only, and one of 1000 bytes has it first"
+)
+def check_own_first(context: runner.Context) -> None:
+    empty = context.queue.take_batch(0, context.n_endpoints)
+    assert [row.endpoint_id for row in empty.records] == [OWN_ID]
+    filled = context.queue.take_batch(1000, context.n_endpoints)
+    assert filled.records[0].endpoint_id == OWN_ID
+    assert len(filled.records) > 1
