Listen before the program is loaded; let calls wait while a start learns

Ruled out: longer Retry-After alone (the repeat had been used up by the refused connection).

Change: package `startup` binds the addresses of callers and announcements with nothing but light modules loaded, some 30 ms after the start; the kernel keeps what comes. Peers are still refused, they have other endpoints. In its first 0.6 s a daemon lets a call wait, at most a quarter of its time, for routes and for an endpoint of its service. A caller that left meanwhile is noticed before its call is passed on.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -79,6 +79,7 @@
     async def _read_requests(self, stream: _caller_stream.CallerStream) -> None:
         """Read requests and start them, until the connection is to be closed."""
         unparsed = b""
+        is_first = True
         while not stream.is_final and not self.is_closing:
             exchange = _caller_exchange.CallerExchange(
                 stream.connection,
@@ -101,6 +102,10 @@
             if stream.is_final:
                 # It was sent behind an answer that closes the connection.
                 return
+            if is_first and stream.connection.is_lost():
+                # The caller left while it waited for this daemon to start.
+                return
+            is_first = False
             unparsed = exchange.get_unparsed()
             await self._start(stream, exchange, request, body)
 
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -18,6 +18,7 @@
     _matching,
     _peer_leg,
     _sinks,
+    _start_period,
     _statistics,
 )
 
@@ -87,6 +88,7 @@
         self._peer_leg = peer_leg
         self._log = log
         self.hedger = _hedging.Hedger(nursery)
+        self._start_period = _start_period.StartPeriod(trio.current_time())
 
     async def handle(
         self,
@@ -99,6 +101,10 @@
         request_id = fields.request_id or secrets.token_hex(REQUEST_ID_BYTES)
         method = request.method.decode("ascii")
         matched = self._matcher.match(fields, method, request.target)
+        if _lacks_routes(matched):
+            deadline = request.received_at + _get_stated_seconds(fields)
+            await self._start_period.wait_until(self._has_routes, deadline)
+            matched = self._matcher.match(fields, method, request.target)
         if matched.is_error():
             failure = matched.error
             self.statistics.count_unmatched(failure.kind)
@@ -113,6 +119,11 @@
             return EntryOutcome(expression.Error(failure), False, request_id)
         row = matched.ok
         call = self._build_call(request, request_id, row)
+        if not self._directory.list_candidates(call.service):
+            await self._start_period.wait_until(
+                lambda: bool(self._directory.list_candidates(call.service)),
+                call.deadline,
+            )
         counting = _sinks.CountingSink(sink)
         journey = _journey.Journey(self, row, call, body, counting)
         result: _endpoint.CallResult | None = None
@@ -125,6 +136,9 @@
         )
         return EntryOutcome(result, counting.is_started, request_id)
 
+    def _has_routes(self) -> bool:
+        return self._matcher.version > 0
+
     def _log_end(
         self,
         call: _call.Call,
@@ -308,6 +322,18 @@
     )
 
 
+def _lacks_routes(matched: _matching.MatchResult) -> bool:
+    kind = errors.ErrorKind.NO_ROUTES_YET
+    return matched.is_error() and matched.error.kind is kind
+
+
+def _get_stated_seconds(fields: _headers.CallFields) -> float:
+    """Return for how long the caller waits, as far as it has said so."""
+    if fields.deadline_ms <= 0:
+        return classes.MAX_DEADLINE_MS / MS_PER_SECOND
+    return fields.deadline_ms / MS_PER_SECOND
+
+
 def _describe_result(result: "_endpoint.CallResult | None") -> str:
     if result is None:
         return "cancelled"
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -3,6 +3,7 @@
 import logging
 import random
 import socket
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import trio
@@ -50,7 +51,9 @@
         writer: logs.LineWriter,
         rng: random.Random | None = None,
         integration: _integration.Integration | None = None,
+        listeners: Sequence[socket.socket] = (),
     ) -> None:
+        self._early_listeners = list(listeners)
         self._integration = integration or _integration.build_own_integration()
         self._settings = own_settings
         self._logger = logger
@@ -132,14 +135,26 @@
 
     def _bind(self) -> _Listeners:
         own = self._settings
+        caller = self._take_early(own.caller_listen)
+        announce = self._take_early(own.announce_listen)
+        for listener in self._early_listeners:
+            listener.close()
         return _Listeners(
-            sockets.bind_tcp(own.caller_listen),
+            caller or sockets.bind_tcp(own.caller_listen),
             sockets.bind_tcp(own.peer_listen),
             sockets.bind_tcp(own.admin_listen),
-            sockets.bind_tcp(own.announce_listen),
+            announce or sockets.bind_tcp(own.announce_listen),
             sockets.bind_tcp(own.ready_listen) if own.ready_listen else None,
         )
 
+    def _take_early(self, address: settings.Address) -> socket.socket | None:
+        """Return the socket that listens at ``address`` already, if there is one."""
+        for listener in self._early_listeners:
+            if listener.getsockname()[:2] == (address.host, address.port):
+                self._early_listeners.remove(listener)
+                return listener
+        return None
+
     def _start_tasks(
         self, parts: _parts.DaemonParts, listeners: _Listeners, nursery: trio.Nursery
     ) -> None:
--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -5,6 +5,7 @@
 import logging
 import pathlib
 import signal
+import socket
 import sys
 from collections.abc import Sequence
 
@@ -33,10 +34,12 @@
 def run_program(
     arguments: Sequence[str] | None = None,
     integration: _integration.Integration | None = None,
+    listeners: Sequence[socket.socket] = (),
 ) -> int:
     """Run the daemon until it is stopped and return its exit code.
 
-    Without an ``integration`` it speaks the project's own protocols.
+    Without an ``integration`` it speaks the project's own protocols. ``listeners`` are
+    sockets that listen already; those at addresses of the settings are used.
     """
     options = _build_parser().parse_args(arguments)
     path = pathlib.Path(options.settings)
@@ -56,7 +59,7 @@
     logger.propagate = False
     exit_code = EXIT_OK
     try:
-        trio.run(_run_daemon, loaded.ok, path, logger, writer, integration)
+        trio.run(_run_daemon, loaded.ok, path, logger, writer, integration, listeners)
     except* OSError as faults:
         sys.stderr.write(f"umberdrumd: {faults.exceptions[0]}\n")
         exit_code = EXIT_FAILED
@@ -71,8 +74,11 @@
     logger: logging.Logger,
     writer: logs.LineWriter,
     integration: _integration.Integration | None,
+    listeners: Sequence[socket.socket],
 ) -> None:
-    daemon = _daemon.Daemon(own_settings, logger, writer, integration=integration)
+    daemon = _daemon.Daemon(
+        own_settings, logger, writer, integration=integration, listeners=listeners
+    )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, daemon, path)
         nursery.start_soon(_follow_settings_file, daemon, path)
--- a/umberdrum/sockets/_listener.py
+++ b/umberdrum/sockets/_listener.py
@@ -7,10 +7,9 @@
 
 import trio
 
-from umberdrum import logs, settings
+from umberdrum import logs, settings, startup
 from umberdrum.sockets import _connection
 
-BACKLOG = 1024
 ACCEPT_RETRY_SECONDS = 0.1
 _RESOURCE_ERRORS = frozenset((errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM))
 
@@ -21,17 +20,7 @@
 
 def bind_tcp(address: settings.Address) -> socket.socket:
     """Return a listening socket bound to ``address``; raises ``OSError``."""
-    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
-    sock = socket.socket(family, socket.SOCK_STREAM)
-    sock.setblocking(False)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    try:
-        sock.bind((address.host, address.port))
-        sock.listen(BACKLOG)
-    except OSError:
-        sock.close()
-        raise
-    return sock
+    return startup.bind_listener(address.host, address.port)
 
 
 def close_listener(listener: socket.socket) -> None:
--- /dev/null
+++ b/umberdrum/startup/_binding.py
@@ -0,0 +1,24 @@
+"""Listening TCP sockets."""
+
+import socket
+
+BACKLOG = 1024
+
+
+def bind_listener(host: str, port: int) -> socket.socket:
+    """Return a socket that listens at an IP address; raises ``OSError``.
+
+    From now on the kernel accepts connections and keeps what they bring, up to
+    ``BACKLOG`` of them, until the program takes them.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        sock.bind((host, port))
+        sock.listen(BACKLOG)
+    except OSError:
+        sock.close()
+        raise
+    return sock
--- /dev/null
+++ b/umberdrum/startup/_program.py
@@ -0,0 +1,49 @@
+"""Entry point of the program."""
+
+import argparse
+import gc
+import socket
+import sys
+from collections.abc import Callable, Sequence
+from typing import TYPE_CHECKING
+
+from umberdrum.startup import _early
+
+if TYPE_CHECKING:
+    from umberdrum import daemon
+
+
+def run_program(
+    arguments: Sequence[str] | None = None,
+    build_integration: "Callable[[], daemon.Integration] | None" = None,
+) -> int:
+    """Listen, load the daemon and run it; return its exit code.
+
+    ``build_integration`` is called once the daemon is loaded. Without it the daemon
+    speaks the project's own protocols.
+    """
+    # All that is imported stays; to look through it while it grows delays the start.
+    gc.disable()
+    if arguments is None:
+        arguments = sys.argv[1:]
+    listeners = _bind_as_told(arguments)
+
+    from umberdrum.daemon import main
+
+    integration = build_integration() if build_integration is not None else None
+    return main.run_program(arguments, integration, listeners)
+
+
+def _bind_as_told(arguments: Sequence[str]) -> list[socket.socket]:
+    """Return the early listeners, none if the daemon will not run."""
+    parser = argparse.ArgumentParser(add_help=False, exit_on_error=False)
+    parser.add_argument("--settings", default="")
+    parser.add_argument("--check", action="store_true")
+    try:
+        options, others = parser.parse_known_args(arguments)
+    except argparse.ArgumentError:
+        # The daemon's own parser reports it.
+        return []
+    if options.check or others or not options.settings:
+        return []
+    return _early.bind_early(options.settings)
--- /dev/null
+++ b/umberdrum/startup/tests/startup_steps.py
@@ -0,0 +1,69 @@
+"""Steps on the first steps of the program."""
+
+import pathlib
+import socket
+import tempfile
+
+import behave
+from behave import runner
+
+from umberdrum import settings
+from umberdrum.startup import _program
+from umberdrum.tests import harness
+
+KEYS = ("caller", "peer", "announce")
+
+
+@behave.given("settings with {fault}")
+def build_settings(context: runner.Context, fault: str) -> None:
+    context.addresses = {name: harness.find_free_address() for name in KEYS}
+    context.fault = fault
+
+
+def _render(addresses: dict[str, settings.Address], fault: str) -> bytes:
+    rows = {name: str(address) for name, address in addresses.items()}
+    port = addresses["caller"].port
+    if fault == "no announce address":
+        del rows["announce"]
+    if fault == "a caller's port of 99999":
+        rows["caller"] = "127.0.0.1:99999"
+    if fault == "a caller's host that is a name":
+        rows["caller"] = f"no-such-host.invalid:{port}"
+    if fault == "bytes that are no text":
+        return b"[listen]\ncaller = \xff\xfe\n"
+    text = "\n".join(f"{name} = {value}" for name, value in rows.items())
+    if fault == "a key without a section":
+        return text.encode()
+    return f"[listen]\n{text}\n".encode()
+
+
+@behave.when('the program binds early with "{options}"')
+def bind_with(context: runner.Context, options: str) -> None:
+    _bind(context, [options])
+
+
+@behave.when('the program binds early with ""')
+def bind(context: runner.Context) -> None:
+    _bind(context, [])
+
+
+def _bind(context: runner.Context, options: list[str]) -> None:
+    with tempfile.TemporaryDirectory() as directory, socket.socket() as taken:
+        path = pathlib.Path(directory) / "settings.ini"
+        if context.fault != "no file":
+            path.write_bytes(_render(context.addresses, context.fault))
+        if context.fault == "the caller's port in use":
+            caller = context.addresses["caller"]
+            taken.bind((caller.host, caller.port))
+            taken.listen()
+        bound = _program._bind_as_told(["--settings", str(path), *options])
+        context.bound = [listener.getsockname()[1] for listener in bound]
+        for listener in bound:
+            listener.close()
+
+
+@behave.then("it listens for {names}")
+def check_names(context: runner.Context, names: str) -> None:
+    wanted = [] if names == "nothing" else names.split(", ")
+    ports = [context.addresses[name].port for name in wanted]
+    assert context.bound == ports, context.bound
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -22,6 +22,7 @@
     "routetable",
     "routing",
     "settings",
+    "startup",
     "store",
 )
 
@@ -41,5 +42,6 @@
 importlib.import_module("adapter.tests.platform_configuration_steps")
 importlib.import_module("adapter.tests.platform_pipeline_steps")
 importlib.import_module("adapter.tests.platform_return_steps")
+importlib.import_module("adapter.tests.platform_startup_steps")
 importlib.import_module("adapter.tests.platform_steps")
 importlib.import_module("adapter.tests.recovery_steps")
--- a/umberdrum_bench/processes.py
+++ b/umberdrum_bench/processes.py
@@ -228,7 +228,7 @@
     def _spawn_daemon(
         self, index: int, settings_path: pathlib.Path
     ) -> "subprocess.Popen[bytes]":
-        arguments = ["umberdrum.daemon.main", "--settings", str(settings_path)]
+        arguments = ["umberdrum.startup", "--settings", str(settings_path)]
         return self._spawn(f"daemon-{index:03d}", arguments)
 
     def _spawn_upstream(
