Repeat introductions, always with the own record

It had introduced itself once to contacts that were not up yet, and then waited for its turn to claim a key.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -20,7 +20,10 @@
 FIRST_CLAIM_SPREAD_SECONDS = 2.0
 # A daemon that starts again takes its own key back before others look for a place.
 OWN_KEY_SPREAD_SECONDS = 0.3
-HOLDERS_FIRST_SECONDS = 1.5
+HOLDERS_FIRST_SECONDS = 1.0
+# Of daemons that start together the slowest loads its program 1 s later than the first.
+INTRODUCE_SECONDS = 3.0
+INTRODUCE_INTERVAL_SECONDS = 0.2
 # Some 4 KB of datagrams.
 MAX_PUSHES = 16
 # A claim that has just been made is known to the zone in this time.
@@ -117,8 +120,9 @@
         self._key_index = 0
         self._started_at = 0.0
         self._has_claimed = False
-        # Holders of the zone's keys when this daemon joined.
+        # Holders of keys when this daemon joined, of the own zone and of all.
         self._first_holders: frozenset[str] = frozenset()
+        self._all_first_holders: frozenset[str] = frozenset()
         self.has_joined = False
 
     async def run(self) -> None:
@@ -127,6 +131,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load_first_documents)
             await self._join()
+            nursery.start_soon(self._introduce_again)
             await self._serve_as_needed()
 
     async def _load_first_documents(self) -> None:
@@ -191,9 +196,23 @@
         zone = [row for row in listed.ok.items if row.key.startswith(zone_prefix)]
         if not self.has_joined:
             self._first_holders = frozenset(map(_get_holder, zone))
+            self._all_first_holders = frozenset(map(_get_holder, listed.ok.items))
         await self._introduce_to_holders(listed.ok.items)
         return True
 
+    async def _introduce_again(self) -> None:
+        """Repeat for a while the introduction to contacts that have not answered.
+
+        Load pattern: all daemons start at once after a loss of power. The first of them
+        finds nobody at the addresses in the store, and nobody would look for it.
+        """
+        with trio.move_on_after(INTRODUCE_SECONDS):
+            while True:
+                await trio.sleep(INTRODUCE_INTERVAL_SECONDS)
+                await _introduction.introduce_to_unknown(
+                    sorted(self._all_first_holders), self._state, self._exchange
+                )
+
     async def _introduce_to_holders(self, items: tuple[store.KeyValue, ...]) -> None:
         await _introduction.introduce_to_unknown(
             map(_get_holder, items), self._state, self._exchange
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -107,7 +107,12 @@
 
     async def introduce(self, address: settings.Address) -> None:
         """Send the own record and news to a daemon that is not known yet."""
-        await self._ask(address, 0, None, None)
+        message = self._build_message(0)
+        own = self._state.table.own
+        if all(row.endpoint_id != own.endpoint_id for row in message.records):
+            # Introductions to those who did not hear may have used up the news of it.
+            message.records.append(membership.encode_record(own))
+        await self._send(message, address)
 
     async def push_news(self, n_peers: int) -> None:
         """Send news to a few peers at once, for a change that must not wait.
@@ -125,7 +130,7 @@
         chosen = self._rng.sample(distant, n_distant)
         chosen += self._rng.sample(near, min(len(near), n_peers - n_distant))
         for record in chosen:
-            await self._ask(record.address, record.process_id, record, None)
+            await self._ask(record)
 
     async def _run_period(self, nursery: trio.Nursery) -> None:
         now = trio.current_time()
@@ -133,10 +138,10 @@
         while self._urgent:
             record = self._state.table.get(self._urgent.pop())
             if record is not None and record.is_live:
-                await self._ask(record.address, record.process_id, record, None)
+                await self._ask(record)
         record = self._choose_peer()
         if record is not None:
-            await self._ask(record.address, record.process_id, record, None)
+            await self._ask(record)
         departed = self._choose_departed()
         if departed is not None:
             await self.introduce(departed.address)
@@ -200,25 +205,22 @@
 
     async def _ask(
         self,
-        address: settings.Address,
-        process_id: int,
-        record: membership.EndpointRecord | None,
-        requester: settings.Address | None,
+        record: membership.EndpointRecord,
+        requester: settings.Address | None = None,
     ) -> None:
         """Send a question and await its answer in the background."""
-        message = self._build_message(process_id)
-        if record is not None:
-            self._probes[message.sequence] = _Probe(
-                record.endpoint_id,
-                record.process_id,
-                trio.current_time(),
-                False,
-                requester,
-            )
-            if record.is_suspected:
-                # The daemon must hear of the suspicion to answer it.
-                message.records.append(membership.encode_record(record))
-        await self._send(message, address)
+        message = self._build_message(record.process_id)
+        self._probes[message.sequence] = _Probe(
+            record.endpoint_id,
+            record.process_id,
+            trio.current_time(),
+            False,
+            requester,
+        )
+        if record.is_suspected:
+            # The daemon must hear of the suspicion to answer it.
+            message.records.append(membership.encode_record(record))
+        await self._send(message, record.address)
 
     def _build_message(self, process_id: int) -> wire.messages.Gossip:
         self._sequence += 1
@@ -330,7 +332,7 @@
         """Ask the named daemon on behalf of the sender."""
         record = self._state.table.get(message.probe_for)
         if record is not None:
-            await self._ask(record.address, record.process_id, record, sender)
+            await self._ask(record, sender)
 
     def _drop_probes(self, endpoint_id: str) -> None:
         for sequence, probe in list(self._probes.items()):
