Count the time that a call waited for the start; stop and reload in order at any moment

The kernel says how long ago the last bytes came; the first request of a connection is now reckoned from there. SIGTERM and SIGHUP are blocked from the first line on and delivered once the daemon handles them. - (an upload cut by a stop): a kept connection that rested after a lookup was not closed at a stop, since reading went on while that lookup ran; it took a call in the last second, which then was cut. All waiting streams are looked at now, and a daemon sends its last news before it waits for calls, not after. New scenarios failed before: 1480 ms told to the endpoint in place of 1210; "served after the stop".

Layout only: choice of peers, delay of claims and the gate's state have modules of their own.

--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -1,12 +1,17 @@
 """Gate that serves the calls which can still meet their target."""
 
-from typing import Protocol
-
 import expression
 import trio
 
 from umberdrum import errors
-from umberdrum.admission import _gate, _limit, _pace, _return_schedule, _time_margin
+from umberdrum.admission import (
+    _gate,
+    _limit,
+    _pace,
+    _return_schedule,
+    _target_state,
+    _time_margin,
+)
 
 MAX_QUEUED_PER_SLOT = 8
 MEAN_WEIGHT = 0.1
@@ -25,40 +30,6 @@
 AcquireResult = expression.Result[_gate.SlotTicket, errors.Failure]
 
 
-class OccupancyLimit(_limit.SlotLimit, Protocol):
-    """Slot limit that knows how slow calls are by the number that run at once."""
-
-    def get_slowness(self, n_running: int) -> float:
-        """Return how slow a call is that begins as the last of ``n_running``."""
-
-    def may_try_more(self) -> bool:
-        """Return whether this call may run beyond the limit, to learn from it."""
-
-
-class _Waiter:
-    """One queued call, woken when it gets a slot or is refused."""
-
-    __slots__ = ("event", "failure", "request", "ticket")
-
-    def __init__(self, request: _gate.AdmissionRequest) -> None:
-        self.request = request
-        self.event = trio.Event()
-        self.failure: errors.Failure | None = None
-        self.ticket: _gate.SlotTicket | None = None
-
-
-class _ClassState:
-    """Running count and undisturbed service time of one class at this endpoint."""
-
-    __slots__ = ("last_seen_at", "mean_seconds", "n_running", "target_latency_ms")
-
-    def __init__(self, target_latency_ms: int) -> None:
-        self.n_running = 0
-        self.mean_seconds = 0.0
-        self.target_latency_ms = target_latency_ms
-        self.last_seen_at = 0.0
-
-
 class TargetGate:
     """Aggregate that decides which calls run at an endpoint, and when.
 
@@ -90,7 +61,7 @@
 
     def __init__(
         self,
-        occupancy_limit: OccupancyLimit,
+        occupancy_limit: _target_state.OccupancyLimit,
         pace: _pace.PaceTracker | None = None,
         margin: _time_margin.TimeMargin | None = None,
     ) -> None:
@@ -99,10 +70,10 @@
         self.pace = pace or _pace.PaceTracker()
         self._margin = margin or _time_margin.BoundedTimeMargin()
         self.n_running = 0
-        self._queue: list[_Waiter] = []
+        self._queue: list[_target_state.Waiter] = []
         self._began_at: list[float] = []
         self._n_lost = 0
-        self._classes: dict[str, _ClassState] = {}
+        self._classes: dict[str, _target_state.ClassState] = {}
         self._mean_seconds = INITIAL_SECONDS
         self._returns = _return_schedule.ReturnSchedule()
 
@@ -195,7 +166,7 @@
         self._queue.clear()
 
     async def _wait(self, request: _gate.AdmissionRequest) -> AcquireResult:
-        waiter = _Waiter(request)
+        waiter = _target_state.Waiter(request)
         self._queue.append(waiter)
         give_up_at = self._get_give_up_time(request, trio.current_time())
         try:
@@ -222,7 +193,7 @@
             self._refuse(errors.ErrorKind.OVERLOADED, detail, request, now)
         )
 
-    def _leave_queue(self, waiter: _Waiter) -> None:
+    def _leave_queue(self, waiter: _target_state.Waiter) -> None:
         """Take a waiter out, also when it was handed a slot in the same instant."""
         if waiter in self._queue:
             self._queue.remove(waiter)
@@ -247,8 +218,8 @@
             waiter.ticket = self._start(waiter.request, now)
             waiter.event.set()
 
-    def _choose_next(self, now: float) -> _Waiter | None:
-        best: _Waiter | None = None
+    def _choose_next(self, now: float) -> _target_state.Waiter | None:
+        best: _target_state.Waiter | None = None
         best_key = (True, 0.0)
         for waiter in list(self._queue):
             request = waiter.request
@@ -303,7 +274,9 @@
         lost_seconds = self._get_own_seconds(request) * (self.pace.ratio - 1.0)
         return lost_seconds > self.pace.mean_episode_seconds
 
-    def _get_class_cap(self, state: _ClassState, limit: int, now: float) -> int:
+    def _get_class_cap(
+        self, state: _target_state.ClassState, limit: int, now: float
+    ) -> int:
         """Return how many slots the class may hold while shorter classes are active."""
         for other in self._classes.values():
             if other is state or now - other.last_seen_at > CLASS_ACTIVE_SECONDS:
@@ -404,13 +377,13 @@
     def _note_class(self, request: _gate.AdmissionRequest, now: float) -> None:
         state = self._classes.get(request.class_name)
         if state is None:
-            state = _ClassState(request.target_latency_ms)
+            state = _target_state.ClassState(request.target_latency_ms)
             self._classes[request.class_name] = state
         state.target_latency_ms = request.target_latency_ms
         state.last_seen_at = now
 
     def _observe(
-        self, state: _ClassState, ticket: _gate.SlotTicket, seconds: float
+        self, state: _target_state.ClassState, ticket: _gate.SlotTicket, seconds: float
     ) -> None:
         """Learn the class's undisturbed time and what its neighbours at work add."""
         paced_seconds = seconds / ticket.pace
--- /dev/null
+++ b/umberdrum/admission/_target_state.py
@@ -0,0 +1,42 @@
+"""What the target gate knows of queued calls, classes and its limit."""
+
+from typing import Protocol
+
+import trio
+
+from umberdrum import errors
+from umberdrum.admission import _gate, _limit
+
+
+class OccupancyLimit(_limit.SlotLimit, Protocol):
+    """Slot limit that knows how slow calls are by the number that run at once."""
+
+    def get_slowness(self, n_running: int) -> float:
+        """Return how slow a call is that begins as the last of ``n_running``."""
+
+    def may_try_more(self) -> bool:
+        """Return whether this call may run beyond the limit, to learn from it."""
+
+
+class Waiter:
+    """One queued call, woken when it gets a slot or is refused."""
+
+    __slots__ = ("event", "failure", "request", "ticket")
+
+    def __init__(self, request: _gate.AdmissionRequest) -> None:
+        self.request = request
+        self.event = trio.Event()
+        self.failure: errors.Failure | None = None
+        self.ticket: _gate.SlotTicket | None = None
+
+
+class ClassState:
+    """Running count and undisturbed service time of one class at this endpoint."""
+
+    __slots__ = ("last_seen_at", "mean_seconds", "n_running", "target_latency_ms")
+
+    def __init__(self, target_latency_ms: int) -> None:
+        self.n_running = 0
+        self.mean_seconds = 0.0
+        self.target_latency_ms = target_latency_ms
+        self.last_seen_at = 0.0
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -13,6 +13,8 @@
 )
 
 MAX_PIPELINED = 8
+# Connections that waited for the start are accepted in the first passes of the loop.
+EARLY_SECONDS = 1.0
 SAFE_METHODS = frozenset((b"GET", b"HEAD"))
 
 
@@ -41,7 +43,9 @@
         self._daemon_id = daemon_id
         self.is_leaving = False
         self.is_closing = False
-        self._idle_connections: set[sockets.Connection] = set()
+        self._waiting_streams: set[_caller_stream.CallerStream] = set()
+        self._serving_since = trio.current_time()
+        self._listening_since = self._serving_since
         self._n_serving = 0
         self._idle_event = trio.Event()
 
@@ -59,6 +63,10 @@
                 # Nobody is there to take the answers of requests in progress.
                 nursery.cancel_scope.cancel()
 
+    def note_listening_since(self, since: float) -> None:
+        """Note since when callers could connect, before this server was there."""
+        self._listening_since = since
+
     async def wait_until_idle(self) -> None:
         """Return once no request is being served."""
         while self._n_serving:
@@ -73,8 +81,10 @@
         """Close idle connections now and the others after their present exchange."""
         self.is_leaving = True
         self.is_closing = True
-        for connection in list(self._idle_connections):
-            connection.close()
+        for stream in list(self._waiting_streams):
+            # Others are closed at the end of their last answer.
+            if not stream.n_in_flight:
+                stream.connection.close()
 
     async def _read_requests(self, stream: _caller_stream.CallerStream) -> None:
         """Read requests and start them, until the connection is to be closed."""
@@ -91,7 +101,8 @@
             if not unparsed and not await self._wait_for_bytes(exchange, stream):
                 return
             try:
-                request = await exchange.receive_request()
+                waited_seconds = self._find_waiting(stream) if is_first else 0.0
+                request = await exchange.receive_request(waited_seconds)
                 if request is None:
                     return
                 body = await exchange.receive_first_body_part()
@@ -109,20 +120,29 @@
             unparsed = exchange.get_unparsed()
             await self._start(stream, exchange, request, body)
 
+    def _find_waiting(self, stream: _caller_stream.CallerStream) -> float:
+        """Return for how long the first request of a connection waited to be read.
+
+        Only those that came before this daemon was loaded have waited for long.
+        """
+        now = trio.current_time()
+        if now > self._serving_since + EARLY_SECONDS:
+            return 0.0
+        waited_seconds = stream.connection.get_waiting_seconds()
+        return min(waited_seconds, now - self._listening_since)
+
     async def _wait_for_bytes(
         self,
         exchange: _caller_exchange.CallerExchange,
         stream: _caller_stream.CallerStream,
     ) -> bool:
         """Return whether the caller began another request in time."""
-        is_idle = stream.n_in_flight == 0
-        if is_idle:
-            self._idle_connections.add(stream.connection)
+        self._waiting_streams.add(stream)
         try:
             if await exchange.wait_for_first_byte(stream):
                 return True
         finally:
-            self._idle_connections.discard(stream.connection)
+            self._waiting_streams.discard(stream)
         if stream.n_in_flight:
             raise sockets.ConnectionLostError("the caller has closed")
         return False
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -79,12 +79,15 @@
         """Return the bytes that came behind the present request."""
         return bytes(self.http.trailing_data[0]) if self.has_read_request else b""
 
-    async def receive_request(self) -> _entry.IncomingRequest | None:
+    async def receive_request(
+        self, waited_seconds: float = 0.0
+    ) -> _entry.IncomingRequest | None:
         """Return the next request, or None when the caller has closed.
 
-        Raises ``BodyLostError`` for a head that is malformed, too large or too slow.
+        Its first bytes had waited ``waited_seconds`` before they were read. Raises
+        ``BodyLostError`` for a head that is malformed, too large or too slow.
         """
-        received_at = trio.current_time()
+        received_at = trio.current_time() - waited_seconds
         self._limits = self._get_limits()
         self._n_body_bytes = 0
         event: object = self._take_event()
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -7,20 +7,18 @@
 import trio
 
 from umberdrum import gossip, logs, membership, settings, store
-from umberdrum.configuration import _introduction, _member_list, _watcher
+from umberdrum.configuration import (
+    _claim_delay,
+    _introduction,
+    _member_list,
+    _watcher,
+)
 
 LEASE_SECONDS = 10
 # A contact that loses the store is found out in this time and one call's timeout of
 # 2 s, so that another one has taken over within the users' 7 s for such a change.
 KEEP_ALIVE_SECONDS = 2.0
 CLAIM_CHECK_SECONDS = 0.5
-CLAIM_SPREAD_PER_MEMBER_SECONDS = 0.1
-# Daemons that start together claim one after the other: the first to do so is known
-# to the others after two gossip periods.
-FIRST_CLAIM_SPREAD_SECONDS = 2.0
-# A daemon that starts again takes its own key back before others look for a place.
-OWN_KEY_SPREAD_SECONDS = 0.3
-HOLDERS_FIRST_SECONDS = 1.0
 # Of daemons that start together the slowest loads its program 1 s later than the first.
 INTRODUCE_SECONDS = 3.0
 INTRODUCE_INTERVAL_SECONDS = 0.2
@@ -28,7 +26,6 @@
 MAX_PUSHES = 16
 # A claim that has just been made is known to the zone in this time.
 RESIGNED_CHECK_SECONDS = 0.8
-MAX_CLAIM_SPREAD_SECONDS = 10.0
 # Until then a daemon that has just started knows too few zones to count them.
 SETTLE_SECONDS = 5.0
 MIN_LIST_INTERVAL_SECONDS = 1.0
@@ -119,7 +116,7 @@
         self._lease_id = 0
         self._key_index = 0
         self._started_at = 0.0
-        self._has_claimed = False
+        self._claim_delay = _claim_delay.ClaimDelay(rng)
         # Holders of keys when this daemon joined, of the own zone and of all.
         self._first_holders: frozenset[str] = frozenset()
         self._all_first_holders: frozenset[str] = frozenset()
@@ -223,29 +220,14 @@
         while True:
             while self._count_contacts() >= self._get_wanted():
                 await trio.sleep(CLAIM_CHECK_SECONDS)
-            await trio.sleep(self._draw_claim_delay())
-            self._has_claimed = True
+            is_holder = self._state.table.own.endpoint_id in self._first_holders
+            delay = self._claim_delay.draw(
+                self._count_zone_members(), is_holder, bool(self._first_holders)
+            )
+            await trio.sleep(delay)
             if self._count_contacts() < self._get_wanted():
                 return
 
-    def _draw_claim_delay(self) -> float:
-        """Return for how long a claim waits, so that few daemons claim at once.
-
-        Load pattern: all daemons of a zone start together, for the first time or after
-        a loss of power. In the second case the keys are still there, under the leases
-        of processes that have ended; those that held them go first, so that the others
-        find enough contacts and call the store no more.
-        """
-        spread = CLAIM_SPREAD_PER_MEMBER_SECONDS * self._count_zone_members()
-        spread = min(MAX_CLAIM_SPREAD_SECONDS, spread)
-        if self._has_claimed:
-            return self._rng.uniform(0.0, spread)
-        if self._state.table.own.endpoint_id in self._first_holders:
-            return self._rng.uniform(0.0, OWN_KEY_SPREAD_SECONDS)
-        spread = max(spread, FIRST_CLAIM_SPREAD_SECONDS)
-        least = HOLDERS_FIRST_SECONDS if self._first_holders else 0.0
-        return least + self._rng.uniform(0.0, spread)
-
     def _is_settled(self) -> bool:
         """Return whether this daemon has had time to learn of the others."""
         return trio.current_time() - self._started_at >= SETTLE_SECONDS
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -3,7 +3,7 @@
 import logging
 import random
 import socket
-from collections.abc import Sequence
+import time
 from typing import NamedTuple
 
 import trio
@@ -14,6 +14,7 @@
     peerlink,
     settings,
     sockets,
+    startup,
 )
 from umberdrum.daemon import _integration, _parts
 
@@ -51,9 +52,12 @@
         writer: logs.LineWriter,
         rng: random.Random | None = None,
         integration: _integration.Integration | None = None,
-        listeners: Sequence[socket.socket] = (),
+        listeners: startup.EarlyListeners | None = None,
     ) -> None:
-        self._early_listeners = list(listeners)
+        if listeners is None:
+            listeners = startup.EarlyListeners((), time.monotonic())
+        self._early_listeners = list(listeners.sockets)
+        self._bound_at = listeners.bound_at
         self._integration = integration or _integration.build_own_integration()
         self._settings = own_settings
         self._logger = logger
@@ -119,6 +123,8 @@
                 self._integration,
             )
             self.parts = parts
+            seconds = time.monotonic() - self._bound_at
+            parts.caller_server.note_listening_since(trio.current_time() - seconds)
             await parts.exchange.bind()
             self._start_tasks(parts, listeners, nursery)
             self._log.write(
@@ -209,9 +215,9 @@
         parts.caller_server.start_closing()
         with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
             await parts.keeper.resign()
+        await trio.sleep_until(min(leave_until, grace_until))
         with trio.move_on_at(grace_until) as scope:
             await parts.endpoint.wait_until_idle()
             await parts.caller_server.wait_until_idle()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
-        await trio.sleep_until(leave_until)
--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -5,14 +5,13 @@
 import logging
 import pathlib
 import signal
-import socket
 import sys
 from collections.abc import Sequence
 
 import trio
 
 import umberdrum
-from umberdrum import logs, settings
+from umberdrum import logs, settings, startup
 from umberdrum.daemon import _daemon, _integration
 
 EXIT_OK = 0
@@ -34,7 +33,7 @@
 def run_program(
     arguments: Sequence[str] | None = None,
     integration: _integration.Integration | None = None,
-    listeners: Sequence[socket.socket] = (),
+    listeners: startup.EarlyListeners | None = None,
 ) -> int:
     """Run the daemon until it is stopped and return its exit code.
 
@@ -74,7 +73,7 @@
     logger: logging.Logger,
     writer: logs.LineWriter,
     integration: _integration.Integration | None,
-    listeners: Sequence[socket.socket],
+    listeners: startup.EarlyListeners | None,
 ) -> None:
     daemon = _daemon.Daemon(
         own_settings, logger, writer, integration=integration, listeners=listeners
@@ -91,6 +90,8 @@
     """Turn signals into a stop or a reload."""
     wanted = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with trio.open_signal_receiver(*wanted) as received:
+        # The program blocks them until here; see ``startup``.
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, wanted)
         async for number in received:
             if number != signal.SIGHUP:
                 daemon.stop()
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -11,6 +11,7 @@
     _budget,
     _datagram,
     _fetch_choice,
+    _peer_choice,
     _state,
     _sync_schedule,
     _synchronizer,
@@ -20,9 +21,6 @@
 ANSWER_TIMEOUT_SECONDS = 0.4
 CONFIRM_TIMEOUT_SECONDS = 1.0
 N_HELPERS = 2
-SAME_ZONE_SHARE = 0.6
-SAME_REGION_SHARE = 0.3
-SUSPECTED_PROBE_SHARE = 0.1
 BASE_MESSAGE_BYTES = 160
 FORGET_INTERVAL_SECONDS = 5.0
 
@@ -66,6 +64,7 @@
         self._sequence = 0
         self._probes: dict[int, _Probe] = {}
         self._urgent: set[str] = set()
+        self._peer_choice = _peer_choice.PeerChoice(state.table, rng)
         self._sync_schedule = _sync_schedule.SyncSchedule(rng)
         self._fetch_choice = _fetch_choice.FetchChoice()
         self._fetch_wake = trio.Event()
@@ -120,15 +119,7 @@
         One of them is of another availability zone: long documents are then fetched
         from zone to zone a few times only.
         """
-        own_zone = self._state.table.own.availability_zone
-        near: list[membership.EndpointRecord] = []
-        distant: list[membership.EndpointRecord] = []
-        for row in self._list_members():
-            is_near = row.availability_zone == own_zone
-            (near if is_near else distant).append(row)
-        n_distant = min(len(distant), max(1, n_peers - len(near)))
-        chosen = self._rng.sample(distant, n_distant)
-        chosen += self._rng.sample(near, min(len(near), n_peers - n_distant))
+        chosen = self._peer_choice.choose_for_push(n_peers)
         for record in chosen:
             await self._ask(record)
 
@@ -140,10 +131,10 @@
             record = self._state.table.get(self._urgent.pop())
             if record is not None and record.is_live:
                 await self._ask(record)
-        record = self._choose_peer()
+        record = self._peer_choice.choose_peer()
         if record is not None:
             await self._ask(record)
-        departed = self._choose_departed()
+        departed = self._peer_choice.choose_departed()
         if departed is not None:
             await self.introduce(departed.address)
         peer = self._sync_schedule.take(len(self._state.table), now)
@@ -156,54 +147,6 @@
             return PERIOD_SECONDS * 2 * jitter
         return PERIOD_SECONDS * jitter
 
-    def _list_members(self) -> list[membership.EndpointRecord]:
-        own_id = self._state.table.own.endpoint_id
-        records = self._state.table.records
-        return [row for row in records if row.is_live and row.endpoint_id != own_id]
-
-    def _choose_departed(self) -> membership.EndpointRecord | None:
-        """Draw a daemon that has left or does not answer, now and then.
-
-        Its successor at the same address may have no way to the store and know nobody.
-        All daemons together send each such address one datagram a period.
-        """
-        departed = [row for row in self._state.table.records if not row.is_live]
-        n_members = len(self._list_members()) + 1
-        if self._rng.random() * n_members >= len(departed):
-            return None
-        return self._rng.choice(departed)
-
-    def _choose_peer(self) -> membership.EndpointRecord | None:
-        """Draw a peer: mostly of the own zone, some of the region, few of others."""
-        own = self._state.table.own
-        if self._rng.random() < SUSPECTED_PROBE_SHARE:
-            suspected = [
-                row
-                for row in self._state.table.records
-                if row.is_suspected and not row.is_final
-            ]
-            if suspected:
-                return self._rng.choice(suspected)
-        members = self._list_members()
-        if not members:
-            return None
-        same_zone: list[membership.EndpointRecord] = []
-        same_region: list[membership.EndpointRecord] = []
-        others: list[membership.EndpointRecord] = []
-        for row in members:
-            if row.region != own.region:
-                others.append(row)
-            elif row.availability_zone != own.availability_zone:
-                same_region.append(row)
-            else:
-                same_zone.append(row)
-        draw = self._rng.random()
-        if same_zone and draw < SAME_ZONE_SHARE:
-            return self._rng.choice(same_zone)
-        if same_region and draw < SAME_ZONE_SHARE + SAME_REGION_SHARE:
-            return self._rng.choice(same_region)
-        return self._rng.choice(others or members)
-
     async def _ask(
         self,
         record: membership.EndpointRecord,
@@ -362,7 +305,9 @@
 
     async def _ask_helpers(self, probe: _Probe) -> None:
         members = [
-            row for row in self._list_members() if row.endpoint_id != probe.endpoint_id
+            row
+            for row in self._peer_choice.list_members()
+            if row.endpoint_id != probe.endpoint_id
         ]
         for record in self._rng.sample(members, min(N_HELPERS, len(members))):
             message = self._build_message(record.process_id)
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -364,7 +364,7 @@
     async def run() -> None:
         exchange, answering = _build_exchange(context.n_peers)
         table = exchange._state.table
-        for record in exchange._list_members():
+        for record in exchange._peer_choice.list_members():
             await exchange._ask(record)
         await trio.sleep(0.5)
         answering.is_answering = True
--- a/umberdrum/sockets/_connection.py
+++ b/umberdrum/sockets/_connection.py
@@ -2,12 +2,18 @@
 
 import contextlib
 import socket
+import struct
 
 import trio
 
 from umberdrum import settings
 
 RECEIVE_BYTES = 1 << 16
+MS_PER_SECOND = 1000.0
+# The field ``tcpi_last_data_recv`` of Linux's ``struct tcp_info``.
+_TCP_INFO_BYTES = 56
+_LAST_RECEIVED_AT = 52
+_LAST_RECEIVED_MS = struct.Struct("=I")
 
 
 class ConnectionLostError(Exception):
@@ -128,6 +134,23 @@
             return True
         return True
 
+    def get_waiting_seconds(self) -> float:
+        """Return how long ago the last bytes came, 0 where the kernel doesn't tell.
+
+        For a connection that waited to be accepted, this is how long its first bytes
+        waited with it.
+        """
+        try:
+            info = self._socket.getsockopt(
+                socket.IPPROTO_TCP, socket.TCP_INFO, _TCP_INFO_BYTES
+            )
+        except OSError:
+            return 0.0
+        if len(info) < _TCP_INFO_BYTES:
+            return 0.0
+        (last_received_ms,) = _LAST_RECEIVED_MS.unpack_from(info, _LAST_RECEIVED_AT)
+        return float(last_received_ms) / MS_PER_SECOND
+
     def finish_sending(self) -> None:
         """Tell the other side that nothing more will be sent."""
         with contextlib.suppress(OSError):
--- a/umberdrum/startup/_early.py
+++ b/umberdrum/startup/_early.py
@@ -2,6 +2,8 @@
 
 import configparser
 import socket
+import time
+from typing import NamedTuple
 
 from umberdrum.startup import _binding
 
@@ -11,7 +13,17 @@
 EARLY_KEYS = ("caller", "announce")
 
 
-def bind_early(settings_path: str) -> list[socket.socket]:
+class EarlyListeners(NamedTuple):
+    """Sockets that listen already, and since when.
+
+    ``bound_at`` is in seconds of the monotonic clock.
+    """
+
+    sockets: tuple[socket.socket, ...]
+    bound_at: float
+
+
+def bind_early(settings_path: str) -> EarlyListeners:
     """Listen where callers and the upstream connect, and return the sockets.
 
     Load pattern: all daemons start at once after a loss of power. Loading the program
@@ -21,12 +33,13 @@
     What can't be read or bound here is left out. The daemon reads the settings again,
     binds what is missing, and says what is wrong with them.
     """
+    bound_at = time.monotonic()
     parser = configparser.ConfigParser(interpolation=None)
     try:
         with open(settings_path, encoding="utf-8") as file:
             parser.read_file(file)
     except (OSError, UnicodeDecodeError, configparser.Error):
-        return []
+        return EarlyListeners((), bound_at)
     listeners: list[socket.socket] = []
     for key in EARLY_KEYS:
         host, _, port = parser.get(SECTION, key, fallback="").rpartition(":")
@@ -36,4 +49,4 @@
             listeners.append(_binding.bind_listener(host.strip("[]"), int(port)))
         except (OSError, OverflowError):
             continue
-    return listeners
+    return EarlyListeners(tuple(listeners), bound_at)
--- a/umberdrum/startup/_program.py
+++ b/umberdrum/startup/_program.py
@@ -2,7 +2,7 @@
 
 import argparse
 import gc
-import socket
+import signal
 import sys
 from collections.abc import Callable, Sequence
 from typing import TYPE_CHECKING
@@ -12,6 +12,8 @@
 if TYPE_CHECKING:
     from umberdrum import daemon
 
+HANDLED_SIGNALS = frozenset((signal.SIGTERM, signal.SIGHUP))
+
 
 def run_program(
     arguments: Sequence[str] | None = None,
@@ -22,6 +24,9 @@
     ``build_integration`` is called once the daemon is loaded. Without it the daemon
     speaks the project's own protocols.
     """
+    # One that comes now is delivered once the daemon handles it, and then stops or
+    # reloads it in order; by default it would end the process.
+    signal.pthread_sigmask(signal.SIG_BLOCK, HANDLED_SIGNALS)
     # All that is imported stays; to look through it while it grows delays the start.
     gc.disable()
     if arguments is None:
@@ -34,8 +39,8 @@
     return main.run_program(arguments, integration, listeners)
 
 
-def _bind_as_told(arguments: Sequence[str]) -> list[socket.socket]:
-    """Return the early listeners, none if the daemon will not run."""
+def _bind_as_told(arguments: Sequence[str]) -> _early.EarlyListeners | None:
+    """Return the early listeners, None if the daemon will not run."""
     parser = argparse.ArgumentParser(add_help=False, exit_on_error=False)
     parser.add_argument("--settings", default="")
     parser.add_argument("--check", action="store_true")
@@ -43,7 +48,7 @@
         options, others = parser.parse_known_args(arguments)
     except argparse.ArgumentError:
         # The daemon's own parser reports it.
-        return []
+        return None
     if options.check or others or not options.settings:
-        return []
+        return None
     return _early.bind_early(options.settings)
--- a/umberdrum/startup/tests/startup.feature
+++ b/umberdrum/startup/tests/startup.feature
@@ -27,3 +27,8 @@
     Given 2 machines of service "a" and 1 of service "b"
     When a client calls a daemon 0.5 s before it runs, and leaves
     Then no endpoint sees the call
+
+  Scenario: The time that a call waited before the daemon ran counts
+    Given 2 machines of service "a" and 1 of service "b"
+    When a client calls with 1500 ms left, 300 ms before the daemon runs
+    Then the endpoint is told that at most 1210 ms are left
--- a/umberdrum/startup/tests/startup_steps.py
+++ b/umberdrum/startup/tests/startup_steps.py
@@ -57,8 +57,9 @@
             taken.bind((caller.host, caller.port))
             taken.listen()
         bound = _program._bind_as_told(["--settings", str(path), *options])
-        context.bound = [listener.getsockname()[1] for listener in bound]
-        for listener in bound:
+        listeners = () if bound is None else bound.sockets
+        context.bound = [listener.getsockname()[1] for listener in listeners]
+        for listener in listeners:
             listener.close()
 
 
--- a/umberdrum/tests/call_scenes.py
+++ b/umberdrum/tests/call_scenes.py
@@ -1,5 +1,6 @@
 """Scenes of calls on whole daemons, each with the promise that it proves."""
 
+import contextlib
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -177,6 +178,30 @@
         assert 7.9 <= trio.current_time() - began_at <= 8.3
 
 
+async def close_kept_connections() -> None:
+    """A daemon that stops closes connections that rest after an answered lookup."""
+    async with harness.open_site() as site:
+        entry = await payment_site.start_payments(site)
+        connection = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await connection.send(_render_lookup("l1"))
+        assert (await connection.receive()).startswith(b"HTTP/1.1 200")
+        await trio.sleep(0.1)
+        entry.daemon.stop()
+        await trio.sleep(0.1)
+        with contextlib.suppress(sockets.ConnectionLostError):
+            await connection.send(_render_lookup("l2"))
+            assert await connection.receive() == b"", "served after the stop"
+        await entry.daemon.wait_stopped()
+        assert site.count_runs("l2") == 0
+
+
+def _render_lookup(nonce: str) -> bytes:
+    return (
+        f"GET /look HTTP/1.1\r\nhost: payments\r\numberdrum-request-id: {nonce}\r\n"
+        f"x-nonce: {nonce}\r\n\r\n"
+    ).encode()
+
+
 async def leave_shedding_endpoint() -> None:
     """Lookups that one upstream sheds are answered by another; payments are told."""
     async with harness.open_site() as site:
@@ -321,6 +346,7 @@
     "a payment that never arrived is barred": bar_late_payment,
     "an endpoint is lost in a payment": lose_endpoint_in_payment,
     "a stop cuts nothing": stop_without_cut,
+    "a stop closes kept connections": close_kept_connections,
     "a slow lookup is hedged": hedge_slow_lookup,
     "a caller leaves": cancel_left_lookup,
     "overload is refused": refuse_overload,
--- a/umberdrum/tests/scenes.feature
+++ b/umberdrum/tests/scenes.feature
@@ -9,6 +9,7 @@
       | a payment that never arrived is barred |
       | an endpoint is lost in a payment |
       | a stop cuts nothing |
+      | a stop closes kept connections |
       | a drain takes effect within seconds |
       | a dead daemon is avoided |
       | a change is in force within seconds |
