--- /dev/null
+++ b/umberdrum/daemon/tests/daemon.feature
@@ -0,0 +1,35 @@
+Feature: Errors inside a daemon
+
+  # The contact manager of a stopping daemon failed, which cut all of its connections.
+  Scenario Outline: An error in a background task cuts no call
+    When <part> of a daemon fails once while calls are in progress
+    Then each of these calls and a later one is answered
+    And the error is logged for the task "<task>"
+
+    Examples:
+      | part                      | task            |
+      | a push of updates         | push_updates    |
+      | the renewal of its lease  | contact_manager |
+      | the reading of a datagram | gossip          |
+      | the closing of idle links | maintenance     |
+      | the check of open links   | liveness_watch  |
+
+  Scenario Outline: An error in one call ends no other call
+    When <part> fails for one call while others are in progress
+    Then that call gets status <status> and each other one is answered
+    And the error is logged for the task "<task>"
+
+    Examples:
+      | part                              | status | task         |
+      | the relay of a lookup             | 500    | call         |
+      | the relay of a payment            | 500    | run_detached |
+      | a second attempt beside the first | 200    | run_hedge    |
+      | the routing of a pipelined lookup | 500    | call         |
+
+  Scenario: A background task that keeps failing stops the daemon and cuts no call
+    When the closing of idle links fails each time while calls are in progress
+    Then each of these calls is answered, and the daemon has stopped as failed
+
+  Scenario: An error during a stop cuts no call
+    When a stopping daemon with calls in progress can't publish its departure
+    Then each of these calls is answered, and the daemon has stopped
--- /dev/null
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -0,0 +1,270 @@
+"""Steps for errors in the tasks of a daemon while it serves calls."""
+
+import functools
+from collections.abc import Awaitable, Callable
+
+import behave
+import trio
+from behave import runner
+
+from umberdrum import daemon
+from umberdrum.tests import harness
+from umberdrum_bench import caller
+
+N_CALLS = 6
+CALL_DEADLINE_MS = 20_000
+# The calls run for 2 s; the daemon's periodic tasks run at least once in this time.
+WAIT_SECONDS = 0.5
+TASK_PERIOD_SECONDS = 5.0
+PIPELINED_REQUESTS = (
+    b"GET /look/good HTTP/1.1\r\nHost: pay\r\nX-Fault: slow\r\n\r\n"
+    b"GET /look/broken HTTP/1.1\r\nHost: pay\r\nConnection: close\r\n\r\n"
+)
+
+SiteTest = Callable[[harness.Site, harness.Node, harness.Node], Awaitable[None]]
+
+
+class _FailingCall:
+    """Replacement of a method that raises ``RuntimeError``, then restores the method.
+
+    With ``is_permanent`` it raises each time. ``n_failures`` counts the errors.
+    """
+
+    def __init__(
+        self,
+        owner: object,
+        method: str,
+        is_expected: Callable[..., bool] = lambda *_arguments: True,
+        is_permanent: bool = False,
+    ) -> None:
+        self._owner = owner
+        self._method = method
+        self._original = getattr(owner, method)
+        self._is_expected = is_expected
+        self._is_permanent = is_permanent
+        self.n_failures = 0
+        setattr(owner, method, self._run)
+
+    def _run(self, *arguments: object) -> object:
+        if not self._is_expected(*arguments):
+            return self._original(*arguments)
+        if not self._is_permanent:
+            setattr(self._owner, self._method, self._original)
+        self.n_failures += 1
+        raise RuntimeError(f"injected error in {self._method}")
+
+
+def _get_parts(node: harness.Node) -> "daemon.DaemonParts":
+    parts = node.daemon.parts
+    assert parts is not None
+    return parts
+
+
+def _knows_upstreams(node: harness.Node) -> bool:
+    return len(_get_parts(node).directory.list_candidates("pay")) == 2
+
+
+def _run_with_upstreams(test: SiteTest) -> None:
+    """Run ``test`` with two daemons that have an upstream; callers use the first."""
+
+    async def run() -> None:
+        async with harness.open_site() as site:
+            await site.create_class("pay", "pay", "/pay", is_idempotent=False)
+            await site.create_class("look", "pay", "/look")
+            node = await site.add_node("pay", n_slots=2 * N_CALLS)
+            other = await site.add_node("pay", n_slots=2 * N_CALLS)
+            await site.wait_until_known(2)
+            for entry in (node, other):
+                await site.wait_until(functools.partial(_knows_upstreams, entry))
+            await test(site, node, other)
+
+    harness.run_on_virtual_clock(run)
+
+
+async def _call_slowly(
+    site: harness.Site,
+    node: harness.Node,
+    path: str,
+    answers: list[caller.CallerAnswer],
+    fault: str = "slow",
+) -> None:
+    nonce = f"{path}-{len(answers)}-{trio.current_time()}"
+    answer = await site.call(
+        node, "pay", nonce, path, fault, deadline_ms=CALL_DEADLINE_MS
+    )
+    answers.append(answer)
+
+
+async def _inject_error(
+    site: harness.Site, node: harness.Node, part: str, is_permanent: bool = False
+) -> _FailingCall:
+    """Make a part of the daemon fail at its next use and bring that use about."""
+    parts = _get_parts(node)
+    if part == "a push of updates":
+        failing = _FailingCall(parts.exchange, "push_updates")
+        await site.create_class("other", "pay", "/other")
+        return failing
+    if part == "the renewal of its lease":
+        return _FailingCall(parts._store, "keep_alive")
+    owners = {
+        "the reading of a datagram": (parts.state, "merge_records"),
+        "the closing of idle links": (parts.peer_pool, "close_idle"),
+        "the check of open links": (parts.watch, "check"),
+    }
+    owner, method = owners[part]
+    return _FailingCall(owner, method, is_permanent=is_permanent)
+
+
+@behave.when("{part} of a daemon fails once while calls are in progress")
+def fail_part(context: runner.Context, part: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        answers: list[caller.CallerAnswer] = []
+        async with trio.open_nursery() as nursery:
+            for index in range(N_CALLS):
+                path = ("/look", "/pay")[index % 2]
+                nursery.start_soon(_call_slowly, site, node, path, answers)
+            await trio.sleep(WAIT_SECONDS)
+            failing = await _inject_error(site, node, part)
+        await trio.sleep(TASK_PERIOD_SECONDS)
+        await _call_slowly(site, node, "/look", answers)
+        assert failing.n_failures == 1, failing.n_failures
+        context.answers = answers
+        context.log_lines = list(node.log_lines)
+
+    _run_with_upstreams(test)
+
+
+@behave.then("each of these calls and a later one is answered")
+def check_answered(context: runner.Context) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * (N_CALLS + 1), context.answers
+
+
+@behave.then('the error is logged for the task "{task}"')
+def check_logged(context: runner.Context, task: str) -> None:
+    lines = [line for line in context.log_lines if "event=task_failed" in line]
+    assert len(lines) == 1, lines
+    assert f"task={task} " in lines[0] and "injected error" in lines[0], lines
+
+
+@behave.when("{part} fails for one call while others are in progress")
+def fail_call(context: runner.Context, part: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        answers: list[caller.CallerAnswer] = []
+        failing_answers: list[caller.CallerAnswer] = []
+        parts = _get_parts(node)
+        relay = parts.endpoint.relay
+        async with trio.open_nursery() as nursery:
+            for index in range(N_CALLS):
+                path = ("/look", "/pay")[index % 2]
+                nursery.start_soon(_call_slowly, site, node, path, answers)
+            await trio.sleep(WAIT_SECONDS)
+            if part == "the relay of a lookup":
+                failing = _FailingCall(
+                    relay, "run", lambda call, *_: call.is_idempotent
+                )
+                other.upstream.state = "draining"
+                await trio.sleep(WAIT_SECONDS)
+                await _call_slowly(site, node, "/look", failing_answers, "")
+            elif part == "the relay of a payment":
+                failing = _FailingCall(
+                    relay, "run", lambda call, *_: not call.is_idempotent
+                )
+                other.upstream.state = "draining"
+                await trio.sleep(WAIT_SECONDS)
+                await _call_slowly(site, node, "/pay", failing_answers, "")
+            elif part == "a second attempt beside the first":
+                failing = _FailingCall(
+                    parts.entry, "attempt", lambda call, *_: call.is_hedge
+                )
+                await _call_slowly(site, node, "/look", failing_answers)
+            else:
+                failing = _FailingCall(
+                    parts.entry,
+                    "handle",
+                    lambda request, *_: b"broken" in request.target,
+                )
+                raw = await site.send_raw(
+                    node.settings.caller_listen, PIPELINED_REQUESTS
+                )
+                context.raw = raw
+        assert failing.n_failures == 1, failing.n_failures
+        context.answers = answers
+        context.failing_answers = failing_answers
+        context.log_lines = list(node.log_lines)
+
+    context.raw = b""
+    _run_with_upstreams(test)
+
+
+@behave.then("that call gets status {status:d} and each other one is answered")
+def check_failed_call(context: runner.Context, status: int) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * N_CALLS, context.answers
+    if context.raw:
+        heads = [row for row in context.raw.split(b"\r\n") if row.startswith(b"HTTP/")]
+        found = [int(row.split()[1]) for row in heads]
+        assert found == [200, status], context.raw
+        return
+    assert [row.status for row in context.failing_answers] == [status]
+
+
+@behave.when("the closing of idle links fails each time while calls are in progress")
+def fail_permanently(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        answers: list[caller.CallerAnswer] = []
+        node.upstream.service_seconds = 2.0
+        _FailingCall(_get_parts(node).peer_pool, "close_idle", is_permanent=True)
+
+        async def call_until_stopped() -> None:
+            while not context.is_stopping:
+                await _call_slowly(site, node, "/look", answers)
+
+        context.is_stopping = False
+        async with trio.open_nursery() as nursery:
+            for _ in range(N_CALLS):
+                nursery.start_soon(call_until_stopped)
+            await site.wait_until(lambda: "event=stopping" in " ".join(node.log_lines))
+            context.is_stopping = True
+        with trio.fail_after(TASK_PERIOD_SECONDS):
+            await node.daemon.wait_stopped()
+        context.answers = answers
+        context.log_lines = list(node.log_lines)
+
+    _run_with_upstreams(test)
+
+
+@behave.then("each of these calls is answered, and the daemon has stopped as failed")
+def check_failed_stop(context: runner.Context) -> None:
+    statuses = {answer.status for answer in context.answers}
+    assert statuses == {200}, context.answers
+    assert len(context.answers) >= N_CALLS, context.answers
+    assert any("event=stopped failed=yes" in line for line in context.log_lines)
+
+
+@behave.when("a stopping daemon with calls in progress can't publish its departure")
+def fail_departure(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        answers: list[caller.CallerAnswer] = []
+        async with trio.open_nursery() as nursery:
+            for index in range(N_CALLS):
+                path = ("/look", "/pay")[index % 2]
+                nursery.start_soon(_call_slowly, site, node, path, answers)
+            await trio.sleep(WAIT_SECONDS)
+            _FailingCall(_get_parts(node).state, "publish_own_record")
+            node.daemon.stop()
+        with trio.fail_after(TASK_PERIOD_SECONDS):
+            await node.daemon.wait_stopped()
+        context.answers = answers
+
+    _run_with_upstreams(test)
+
+
+@behave.then("each of these calls is answered, and the daemon has stopped")
+def check_stopped(context: runner.Context) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * N_CALLS, context.answers
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -137,6 +137,8 @@
         self.nodes: list[Node] = []
         self.pool = caller.CallerPool()
         self.counter = store.StoreCallCounter()
+        # Whether daemons of this site may log errors in their tasks.
+        self.expects_errors = False
 
     def start_store(self) -> None:
         """Start to serve the store stand-in and to expire its leases."""
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -11,6 +11,7 @@
     "classes",
     "commandline",
     "configuration",
+    "daemon",
     "errors",
     "gossip",
     "logs",
