Keep an error in one task of a daemon from ending the others

Cause: all tasks of a daemon ran in one nursery, in which an error of any task cancels all others, those that serve connections included. The class of fault is a missing boundary for errors, not the ValueError of choose_push_targets. The same held for detached payments, second attempts, a step of the shutdown, a reload whose faults could not be written to standard error, and a pipelined request, which took the other requests of its connection with it. Ruled out: letting the daemon go on without the failed task (a daemon without gossip or lease renewal is worse than a restarted one), and ending it at once with a clean close. An error in a call becomes that call's 500; a detached call's outcome is recorded as open. A stop goes on after a step that fails. A reload never raises. Sites of the tests and the soak fail if a daemon counted an error, so that nothing is hidden from them.

--- a/umberdrum/callpath/_attempt_sequence.py
+++ b/umberdrum/callpath/_attempt_sequence.py
@@ -192,15 +192,16 @@
             is_hedge=True,
         )
         hedge = hedged_call.add_attempt()
-        with hedge.scope:
-            result = await self._entry.attempt(
-                call, decision, self._body, hedge.sink, index
-            )
+        result: _endpoint.CallResult | None = None
+        try:
+            with hedge.scope:
+                result = await self._entry.attempt(
+                    call, decision, self._body, hedge.sink, index
+                )
+                if result.is_error() and _is_detour(result.error):
+                    self._budget.refund()
+        finally:
             hedged_call.record_end(hedge, result)
-            if result.is_error() and _is_detour(result.error):
-                self._budget.refund()
-        if hedge.scope.cancelled_caught:
-            hedged_call.record_end(hedge, None)
 
     def _may_retry(self, failure: errors.Failure) -> bool:
         """Return whether another attempt is safe and within the limits of retries."""
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -1,8 +1,9 @@
 """Server side of callers' HTTP/1.1 connections at an entry daemon."""
 
+import expression
 import trio
 
-from umberdrum import sockets
+from umberdrum import errors, sockets, supervision
 from umberdrum.callpath import (
     _call,
     _caller_exchange,
@@ -34,9 +35,11 @@
         watch: _liveness.LivenessWatch,
         get_limits: _caller_exchange.LimitsSource,
         daemon_id: str,
+        error_log: supervision.ErrorLog,
         dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
     ) -> None:
         self._dialect = dialect
+        self._error_log = error_log
         self._entry = entry
         self._watch = watch
         self._get_limits = get_limits
@@ -216,7 +219,7 @@
         )
         connection = pipeline.connection
         with trio.CancelScope() as scope, self._watch.watch(connection, scope):
-            outcome = await self._entry.handle(request, body, sink)
+            outcome = await self._handle(exchange, request, body, sink)
         if scope.cancelled_caught:
             return False
         await position.turn.wait()
@@ -235,6 +238,30 @@
         is_end = pipeline.is_final and pipeline.is_newest(position)
         return exchange.can_reuse_connection() and not is_end
 
+    async def _handle(
+        self,
+        exchange: _caller_exchange.CallerExchange,
+        request: _entry.IncomingRequest,
+        body: _call.RequestBody,
+        sink: _caller_exchange.CallerSink,
+    ) -> _entry.EntryOutcome:
+        """Run the request; an unexpected error becomes a failure of this request."""
+        try:
+            return await self._entry.handle(request, body, sink)
+        except (sockets.ConnectionLostError, _call.SinkLostError):
+            raise
+        except Exception as fault:
+            request_id = request.fields.request_id
+            self._error_log.record("call", fault, request=request_id)
+            failure = errors.fail(
+                errors.ErrorKind.INTERNAL,
+                f"request {request_id or '-'} was aborted by an error in the daemon",
+                errors.Execution.MAY_HAVE_RUN,
+            )
+            return _entry.EntryOutcome(
+                expression.Error(failure), exchange.has_begun_response, request_id
+            )
+
     def _must_close(
         self,
         pipeline: _request_pipeline.RequestPipeline,
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -174,7 +174,7 @@
 
     async def refuse(self, failure: errors.Failure, request_id: str) -> None:
         """Send the error response; close afterwards if the body is unread."""
-        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+        if self.has_begun_response:
             return
         problem = errors.render_problem(
             failure,
@@ -194,6 +194,11 @@
         if not self.has_read_request:
             await self.linger()
 
+    @property
+    def has_begun_response(self) -> bool:
+        """Whether the head of the response was rendered."""
+        return self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     @property
     def has_read_request(self) -> bool:
         """Whether the current request was received to its end."""
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -10,6 +10,7 @@
     measuring,
     outcomes,
     routing,
+    supervision,
 )
 from umberdrum.callpath import (
     _announcement,
@@ -57,7 +58,7 @@
         pool: _upstream.UpstreamPool,
         budget: measuring.MeasuringBudget,
         log: logs.EventLog,
-        nursery: trio.Nursery,
+        tasks: supervision.TaskStarter,
         dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
         prober: _prober.UpstreamProber | None = None,
     ) -> None:
@@ -69,7 +70,7 @@
         self.pool = pool
         self._budget = budget
         self._log = log
-        self._nursery = nursery
+        self._tasks = tasks
         self._request_buffer = _body_buffer.BodyBuffer()
         self.relay = _upstream_relay.UpstreamRelay(
             gate, pool, self.build_load_report, log, dialect
@@ -235,7 +236,7 @@
         recording = _recording.RecordingSink(sink)
         detached = _DetachedCall()
         queue_seconds = ticket.began_at - queued_at
-        self._nursery.start_soon(
+        self._tasks.start_soon(
             self._run_detached, call, body, recording, ticket, queue_seconds, detached
         )
         return await self._await_detached(call, recording, detached)
@@ -295,11 +296,22 @@
                 self.record.fail(call.request_id, result.error.execution, now)
             detached.result = result
         finally:
+            if detached.result is None:
+                detached.result = self._record_aborted(call)
             self.n_in_progress -= 1
             if self.n_in_progress == 0:
                 self._idle_event.set()
             detached.done.set()
 
+    def _record_aborted(self, call: _call.Call) -> CallResult:
+        """Record that an error in this daemon ended the call; return the failure."""
+        execution = errors.Execution.MAY_HAVE_RUN
+        self.record.fail(call.request_id, execution, trio.current_time())
+        detail = f"request {call.request_id} was aborted by an error in the daemon"
+        return expression.Error(
+            errors.fail(errors.ErrorKind.INTERNAL, detail, execution)
+        )
+
     async def _run_with_ticket(
         self,
         call: _call.Call,
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -6,7 +6,7 @@
 import expression
 import trio
 
-from umberdrum import classes, errors, logs, retries, routing
+from umberdrum import classes, errors, logs, retries, routing, supervision
 from umberdrum.callpath import (
     _attempt_sequence,
     _call,
@@ -76,7 +76,7 @@
         peer_client: _peer_client.PeerClient,
         statistics: _statistics.CallStatistics,
         log: logs.EventLog,
-        nursery: trio.Nursery,
+        tasks: supervision.TaskStarter,
         matcher: _matching.CallMatcher,
         budgets: retries.RetryBudgetRegistry,
         dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
@@ -93,7 +93,7 @@
         self._endpoint = endpoint
         self._peer_client = peer_client
         self._log = log
-        self.hedge_scheduler = _hedging.HedgeScheduler(nursery)
+        self.hedge_scheduler = _hedging.HedgeScheduler(tasks)
         self._startup_period = _startup_period.StartupPeriod(trio.current_time())
 
     async def handle(
--- a/umberdrum/callpath/_hedging.py
+++ b/umberdrum/callpath/_hedging.py
@@ -7,7 +7,7 @@
 import expression
 import trio
 
-from umberdrum import errors
+from umberdrum import errors, supervision
 from umberdrum.callpath import _call, _endpoint, _sinks
 
 
@@ -114,8 +114,8 @@
     hedging delay has passed costs one heap entry and no task or timer.
     """
 
-    def __init__(self, nursery: trio.Nursery) -> None:
-        self._nursery = nursery
+    def __init__(self, tasks: supervision.TaskStarter) -> None:
+        self._tasks = tasks
         self._due: list[tuple[float, int, HedgedCall]] = []
         self._counter = itertools.count()
         self._rescheduled = trio.Event()
@@ -140,7 +140,7 @@
         while self._due and (self._due[0][0] <= now or not self._due[0][2].is_open):
             hedged_call = heapq.heappop(self._due)[2]
             if hedged_call.is_open:
-                self._nursery.start_soon(hedged_call.run_hedge)
+                self._tasks.start_soon(hedged_call.run_hedge)
 
 
 class _HedgedSink(_sinks.ForwardingSink):
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -15,6 +15,7 @@
     settings,
     sockets,
     startup,
+    supervision,
 )
 from umberdrum.daemon import _integration, _parts
 
@@ -70,6 +71,8 @@
         self._budget = measuring.MeasuringBudget(
             own_settings.measuring_bytes_per_second
         )
+        self.errors = supervision.ErrorLog(self._log)
+        self.has_failed = False
         self._stop_requested = trio.Event()
         self._stopped = trio.Event()
         self.parts: _parts.DaemonParts | None = None
@@ -82,6 +85,14 @@
         """Request a graceful shutdown and return at once."""
         self._stop_requested.set()
 
+    def fail(self) -> None:
+        """Request a graceful shutdown because of errors in the daemon.
+
+        ``has_failed`` is set, so that the program ends with an error code.
+        """
+        self.has_failed = True
+        self.stop()
+
     def reload(self, changed: settings.Settings) -> None:
         """Apply the settings that may change while the daemon runs.
 
@@ -95,6 +106,11 @@
             measuring_bytes_per_second=changed.measuring_bytes_per_second,
         )
 
+    def refuse_settings(self, faults: list[settings.SettingsFault]) -> None:
+        """Log the faults of a changed settings file, which is not applied."""
+        for fault in faults:
+            self._log.warn("settings_refused", reason=str(fault))
+
     async def run(
         self, task_status: trio.TaskStatus[None] = trio.TASK_STATUS_IGNORED
     ) -> None:
@@ -111,13 +127,14 @@
                     sockets.close_listener(listener)
             if self.parts is not None:
                 self.parts.close()
-        self._log.write("stopped")
+        self._log.write("stopped", failed=self.has_failed)
         self._stopped.set()
 
     async def _serve(
         self, listeners: _Listeners, task_status: trio.TaskStatus[None]
     ) -> None:
         async with trio.open_nursery() as nursery:
+            tasks = supervision.TaskSupervisor(nursery, self.errors, self.fail)
             parts = _parts.DaemonParts(
                 self._settings,
                 self._identity,
@@ -125,14 +142,14 @@
                 self._rng,
                 self._log,
                 self._writer,
-                nursery,
+                tasks,
                 self._integration,
             )
             self.parts = parts
             bound_seconds = time.monotonic() - self._bound_at
             parts.caller_server.set_listening_since(trio.current_time() - bound_seconds)
             await parts.exchange.bind()
-            self._start_tasks(parts, listeners, nursery)
+            self._start_tasks(parts, listeners, tasks)
             self._log.write(
                 "started",
                 process=f"{self._identity.process_id:016x}",
@@ -168,34 +185,53 @@
         return None
 
     def _start_tasks(
-        self, parts: _parts.DaemonParts, listeners: _Listeners, nursery: trio.Nursery
+        self,
+        parts: _parts.DaemonParts,
+        listeners: _Listeners,
+        tasks: supervision.TaskSupervisor,
     ) -> None:
         accept = sockets.accept_connections
         max_callers = self._settings.max_connections
-        nursery.start_soon(
-            accept, listeners.caller, parts.caller_server.serve, max_callers
+        n_control = MAX_CONTROL_CONNECTIONS
+        server = parts.caller_server
+        peer_server = parts.peer_server
+        keep_running = tasks.keep_running
+        keep_running(
+            "accept_callers", accept, listeners.caller, server.serve, max_callers
         )
-        nursery.start_soon(
-            accept, listeners.peer, parts.peer_server.serve, MAX_PEER_CONNECTIONS
+        keep_running(
+            "accept_peers",
+            accept,
+            listeners.peer,
+            peer_server.serve,
+            MAX_PEER_CONNECTIONS,
         )
-        nursery.start_soon(
-            accept, listeners.admin, parts.serve_admin, MAX_CONTROL_CONNECTIONS
+        keep_running(
+            "accept_admin", accept, listeners.admin, parts.serve_admin, n_control
         )
-        nursery.start_soon(
-            accept, listeners.announce, parts.serve_announce, MAX_CONTROL_CONNECTIONS
+        keep_running(
+            "accept_announcements",
+            accept,
+            listeners.announce,
+            parts.serve_announce,
+            n_control,
         )
         if listeners.ready is not None:
-            nursery.start_soon(
-                accept, listeners.ready, parts.serve_ready, MAX_CONTROL_CONNECTIONS
+            keep_running(
+                "accept_readiness",
+                accept,
+                listeners.ready,
+                parts.serve_ready,
+                n_control,
             )
-        nursery.start_soon(parts.prober.run)
-        nursery.start_soon(parts.startup_probe.run)
-        nursery.start_soon(parts.exchange.run)
-        nursery.start_soon(parts.contact_manager.run)
-        nursery.start_soon(parts.announcement_tracker.expire_announcements)
-        nursery.start_soon(parts.entry.hedge_scheduler.run)
-        nursery.start_soon(parts.watch.run)
-        nursery.start_soon(self._maintain, parts)
+        keep_running("prober", parts.prober.run)
+        keep_running("startup_probe", parts.startup_probe.run)
+        keep_running("gossip", parts.exchange.run)
+        keep_running("contact_manager", parts.contact_manager.run)
+        keep_running("announcements", parts.announcement_tracker.expire_announcements)
+        keep_running("hedging", parts.entry.hedge_scheduler.run)
+        keep_running("liveness_watch", parts.watch.run)
+        keep_running("maintenance", self._maintain, parts)
 
     async def _maintain(self, parts: _parts.DaemonParts) -> None:
         """Close idle connections and drop the statistics of removed endpoints."""
@@ -215,7 +251,8 @@
         """
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
-        parts.state_updater.leave()
+        with self.errors.suppress("departure"):
+            parts.state_updater.leave()
         gossip_until = trio.current_time() + FINAL_GOSSIP_SECONDS
         grace_until = trio.current_time() + self._settings.grace_ms / MS_PER_SECOND
         if self._settings.leave_accept_ms:
@@ -225,7 +262,8 @@
         sockets.close_listener(listeners.caller)
         parts.caller_server.start_closing()
         with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
-            await parts.contact_manager.resign()
+            with self.errors.suppress("resignation"):
+                await parts.contact_manager.resign()
         await trio.sleep_until(min(gossip_until, grace_until))
         with trio.move_on_at(grace_until) as scope:
             await parts.endpoint.wait_until_idle()
--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from umberdrum import callpath, gossip, membership
+from umberdrum import callpath, gossip, membership, supervision
 
 PUSH_FANOUT = 5
 
@@ -31,14 +31,14 @@
         prober: callpath.UpstreamProber,
         state: gossip.SharedState,
         exchange: gossip.GossipExchange,
-        nursery: trio.Nursery,
+        tasks: supervision.TaskStarter,
     ) -> None:
         self._endpoint = endpoint
         self._pool = pool
         self._prober = prober
         self._state = state
         self._exchange = exchange
-        self._nursery = nursery
+        self._tasks = tasks
         self.is_stopping = False
 
     def apply_announcement(self, announcement: callpath.UpstreamAnnouncement) -> None:
@@ -94,4 +94,4 @@
 
     def _publish(self, record: membership.EndpointRecord) -> None:
         self._state.publish_own_record(record)
-        self._nursery.start_soon(self._exchange.push_updates, PUSH_FANOUT)
+        self._tasks.start_soon(self._exchange.push_updates, PUSH_FANOUT)
--- a/umberdrum/daemon/_metric_page.py
+++ b/umberdrum/daemon/_metric_page.py
@@ -11,6 +11,7 @@
     peerlink,
     routetable,
     store,
+    supervision,
 )
 
 
@@ -32,6 +33,7 @@
     statistics: callpath.CallStatistics
     announcement_tracker: announcements.AnnouncementTracker
     routes: routetable.RouteTableSource | None
+    errors: supervision.ErrorLog
 
 
 class _Renderer(Protocol):
--- a/umberdrum/daemon/_metrics.py
+++ b/umberdrum/daemon/_metrics.py
@@ -11,7 +11,7 @@
 import trio
 from prometheus_client import metrics_core, registry
 
-from umberdrum import callpath, measuring, routetable
+from umberdrum import callpath, measuring, routetable, supervision
 from umberdrum.daemon import _metric_page
 
 
@@ -65,6 +65,7 @@
         gauge.set_function(_read_use(sources.budget, use))
     collector_registry.register(_CallCollector(sources.statistics))
     collector_registry.register(_DependencyCollector(sources))
+    collector_registry.register(_ErrorCollector(sources.errors))
     return collector_registry
 
 
@@ -105,6 +106,24 @@
         yield hedges
 
 
+class _ErrorCollector(registry.Collector):
+    """Counters of unexpected errors in the tasks of this daemon."""
+
+    def __init__(self, errors: supervision.ErrorLog) -> None:
+        self._errors = errors
+
+    def collect(self) -> Iterator[metrics_core.Metric]:
+        """Return the metric with its current values."""
+        failures = metrics_core.CounterMetricFamily(
+            "umberdrum_task_failures",
+            "Unexpected errors by the task in which they were raised",
+            labels=["task"],
+        )
+        for task, n_errors in self._errors.n_errors.items():
+            failures.add_metric([task], n_errors)
+        yield failures
+
+
 class _DependencyCollector(registry.Collector):
     """State of store, upstream and peers, and the time since each was last seen."""
 
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -2,8 +2,6 @@
 
 import random
 
-import trio
-
 from umberdrum import (
     admin,
     admission,
@@ -24,6 +22,7 @@
     settings,
     sockets,
     store,
+    supervision,
 )
 from umberdrum.daemon import (
     _endpoint_state,
@@ -49,13 +48,13 @@
         rng: random.Random,
         log: logs.EventLog,
         writer: logs.LineWriter,
-        nursery: trio.Nursery,
+        tasks: supervision.TaskSupervisor,
         integration: _integration.Integration,
     ) -> None:
         key = own_settings.cluster_key
         self._log = log
         dialect = integration.dialect
-        self._nursery = nursery
+        self._tasks = tasks
         self._settings = own_settings
         self.statistics = callpath.CallStatistics()
         self.table = membership.MembershipTable(
@@ -90,7 +89,7 @@
             self.upstream_pool,
             budget,
             log,
-            nursery,
+            tasks,
             dialect,
             self.prober,
         )
@@ -112,7 +111,7 @@
             self.peer_client,
             self.statistics,
             log,
-            nursery,
+            tasks,
             self.matcher,
             retries.RetryBudgetRegistry(
                 _build_shared_retry_limit(own_settings), lambda: len(self.table)
@@ -125,7 +124,12 @@
             identity, key, self.endpoint, self.watch, self.synchronizer, log
         )
         self.caller_server = callpath.CallerServer(
-            self.entry, self.watch, self._get_caller_limits, identity.daemon_id, dialect
+            self.entry,
+            self.watch,
+            self._get_caller_limits,
+            identity.daemon_id,
+            tasks.errors,
+            dialect,
         )
         self.state_updater = _endpoint_state.EndpointStateUpdater(
             self.endpoint,
@@ -133,7 +137,7 @@
             self.prober,
             self.state,
             self.exchange,
-            nursery,
+            tasks,
         )
         self.announcement_tracker = announcements.AnnouncementTracker(
             self.state_updater,
@@ -212,6 +216,7 @@
                 self.statistics,
                 self.announcement_tracker,
                 self.routes,
+                tasks.errors,
             )
         )
         self._admin_handler = admin.AdminHandler(self.reporter, metric_page.render)
@@ -240,9 +245,7 @@
         self._class_matcher.catalog = catalog
         if self.routes is not None:
             self.routes.apply_catalog(catalog)
-        self._nursery.start_soon(
-            self.exchange.push_updates, _endpoint_state.PUSH_FANOUT
-        )
+        self._tasks.start_soon(self.exchange.push_updates, _endpoint_state.PUSH_FANOUT)
 
     def _handle_new_era(self, previous: int, era: int) -> None:
         self._log.warn("store_restored", previous_era=previous, era=era)
--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -11,7 +11,7 @@
 import trio
 
 import umberdrum
-from umberdrum import logs, settings, startup
+from umberdrum import logs, settings, startup, supervision
 from umberdrum.daemon import _daemon, _integration
 
 EXIT_OK = 0
@@ -59,7 +59,11 @@
     logger.propagate = False
     exit_code = EXIT_OK
     try:
-        trio.run(_run_daemon, loaded.ok, path, logger, writer, integration, listeners)
+        has_failed = trio.run(
+            _run_daemon, loaded.ok, path, logger, writer, integration, listeners
+        )
+        if has_failed:
+            exit_code = EXIT_FAILED
     except* OSError as faults:
         sys.stderr.write(f"umberdrumd: {faults.exceptions[0]}\n")
         exit_code = EXIT_FAILED
@@ -75,16 +79,19 @@
     writer: logs.LineWriter,
     integration: _integration.Integration | None,
     listeners: startup.EarlyListeners | None,
-) -> None:
+) -> bool:
+    """Run the daemon until it has stopped; return whether errors made it stop."""
     daemon = _daemon.Daemon(
         own_settings, logger, writer, integration=integration, listeners=listeners
     )
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, daemon, path)
         nursery.start_soon(_watch_settings_file, daemon, path)
-        nursery.start_soon(_LineFlusher(writer).run)
+        tasks = supervision.TaskSupervisor(nursery, daemon.errors, daemon.fail)
+        tasks.keep_running("log_flush", _LineFlusher(writer).run)
         await daemon.run()
         nursery.cancel_scope.cancel()
+    return daemon.has_failed
 
 
 async def _handle_signals(daemon: _daemon.Daemon, path: pathlib.Path) -> None:
@@ -120,11 +127,13 @@
 
 
 def _reload(daemon: _daemon.Daemon, path: pathlib.Path) -> None:
-    loaded = settings.read_settings_file(path)
-    if loaded.is_error():
-        _print_faults(loaded.error)
-        return
-    daemon.reload(loaded.ok)
+    """Apply the changed settings; a file that can't be used changes nothing."""
+    with daemon.errors.suppress("reload"):
+        loaded = settings.read_settings_file(path)
+        if loaded.is_error():
+            daemon.refuse_settings(loaded.error)
+            return
+        daemon.reload(loaded.ok)
 
 
 class _LineFlusher:
--- a/umberdrum/daemon/tests/__init__.py
+++ b/umberdrum/daemon/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the tasks of a daemon."""
--- a/umberdrum/daemon/tests/daemon.feature
+++ b/umberdrum/daemon/tests/daemon.feature
@@ -33,3 +33,15 @@
   Scenario: An error during a stop cuts no call
     When a stopping daemon with calls in progress can't publish its departure
     Then each of these calls is answered, and the daemon has stopped
+
+  Scenario Outline: A reload that can't be done changes nothing and cuts no call
+    When a daemon without standard error reloads <settings> while calls are in progress
+    Then each of these calls is answered, and the log has one line "<event>"
+
+    Examples:
+      | settings                   | event             |
+      | valid settings             | settings_reloaded |
+      | a missing file             | settings_refused  |
+      | a file that is not UTF-8   | settings_refused  |
+      | a file with an unknown key | settings_refused  |
+      | settings that can't be set | task_failed       |
--- a/umberdrum/daemon/tests/daemon_steps.py
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -1,6 +1,12 @@
 """Steps for errors in the tasks of a daemon while it serves calls."""
 
+import contextlib
 import functools
+import itertools
+import os
+import pathlib
+import re
+import tempfile
 from collections.abc import Awaitable, Callable
 
 import behave
@@ -8,6 +14,7 @@
 from behave import runner
 
 from umberdrum import daemon
+from umberdrum.daemon import main
 from umberdrum.tests import harness
 from umberdrum_bench import caller
 
@@ -17,10 +24,31 @@
 WAIT_SECONDS = 0.5
 TASK_PERIOD_SECONDS = 5.0
 PIPELINED_REQUESTS = (
-    b"GET /look/good HTTP/1.1\r\nHost: pay\r\nX-Fault: slow\r\n\r\n"
+    b"GET /look/good HTTP/1.1\r\nHost: pay\r\nX-Fault: slow\r\nX-Nonce: good\r\n"
+    b"umberdrum-deadline-ms: 20000\r\n\r\n"
     b"GET /look/broken HTTP/1.1\r\nHost: pay\r\nConnection: close\r\n\r\n"
 )
 
+VALID_SETTINGS = b"""[instance]
+availability_zone = az1
+region = r1
+[listen]
+caller = 127.0.0.1:9000
+peer = 127.0.0.1:9001
+admin = 127.0.0.1:9002
+announce = 127.0.0.1:9003
+[cluster]
+key = 000102030405060708090a0b0c0d0e0f
+[store]
+addresses = 127.0.0.1:9004
+"""
+RELOADED_FILES = {
+    "a file that is not UTF-8": b"[instance]\nregion = \xff\n",
+    "a file with an unknown key": VALID_SETTINGS + b"[instance2]\nunknown = 1\n",
+}
+
+_call_numbers = itertools.count()
+
 SiteTest = Callable[[harness.Site, harness.Node, harness.Node], Awaitable[None]]
 
 
@@ -43,7 +71,12 @@
         self._is_expected = is_expected
         self._is_permanent = is_permanent
         self.n_failures = 0
-        setattr(owner, method, self._run)
+
+        @functools.wraps(self._original)
+        def run(*arguments: object) -> object:
+            return self._run(*arguments)
+
+        setattr(owner, method, run)
 
     def _run(self, *arguments: object) -> object:
         if not self._is_expected(*arguments):
@@ -88,7 +121,7 @@
     answers: list[caller.CallerAnswer],
     fault: str = "slow",
 ) -> None:
-    nonce = f"{path}-{len(answers)}-{trio.current_time()}"
+    nonce = f"call-{next(_call_numbers)}"
     answer = await site.call(
         node, "pay", nonce, path, fault, deadline_ms=CALL_DEADLINE_MS
     )
@@ -204,8 +237,7 @@
     statuses = [answer.status for answer in context.answers]
     assert statuses == [200] * N_CALLS, context.answers
     if context.raw:
-        heads = [row for row in context.raw.split(b"\r\n") if row.startswith(b"HTTP/")]
-        found = [int(row.split()[1]) for row in heads]
+        found = [int(row) for row in re.findall(rb"HTTP/1\.1 (\d+)", context.raw)]
         assert found == [200, status], context.raw
         return
     assert [row.status for row in context.failing_answers] == [status]
@@ -242,7 +274,8 @@
     statuses = {answer.status for answer in context.answers}
     assert statuses == {200}, context.answers
     assert len(context.answers) >= N_CALLS, context.answers
-    assert any("event=stopped failed=yes" in line for line in context.log_lines)
+    stopped = [line for line in context.log_lines if "event=stopped" in line]
+    assert len(stopped) == 1 and "failed=yes" in stopped[0], stopped
 
 
 @behave.when("a stopping daemon with calls in progress can't publish its departure")
@@ -268,3 +301,43 @@
 def check_stopped(context: runner.Context) -> None:
     statuses = [answer.status for answer in context.answers]
     assert statuses == [200] * N_CALLS, context.answers
+
+
+@behave.when(
+    "a daemon without standard error reloads {kind} while calls are in progress"
+)
+def reload_settings(context: runner.Context, kind: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = kind == "settings that can't be set"
+        answers: list[caller.CallerAnswer] = []
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "umberdrum.ini"
+            if kind != "a missing file":
+                path.write_bytes(RELOADED_FILES.get(kind, VALID_SETTINGS))
+            async with trio.open_nursery() as nursery:
+                for _ in range(N_CALLS):
+                    nursery.start_soon(_call_slowly, site, node, "/look", answers)
+                await trio.sleep(WAIT_SECONDS)
+                if site.expects_errors:
+                    _FailingCall(node.daemon, "reload")
+                with open(os.devnull) as unwritable:
+                    with contextlib.redirect_stderr(unwritable):
+                        main._reload(node.daemon, path)
+        context.answers = answers
+        context.log_lines = list(node.log_lines)
+
+    _run_with_upstreams(test)
+
+
+@behave.then('each of these calls is answered, and the log has one line "{event}"')
+def check_reload(context: runner.Context, event: str) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert statuses == [200] * N_CALLS, context.answers
+    events = ("settings_reloaded", "settings_refused", "task_failed")
+    found = [
+        name
+        for line in context.log_lines
+        for name in events
+        if f"event={name} " in line
+    ]
+    assert found == [event], found
--- /dev/null
+++ b/umberdrum/supervision/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the supervision of tasks."""
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -368,6 +368,12 @@
         return parsed.ok
 
 
+def check_no_errors(daemons: list[Daemon]) -> None:
+    """Fail if a task of a daemon raised an error that its supervisor only logged."""
+    counts = [daemon.errors.n_errors for daemon in daemons if daemon.errors.n_errors]
+    assert not counts, counts
+
+
 @contextlib.asynccontextmanager
 async def open_site(
     seed: int = 1,
@@ -379,6 +385,8 @@
         site.start_store()
         try:
             yield site
+            if not site.expects_errors:
+                check_no_errors([node.daemon for node in site.nodes])
         finally:
             site.pool.close()
             nursery.cancel_scope.cancel()
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -25,6 +25,7 @@
     "settings",
     "startup",
     "store",
+    "supervision",
 )
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
--- a/umberdrum_bench/soak/_run.py
+++ b/umberdrum_bench/soak/_run.py
@@ -16,7 +16,11 @@
 MIN_ANSWERED_SHARE = 0.9
 MONITOR_INTERVAL_SECONDS = 0.5
 REGRESSIONS_PATH = pathlib.Path(__file__).with_name("regressions.txt")
-ERROR_LOG_PATTERNS = ("Traceback (most recent call last)", "event=connection_failed")
+ERROR_LOG_PATTERNS = (
+    "Traceback (most recent call last)",
+    "event=connection_failed",
+    "event=task_failed",
+)
 
 
 class Regression(NamedTuple):
