--- a/umberdrum_bench/soak/_checker.py
+++ b/umberdrum_bench/soak/_checker.py
@@ -7,6 +7,9 @@
 
 # Requirement: a call gets an answer of some kind within this time after its deadline.
 LATE_ANSWER_GRACE_SECONDS = 0.5
+# Requirement: a stopping daemon may close a connection without an answer only within
+# this time after the request was sent.
+CLOSE_WITHOUT_ANSWER_SECONDS = 0.2
 
 
 class DaemonOutage(NamedTuple):
@@ -56,8 +59,8 @@
     """Return the outcomes of the calls and the violated guarantees.
 
     A call may end without an answer if its entry daemon was killed during the call. It
-    may also do so if its entry daemon was stopped, but only if the call did not reach
-    an upstream.
+    may also do so if its entry daemon was stopped, but only at once and if the call did
+    not reach an upstream.
     """
     violations: list[str] = []
     n_answered = 0
@@ -83,7 +86,10 @@
             n_unknown += 1
             is_excused = "kill" in outage_kinds or not answer.is_sent
             if not is_excused and "stop" in outage_kinds:
-                is_excused = n_begun == 0
+                has_waited = (
+                    answer.seconds > CLOSE_WITHOUT_ANSWER_SECONDS + call.lag_seconds
+                )
+                is_excused = n_begun == 0 and not has_waited
             if not is_excused:
                 violations.append(f"lost: {name} got no answer")
             continue
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -24,6 +24,7 @@
       | payment | 1      | no answer                  | paused       | lost          |
       | payment | 1      | no answer                  | stopped      | lost          |
       | payment | 0      | no answer                  | stopped      | none          |
+      | payment | 0      | no answer after 0.4 s      | stopped      | lost          |
       | payment | 0      | no answer                  | killed later | lost          |
       | lookup  | 1      | a late answer              | undisturbed  | late          |
       | lookup  | 1      | a late answer              | paused       | none          |
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -27,6 +27,7 @@
     "an unknown outcome": caller.CallerAnswer(
         502, "may-have-run", "broke", "", "", 0.1, True
     ),
+    "no answer after 0.4 s": caller.CallerAnswer(0, "", "", "", "", 0.4, True),
     "no answer": caller.CallerAnswer(0, "", "", "", "", 0.1, True),
 }
 OUTAGES = {
