Decide on the close of a caller's connection when the response is sent

Callers with several requests on one connection got no answer to the later ones when the daemon was stopped. The response to the newest request was rendered with "Connection: close" as soon as it was ready, though it still had to wait for the responses before it; requests read in that time were dropped. The same befell a request with a body, which waits for its turn before it counts as the newest.

The sink keeps the head until it is sent, and the connection closes only if no request has arrived by then. A caller whose requests never pause is closed 1 s after the daemon has closed its listener.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -1,5 +1,7 @@
 """Server side of callers' HTTP/1.1 connections at an entry daemon."""
 
+import math
+
 import trio
 
 from umberdrum import sockets
@@ -15,6 +17,7 @@
 MAX_PIPELINED_REQUESTS = 8
 # Connections made during the start are accepted in the first passes of the event loop.
 STARTUP_ACCEPT_SECONDS = 1.0
+LAST_REQUESTS_SECONDS = 1.0
 SAFE_METHODS = frozenset((b"GET", b"HEAD"))
 
 
@@ -43,6 +46,7 @@
         self._daemon_id = daemon_id
         self.is_draining = False
         self.is_closing = False
+        self._read_until = math.inf
         self._idle_pipelines: set[_request_pipeline.RequestPipeline] = set()
         self._serving_since = trio.current_time()
         self._listening_since = self._serving_since
@@ -78,19 +82,24 @@
         self.is_draining = True
 
     def start_closing(self) -> None:
-        """Close idle connections now and the others after their current requests."""
+        """Close idle connections now and the others after their current requests.
+
+        A caller that sends requests without a pause is disconnected after
+        ``LAST_REQUESTS_SECONDS``.
+        """
         self.is_draining = True
         self.is_closing = True
+        self._read_until = trio.current_time() + LAST_REQUESTS_SECONDS
         for pipeline in list(self._idle_pipelines):
             # Other connections are closed after their last response.
-            if not pipeline.n_in_flight and not pipeline.connection.has_data():
+            if pipeline.is_idle():
                 pipeline.connection.close()
 
     async def _read_requests(self, pipeline: _request_pipeline.RequestPipeline) -> None:
         """Read and start requests until the connection is to be closed."""
         unparsed = b""
         is_first = True
-        while not pipeline.is_final and not self._must_stop_reading(pipeline, unparsed):
+        while not pipeline.is_final and not self._must_stop_reading(pipeline):
             exchange = _caller_exchange.CallerExchange(
                 pipeline.connection,
                 self._get_limits,
@@ -100,6 +109,7 @@
             )
             if not unparsed and not await self._wait_for_bytes(exchange, pipeline):
                 return
+            pipeline.is_receiving = True
             try:
                 waited_seconds = (
                     self._get_backlog_seconds(pipeline) if is_first else 0.0
@@ -120,13 +130,16 @@
                 return
             is_first = False
             unparsed = exchange.get_unparsed()
+            pipeline.has_unparsed = bool(unparsed)
             await self._start(pipeline, exchange, request, body)
 
-    def _must_stop_reading(
-        self, pipeline: _request_pipeline.RequestPipeline, unparsed: bytes
-    ) -> bool:
-        """Return whether this server closes and no request has arrived meanwhile."""
-        return self.is_closing and not unparsed and not pipeline.connection.has_data()
+    def _must_stop_reading(self, pipeline: _request_pipeline.RequestPipeline) -> bool:
+        """Return whether this server closes and takes no more from the connection."""
+        if not self.is_closing:
+            return False
+        if pipeline.n_in_flight and trio.current_time() >= self._read_until:
+            pipeline.is_final = True
+        return pipeline.is_final or pipeline.is_idle()
 
     def _get_backlog_seconds(
         self, pipeline: _request_pipeline.RequestPipeline
@@ -199,7 +212,7 @@
             self._n_serving -= 1
             self._idle_event.set()
             pipeline.remove_request(position)
-            if is_last or (self.is_closing and not pipeline.n_in_flight):
+            if is_last or (self.is_closing and pipeline.is_idle()):
                 pipeline.close()
 
     async def _respond_in_order(
@@ -240,7 +253,14 @@
         pipeline: _request_pipeline.RequestPipeline,
         position: _request_pipeline.PipelinePosition,
     ) -> bool:
-        """Return whether the connection closes after the response at ``position``."""
+        """Return whether the connection closes after the response at ``position``.
+
+        A stopping server closes it after the last request that has arrived.
+        """
         if self.is_draining and pipeline.is_newest(position):
-            pipeline.is_final = True
+            is_over = trio.current_time() >= self._read_until
+            if not pipeline.has_next_request() or (
+                is_over and not pipeline.is_receiving
+            ):
+                pipeline.is_final = True
         return pipeline.is_final and pipeline.is_newest(position)
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -276,7 +276,8 @@
     """Writes the response to the caller; a small response takes a single send.
 
     A response that is ready before earlier ones on the connection were sent is
-    buffered, up to ``MAX_PENDING_RESPONSE_BYTES``.
+    buffered, up to ``MAX_PENDING_RESPONSE_BYTES``. Whether it closes the connection is
+    decided when its head is sent, because requests may arrive until then.
     """
 
     def __init__(
@@ -288,25 +289,20 @@
         self._exchange = exchange
         self._turn = position.turn
         self._must_close = must_close
-        self._parts: list[bytes] = []
-        self._n_pending = 0
+        self._head: _call.HttpResponseHead | None = None
+        self._body = bytearray()
+        self._is_finished = False
 
     async def start(
         self, head: _call.HttpResponseHead, report: _call.CallReport
     ) -> None:
-        """Render the head, which is sent with the next flush."""
-        headers = head.headers
-        if self._must_close() or not self._exchange.has_read_request:
-            headers = [*headers, (b"connection", b"close")]
-        response = h11.Response(
-            status_code=head.status, headers=headers, reason=head.reason
-        )
-        self._render(response)
+        """Keep the head, which is sent with the next flush."""
+        self._head = head
 
     async def write(self, data: bytes) -> None:
-        """Render body bytes, and flush once enough are pending."""
-        self._render(h11.Data(data=data))
-        if self._n_pending >= OUTPUT_BUFFER_BYTES:
+        """Add body bytes, and flush once enough are pending."""
+        self._body += data
+        if len(self._body) >= OUTPUT_BUFFER_BYTES:
             await self.flush()
             await trio.lowlevel.checkpoint()
 
@@ -315,36 +311,49 @@
 
         With ``MAX_PENDING_RESPONSE_BYTES`` pending, wait until they were sent.
         """
-        if not self._turn.is_set() and self._n_pending < MAX_PENDING_RESPONSE_BYTES:
+        if not self._turn.is_set() and len(self._body) < MAX_PENDING_RESPONSE_BYTES:
             return
         await self.send_pending()
 
     async def send_pending(self) -> None:
-        """Send pending bytes after waiting for the earlier responses to be sent."""
-        if not self._parts:
+        """Send what is pending after waiting for the earlier responses to be sent."""
+        if self._head is None and not self._body and not self._is_finished:
             return
         await self._turn.wait()
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self._n_pending = 0
+        data = self._render_pending()
         try:
             await self._exchange.connection.send(data)
         except sockets.ConnectionLostError as fault:
             raise _call.SinkLostError(str(fault)) from None
 
     async def finish(self) -> None:
-        """Render the end of the response and flush."""
-        self._render(h11.EndOfMessage())
+        """Add the end of the response and flush."""
+        self._is_finished = True
         await self.flush()
 
-    def _render(self, event: "h11.Event") -> None:
+    def _render_pending(self) -> bytes:
+        events: list[h11.Event] = []
+        if self._head is not None:
+            events.append(self._build_response(self._head))
+        if self._body:
+            events.append(h11.Data(data=bytes(self._body)))
+        if self._is_finished:
+            events.append(h11.EndOfMessage())
+        self._head = None
+        self._body.clear()
+        self._is_finished = False
         try:
-            data = self._exchange.http.send(event)
+            return b"".join(self._exchange.http.send(row) or b"" for row in events)
         except h11.LocalProtocolError as fault:
             raise _call.SinkLostError(str(fault)) from None
-        if data:
-            self._parts.append(data)
-            self._n_pending += len(data)
+
+    def _build_response(self, head: _call.HttpResponseHead) -> h11.Response:
+        headers = head.headers
+        if self._must_close() or not self._exchange.has_read_request:
+            headers = [*headers, (b"connection", b"close")]
+        return h11.Response(
+            status_code=head.status, headers=headers, reason=head.reason
+        )
 
 
 async def discard_input(connection: sockets.Connection) -> None:
--- a/umberdrum/callpath/_request_pipeline.py
+++ b/umberdrum/callpath/_request_pipeline.py
@@ -22,7 +22,8 @@
     """Requests in progress on one connection, in the order of their responses.
 
     ``is_final`` means that the connection closes after the responses in progress and
-    that no further request is run.
+    that no further request is run. ``is_receiving`` means that a request is being read
+    or waits until it may start, ``has_unparsed`` that bytes were read after it.
     """
 
     def __init__(self, connection: sockets.Connection, nursery: trio.Nursery) -> None:
@@ -30,6 +31,8 @@
         self.nursery = nursery
         self.read_scope = trio.CancelScope()
         self.is_final = False
+        self.is_receiving = False
+        self.has_unparsed = False
         self.n_in_flight = 0
         self._last_done = trio.Event()
         self._last_done.set()
@@ -38,6 +41,7 @@
         """Return the position after all requests so far."""
         position = PipelinePosition(self._last_done)
         self._last_done = position.done
+        self.is_receiving = False
         self.n_in_flight += 1
         return position
 
@@ -50,6 +54,14 @@
         """Return whether no request was added after that of ``position``."""
         return self._last_done is position.done
 
+    def has_next_request(self) -> bool:
+        """Return whether bytes of a request have arrived that is not in progress."""
+        return self.is_receiving or self.has_unparsed or self.connection.has_data()
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or has arrived."""
+        return not self.n_in_flight and not self.has_next_request()
+
     async def wait_for_turn(self) -> None:
         """Wait until the responses to all requests so far were sent."""
         await self._last_done.wait()
--- /dev/null
+++ b/umberdrum/callpath/tests/closing.feature
@@ -0,0 +1,28 @@
+Feature: A daemon ends its callers' connections
+
+  A caller gets a complete response, a refusal, or a close before anything of its
+  request was read.
+
+  Scenario Outline: A planned stop answers <next> behind <earlier>
+    When a daemon that accepts <leave_accept_ms> ms longer is stopped during <earlier>, and <next> follows
+    Then the caller gets <n_responses> complete responses, and only the last announces the close
+
+    Examples:
+      | earlier                         | next      | leave_accept_ms | n_responses |
+      | a response with a late body     | a look-up | 0               | 2           |
+      | a response with a late body     | a look-up | 2500            | 2           |
+      | a response that awaits its turn | a look-up | 0               | 3           |
+      | a response that awaits its turn | a look-up | 2500            | 3           |
+      | a slow response                 | a payment | 2500            | 2           |
+
+  Scenario Outline: A planned stop ends a connection on which requests never pause
+    When a daemon that accepts <leave_accept_ms> ms longer is stopped while <n_ahead> requests always wait
+    Then the caller gets its responses in order, and only the last announces the close
+    And the daemon ends within <limit> s
+
+    Examples:
+      | leave_accept_ms | n_ahead | limit |
+      | 0               | 2       | 2     |
+      | 0               | 4       | 2     |
+      | 2500            | 2       | 4     |
+      | 2500            | 4       | 4     |
--- /dev/null
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -0,0 +1,176 @@
+"""Steps for the ways in which a daemon ends its callers' connections."""
+
+import contextlib
+import json
+import re
+from typing import NamedTuple
+
+import behave
+import trio
+from behave import runner
+
+from umberdrum import sockets
+from umberdrum.callpath.tests import callpath_steps
+from umberdrum.tests import harness
+
+DEADLINE_MS = 5_000
+STOP_AFTER_SECONDS = 0.1
+STREAM_SERVICE_SECONDS = 0.1
+RESPONSE_TIMEOUT_SECONDS = 60.0
+
+
+def _build_request(nonce: str, path: str = "/look", fault: str = "") -> bytes:
+    """Return a request; one to ``/pay`` has a body."""
+    method, body = ("POST", b"x") if path == "/pay" else ("GET", b"")
+    head = (
+        f"{method} {path} HTTP/1.1\r\nHost: pay\r\nx-nonce: {nonce}\r\n"
+        f"umberdrum-deadline-ms: {DEADLINE_MS}\r\n"
+    )
+    if fault:
+        head += f"x-fault: {fault}\r\n"
+    if body:
+        head += f"content-length: {len(body)}\r\n"
+    return head.encode() + b"\r\n" + body
+
+
+class _Exchange(NamedTuple):
+    """Requests sent before the stop, and when the next one follows it."""
+
+    requests: bytes
+    service_seconds: float
+    next_after_seconds: float
+
+
+EXCHANGES = {
+    # The head arrives 0.3 s after the request, the body 0.1 s later.
+    "a response with a late body": _Exchange(
+        _build_request("n0", fault="late-body"), 0.3, 0.25
+    ),
+    "a response that awaits its turn": _Exchange(
+        _build_request("n0", fault="slow") + _build_request("n1"), 0.3, 0.5
+    ),
+    "a slow response": _Exchange(_build_request("n0", fault="slow"), 0.01, 0.5),
+}
+NEXT_PATHS = {"a look-up": "/look", "a payment": "/pay"}
+
+
+class _RawResponse(NamedTuple):
+    """Response as the caller has received it."""
+
+    status: int
+    head: bytes
+    body: bytes
+    is_complete: bool
+
+    @property
+    def announces_close(self) -> bool:
+        """Whether the connection ends after this response."""
+        return b"connection: close" in self.head
+
+
+def _split_responses(raw: bytes) -> list[_RawResponse]:
+    responses: list[_RawResponse] = []
+    while raw:
+        head, _, rest = raw.partition(b"\r\n\r\n")
+        length = re.search(rb"content-length: (\d+)", head)
+        n_bytes = int(length.group(1)) if length else 0
+        body, raw = rest[:n_bytes], rest[n_bytes:]
+        is_complete = length is not None and len(body) == n_bytes
+        status = int(head.split(b" ", 2)[1]) if head.startswith(b"HTTP/1.1 ") else 0
+        responses.append(_RawResponse(status, head.lower(), body, is_complete))
+    return responses
+
+
+async def _receive_until_closed(connection: sockets.Connection) -> bytes:
+    """Return what arrives until the connection ends, also if it is reset."""
+    received = b""
+    try:
+        with trio.fail_after(RESPONSE_TIMEOUT_SECONDS):
+            while data := await connection.receive():
+                received += data
+    except sockets.ConnectionLostError:
+        pass
+    finally:
+        connection.close()
+    return received
+
+
+@behave.when(
+    "a daemon that accepts {leave_accept_ms:d} ms longer is stopped during {earlier}, "
+    "and {following} follows"
+)
+def stop_during_response(
+    context: runner.Context, leave_accept_ms: int, earlier: str, following: str
+) -> None:
+    exchange = EXCHANGES[earlier]
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.service_seconds = exchange.service_seconds
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await caller.send(exchange.requests)
+        await trio.sleep(STOP_AFTER_SECONDS)
+        entry.daemon.stop()
+        await trio.sleep(exchange.next_after_seconds)
+        await caller.send(_build_request("next", NEXT_PATHS[following]))
+        raw = await _receive_until_closed(caller)
+        context.responses = _split_responses(raw)
+
+    callpath_steps.run_with_upstream(test, leave_accept_ms)
+
+
+@behave.then(
+    "the caller gets {n_responses:d} complete responses, and only the last announces "
+    "the close"
+)
+def check_responses(context: runner.Context, n_responses: int) -> None:
+    responses = context.responses
+    assert all(row.is_complete and row.status == 200 for row in responses), responses
+    assert len(responses) == n_responses, responses
+    announced = [row.announces_close for row in responses]
+    assert announced == [False] * (n_responses - 1) + [True], responses
+
+
+@behave.when(
+    "a daemon that accepts {leave_accept_ms:d} ms longer is stopped while "
+    "{n_ahead:d} requests always wait"
+)
+def stop_during_stream(
+    context: runner.Context, leave_accept_ms: int, n_ahead: int
+) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.service_seconds = STREAM_SERVICE_SECONDS
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        for index in range(n_ahead):
+            await caller.send(_build_request(f"n{index}"))
+        n_sent = n_ahead
+        raw = b""
+        stop_at = trio.current_time() + STOP_AFTER_SECONDS
+        while data := await caller.receive():
+            raw += data
+            if trio.current_time() >= stop_at:
+                entry.daemon.stop()
+            with contextlib.suppress(sockets.ConnectionLostError):
+                while n_sent < raw.count(b"HTTP/1.1 ") + n_ahead:
+                    await caller.send(_build_request(f"n{n_sent}"))
+                    n_sent += 1
+        caller.close()
+        context.responses = _split_responses(raw)
+        await entry.daemon.wait_stopped()
+        context.stop_seconds = trio.current_time() - stop_at
+
+    callpath_steps.run_with_upstream(test, leave_accept_ms)
+
+
+@behave.then(
+    "the caller gets its responses in order, and only the last announces the close"
+)
+def check_stream(context: runner.Context) -> None:
+    responses = context.responses
+    check_responses(context, len(responses))
+    nonces = [json.loads(row.body)["nonce"] for row in responses]
+    assert nonces == [f"n{index}" for index in range(len(responses))], nonces
+
+
+@behave.then("the daemon ends within {limit:d} s")
+def check_stop_seconds(context: runner.Context, limit: int) -> None:
+    assert context.stop_seconds <= limit, context.stop_seconds
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -186,6 +186,7 @@
         state: str = "serving",
         seeds: tuple[settings.Address, ...] = (),
         host: str = HOST,
+        leave_accept_ms: int = 0,
     ) -> Node:
         """Start one endpoint; ``replaces`` gives it the addresses of an earlier one."""
         if replaces is not None:
@@ -194,7 +195,9 @@
         else:
             node_settings = self._build_settings(zone, region, has_link, host)
             upstream = upstreams.FakeUpstream(find_free_address())
-        node_settings = node_settings._replace(seeds=seeds)
+        node_settings = node_settings._replace(
+            seeds=seeds, leave_accept_ms=leave_accept_ms
+        )
         logger = logging.Logger(f"node-{len(self.nodes)}")
         log_handler = _LogCollector()
         logger.addHandler(log_handler)
