Let a stopping daemon wait for the requests that it is still reading

A daemon ended as soon as no request was in progress. A request whose head or body was partly received, or which waited behind another on its connection, didn't count as one; its connection was cut with no answer, as was a response whose connection still lingered.

The daemon now waits until its accept loop has ended, thus until each connection is closed, for the rest of the grace period at most. Idle connections are closed when the listener is, so that no count of requests is needed beside the connections.

In umberdrum/daemon/_daemon.py the accept task and the wait call the caller server.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -1,6 +1,7 @@
 """Server side of callers' HTTP/1.1 connections at an entry daemon."""
 
 import math
+import socket
 
 import trio
 
@@ -50,8 +51,7 @@
         self._idle_pipelines: set[_request_pipeline.RequestPipeline] = set()
         self._serving_since = trio.current_time()
         self._listening_since = self._serving_since
-        self._n_serving = 0
-        self._idle_event = trio.Event()
+        self._closed = trio.Event()
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Serve the requests of one connection until it ends."""
@@ -71,11 +71,14 @@
         """Set since when callers could connect, if before this server was created."""
         self._listening_since = since
 
-    async def wait_until_idle(self) -> None:
-        """Return once no request is being served."""
-        while self._n_serving:
-            self._idle_event = trio.Event()
-            await self._idle_event.wait()
+    async def accept(self, listener: socket.socket, max_connections: int) -> None:
+        """Serve the connections of ``listener`` until it is closed and they ended."""
+        await sockets.accept_connections(listener, self.serve, max_connections)
+        self._closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until ``accept`` has ended, after ``start_closing``."""
+        await self._closed.wait()
 
     def start_draining(self) -> None:
         """Close each connection after the responses to the requests it has sent."""
@@ -185,7 +188,6 @@
             if pipeline.is_final:
                 return
         position = pipeline.add_request()
-        self._n_serving += 1
         if may_overlap:
             pipeline.nursery.start_soon(
                 self._respond, pipeline, position, exchange, request, body
@@ -209,8 +211,6 @@
         except (sockets.ConnectionLostError, _call.SinkLostError):
             pipeline.nursery.cancel_scope.cancel()
         finally:
-            self._n_serving -= 1
-            self._idle_event.set()
             pipeline.remove_request(position)
             if is_last or (self.is_closing and pipeline.is_idle()):
                 pipeline.close()
--- a/umberdrum/callpath/tests/closing.feature
+++ b/umberdrum/callpath/tests/closing.feature
@@ -13,6 +13,7 @@
       | a response with a late body     | a look-up | 2500            | 2           |
       | a response that awaits its turn | a look-up | 0               | 3           |
       | a response that awaits its turn | a look-up | 2500            | 3           |
+      | a slow response                 | a payment | 0               | 2           |
       | a slow response                 | a payment | 2500            | 2           |
 
   Scenario Outline: A planned stop ends a connection on which requests never pause
@@ -26,3 +27,16 @@
       | 0               | 4       | 2     |
       | 2500            | 2       | 4     |
       | 2500            | 4       | 4     |
+
+  Scenario Outline: A planned stop waits for requests on their way
+    When a daemon that accepts <leave_accept_ms> ms longer closes its listener <moment>
+    Then each of them gets a complete response
+
+    Examples:
+      | leave_accept_ms | moment                           |
+      | 0               | with half a head received        |
+      | 0               | with half a body received        |
+      | 2500            | with half a head received        |
+      | 2500            | with half a body received        |
+      | 0               | just as 40 callers send requests |
+      | 2500            | just as 40 callers send requests |
--- a/umberdrum/callpath/tests/closing_steps.py
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -3,10 +3,12 @@
 import contextlib
 import json
 import re
+import socket
 from typing import NamedTuple
 
 import behave
 import trio
+import trio.testing
 from behave import runner
 
 from umberdrum import sockets
@@ -15,6 +17,7 @@
 
 DEADLINE_MS = 5_000
 STOP_AFTER_SECONDS = 0.1
+CONNECT_BEFORE_SECONDS = 0.02
 STREAM_SERVICE_SECONDS = 0.1
 RESPONSE_TIMEOUT_SECONDS = 60.0
 
@@ -174,3 +177,59 @@
 @behave.then("the daemon ends within {limit:d} s")
 def check_stop_seconds(context: runner.Context, limit: int) -> None:
     assert context.stop_seconds <= limit, context.stop_seconds
+
+
+class _Arrival(NamedTuple):
+    """Parts of requests before and after a daemon closes its listener.
+
+    ``read_seconds`` is the time that the daemon has to read the first part.
+    """
+
+    first: bytes
+    rest: bytes
+    n_callers: int
+    read_seconds: float
+    after_seconds: float
+
+
+PAYMENT = _build_request("p", "/pay")
+ARRIVALS = {
+    "with half a head received": _Arrival(PAYMENT[:20], PAYMENT[20:], 1, 0.01, 1.5),
+    "with half a body received": _Arrival(PAYMENT[:-1], PAYMENT[-1:], 1, 0.01, 1.5),
+    "just after 40 callers have connected": _Arrival(b"", PAYMENT, 40, 0.0, 0.05),
+    "just as 40 callers send requests": _Arrival(PAYMENT, b"", 40, 0.0, 0.0),
+}
+
+
+@behave.when(
+    "a daemon that accepts {leave_accept_ms:d} ms longer closes its listener {moment}"
+)
+def close_listener(context: runner.Context, leave_accept_ms: int, moment: str) -> None:
+    arrival = ARRIVALS[moment]
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        if leave_accept_ms:
+            entry.daemon.stop()
+            await trio.sleep(leave_accept_ms / 1000 - CONNECT_BEFORE_SECONDS)
+        address = entry.settings.caller_listen
+        raw_sockets = [
+            socket.create_connection((address.host, address.port))
+            for _ in range(arrival.n_callers)
+        ]
+        for raw_socket in raw_sockets:
+            raw_socket.sendall(arrival.first)
+        callers = [sockets.Connection(row) for row in raw_sockets]
+        if arrival.read_seconds:
+            await trio.sleep(arrival.read_seconds)
+        # Without a wait in between, the listener is closed before all are accepted.
+        entry.daemon.stop()
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(CONNECT_BEFORE_SECONDS)
+        await trio.sleep(arrival.after_seconds)
+        for caller in callers:
+            with contextlib.suppress(sockets.ConnectionLostError):
+                await caller.send(arrival.rest)
+        context.responses = [await _receive_until_closed(row) for row in callers]
+
+    callpath_steps.run_with_upstream(test, leave_accept_ms)
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -172,9 +172,7 @@
     ) -> None:
         accept = sockets.accept_connections
         max_callers = self._settings.max_connections
-        nursery.start_soon(
-            accept, listeners.caller, parts.caller_server.serve, max_callers
-        )
+        nursery.start_soon(parts.caller_server.accept, listeners.caller, max_callers)
         nursery.start_soon(
             accept, listeners.peer, parts.peer_server.serve, MAX_PEER_CONNECTIONS
         )
@@ -229,6 +227,6 @@
         await trio.sleep_until(min(gossip_until, grace_until))
         with trio.move_on_at(grace_until) as scope:
             await parts.endpoint.wait_until_idle()
-            await parts.caller_server.wait_until_idle()
+            await parts.caller_server.wait_closed()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
