Count the idle timeout from the last response, and close at once when it ends

A caller's kept connection was closed too early: the idle timeout ran from the moment at which the last request had been read, so that a caller that had waited 2 s for a response had 2 s less. A request that arrived as the timeout passed was dropped, because the daemon didn't look for data after its timer, and because the connection was closed some passes of the scheduler after the decision. The close of an idle connection during a stop had the same gap.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -142,7 +142,9 @@
             return False
         if pipeline.n_in_flight and trio.current_time() >= self._read_until:
             pipeline.is_final = True
-        return pipeline.is_final or pipeline.is_idle()
+        if pipeline.is_idle():
+            pipeline.connection.close()
+        return pipeline.is_final or pipeline.connection.is_closed
 
     def _get_backlog_seconds(
         self, pipeline: _request_pipeline.RequestPipeline
@@ -172,6 +174,8 @@
             self._idle_pipelines.discard(pipeline)
         if pipeline.n_in_flight:
             raise sockets.ConnectionLostError("the caller has closed the connection")
+        # No request may arrive between the check for data and the close.
+        pipeline.connection.close()
         return False
 
     async def _start(
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 exchange of one request and its response on a caller's connection."""
 
+import math
 from collections.abc import Callable
 from typing import NamedTuple
 
@@ -63,17 +64,21 @@
     ) -> bool:
         """Return whether the caller began another request before the idle timeout.
 
-        The connection is idle only while no request is in progress.
+        The connection is idle only while no request is in progress. A request that
+        arrives just as the timeout passes is read.
         """
-        idle_since = trio.current_time()
+        waiting_since = trio.current_time()
         while True:
+            now = trio.current_time()
+            idle_since = max(waiting_since, pipeline.last_response_at)
+            if pipeline.n_in_flight:
+                idle_since = now
             # The timeout may have been increased while the connection was idle.
             close_at = idle_since + self._get_limits().idle_timeout_seconds
-            if pipeline.n_in_flight:
-                idle_since = trio.current_time()
-                close_at = idle_since + self._get_limits().idle_timeout_seconds
-            if trio.current_time() >= close_at:
-                return False
+            if now >= close_at:
+                if not self.connection.has_data():
+                    return False
+                close_at = math.inf
             with trio.move_on_at(close_at):
                 data = await self.connection.receive()
                 self.http.receive_data(data)
--- a/umberdrum/callpath/_request_pipeline.py
+++ b/umberdrum/callpath/_request_pipeline.py
@@ -1,5 +1,7 @@
 """Requests in progress on a caller's connection, in the order of their responses."""
 
+import math
+
 import trio
 
 from umberdrum import sockets
@@ -34,6 +36,7 @@
         self.is_receiving = False
         self.has_unparsed = False
         self.n_in_flight = 0
+        self.last_response_at = -math.inf
         self._last_done = trio.Event()
         self._last_done.set()
 
@@ -48,6 +51,7 @@
     def remove_request(self, position: PipelinePosition) -> None:
         """Allow the next response to be sent."""
         self.n_in_flight -= 1
+        self.last_response_at = trio.current_time()
         position.done.set()
 
     def is_newest(self, position: PipelinePosition) -> bool:
--- a/umberdrum/callpath/tests/closing.feature
+++ b/umberdrum/callpath/tests/closing.feature
@@ -40,3 +40,20 @@
       | 2500            | with half a body received        |
       | 0               | just as 40 callers send requests |
       | 2500            | just as 40 callers send requests |
+
+  Scenario Outline: A request meets the idle timeout
+    When a caller sends a request <seconds> s after a response that took 2 s, idle timeout 5 s
+    Then each of them gets a complete response
+
+    Examples:
+      | seconds |
+      | 4       |
+      | 4.9     |
+
+  Scenario: Requests arrive at the moment of the idle timeout
+    When 6 callers in turn send a request at the moment of the idle timeout, unless closed
+    Then each of them gets a complete response
+
+  Scenario: An idle connection is closed
+    When a caller stays idle for the idle timeout
+    Then it is disconnected after 4.9 to 5.1 s with no response
--- a/umberdrum/callpath/tests/closing_steps.py
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -11,13 +11,14 @@
 import trio.testing
 from behave import runner
 
-from umberdrum import sockets
+from umberdrum import callpath, sockets
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.tests import harness
 
 DEADLINE_MS = 5_000
 STOP_AFTER_SECONDS = 0.1
 CONNECT_BEFORE_SECONDS = 0.02
+IDLE_TIMEOUT_SECONDS = 5.0
 STREAM_SERVICE_SECONDS = 0.1
 RESPONSE_TIMEOUT_SECONDS = 60.0
 
@@ -233,3 +234,73 @@
         context.responses = [await _receive_until_closed(row) for row in callers]
 
     callpath_steps.run_with_upstream(test, leave_accept_ms)
+
+
+def _set_idle_timeout(entry: harness.Node) -> None:
+    """Give the callers of ``entry`` an idle timeout of ``IDLE_TIMEOUT_SECONDS``."""
+    parts = entry.daemon.parts
+    assert parts is not None
+    limits = callpath.CallerLimits(65_536, 3.0, 3.0, IDLE_TIMEOUT_SECONDS)
+    parts.caller_server._get_limits = lambda: limits
+
+
+async def _receive_first(caller: sockets.Connection) -> None:
+    first = await caller.receive()
+    assert first.startswith(b"HTTP/1.1 200"), first
+
+
+@behave.when(
+    "a caller sends a request {seconds:g} s after a response that took 2 s, "
+    "idle timeout 5 s"
+)
+def send_after_idle(context: runner.Context, seconds: float) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        _set_idle_timeout(entry)
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await caller.send(_build_request("n0", fault="slow"))
+        await _receive_first(caller)
+        await trio.sleep(seconds)
+        with contextlib.suppress(sockets.ConnectionLostError):
+            await caller.send(_build_request("n1"))
+        context.responses = [await _receive_until_closed(caller)]
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when(
+    "{n_callers:d} callers in turn send a request at the moment of the idle timeout, "
+    "unless closed"
+)
+def send_at_timeout(context: runner.Context, n_callers: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        _set_idle_timeout(entry)
+        context.responses = []
+        for _ in range(n_callers):
+            caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+            idle_until = trio.current_time() + IDLE_TIMEOUT_SECONDS
+            # The daemon's timer and this one expire in the same pass of the scheduler.
+            await trio.sleep_until(idle_until)
+            if caller.is_lost():
+                continue
+            await caller.send(_build_request("n1"))
+            context.responses.append(await _receive_until_closed(caller))
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when("a caller stays idle for the idle timeout")
+def stay_idle(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        _set_idle_timeout(entry)
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        connected_at = trio.current_time()
+        context.raw = await _receive_until_closed(caller)
+        context.seconds = trio.current_time() - connected_at
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("it is disconnected after {low:g} to {high:g} s with no response")
+def check_idle_close(context: runner.Context, low: float, high: float) -> None:
+    assert low <= context.seconds <= high, context.seconds
+    assert context.raw == b"", context.raw
