Give a new caller's connection time for its first request during a stop

A caller that had just connected when the daemon closed its listener, and sent its request a moment later, was disconnected: a connection without bytes was closed like an idle one. It now has 0.2 s for its first request. Connections that have carried a request are closed at once as before.

Before: 40 of 40 callers that sent their request 50 ms after the close of the listener got no answer, both with and without a time in which a leaving daemon still accepts connections. Such connections cost the stop 0.2 s at most.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -18,6 +18,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # Connections made during the start are accepted in the first passes of the event loop.
 STARTUP_ACCEPT_SECONDS = 1.0
+# A caller has connected before it sends its first request.
+FIRST_REQUEST_SECONDS = 0.2
 LAST_REQUESTS_SECONDS = 1.0
 SAFE_METHODS = frozenset((b"GET", b"HEAD"))
 
@@ -96,7 +98,14 @@
         for pipeline in list(self._idle_pipelines):
             # Other connections are closed after their last response.
             if pipeline.is_idle():
-                pipeline.connection.close()
+                self._close_idle(pipeline)
+
+    def _close_idle(self, pipeline: _request_pipeline.RequestPipeline) -> None:
+        """Close an idle connection, a new one only if no request follows soon."""
+        if pipeline.is_unused:
+            pipeline.limit_idle_time(FIRST_REQUEST_SECONDS)
+        else:
+            pipeline.connection.close()
 
     async def _read_requests(self, pipeline: _request_pipeline.RequestPipeline) -> None:
         """Read and start requests until the connection is to be closed."""
@@ -112,7 +121,7 @@
             )
             if not unparsed and not await self._wait_for_bytes(exchange, pipeline):
                 return
-            pipeline.is_receiving = True
+            pipeline.start_receiving()
             try:
                 waited_seconds = (
                     self._get_backlog_seconds(pipeline) if is_first else 0.0
@@ -143,7 +152,7 @@
         if pipeline.n_in_flight and trio.current_time() >= self._read_until:
             pipeline.is_final = True
         if pipeline.is_idle():
-            pipeline.connection.close()
+            self._close_idle(pipeline)
         return pipeline.is_final or pipeline.connection.is_closed
 
     def _get_backlog_seconds(
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -75,11 +75,12 @@
                 idle_since = now
             # The timeout may have been increased while the connection was idle.
             close_at = idle_since + self._get_limits().idle_timeout_seconds
+            close_at = min(close_at, pipeline.idle_until)
             if now >= close_at:
                 if not self.connection.has_data():
                     return False
                 close_at = math.inf
-            with trio.move_on_at(close_at):
+            with pipeline.start_idle_wait(close_at):
                 data = await self.connection.receive()
                 self.http.receive_data(data)
                 return bool(data)
--- a/umberdrum/callpath/_request_pipeline.py
+++ b/umberdrum/callpath/_request_pipeline.py
@@ -26,6 +26,7 @@
     ``is_final`` means that the connection closes after the responses in progress and
     that no further request is run. ``is_receiving`` means that a request is being read
     or waits until it may start, ``has_unparsed`` that bytes were read after it.
+    ``is_unused`` means that no request has begun on the connection.
     """
 
     def __init__(self, connection: sockets.Connection, nursery: trio.Nursery) -> None:
@@ -33,6 +34,9 @@
         self.nursery = nursery
         self.read_scope = trio.CancelScope()
         self.is_final = False
+        self.is_unused = True
+        self.idle_until = math.inf
+        self._idle_scope = trio.CancelScope()
         self.is_receiving = False
         self.has_unparsed = False
         self.n_in_flight = 0
@@ -58,6 +62,25 @@
         """Return whether no request was added after that of ``position``."""
         return self._last_done is position.done
 
+    def start_receiving(self) -> None:
+        """Note that the next request has begun."""
+        self.is_receiving = True
+        self.is_unused = False
+        self.idle_until = math.inf
+
+    def start_idle_wait(self, until: float) -> trio.CancelScope:
+        """Return a scope in which to wait for bytes ``until`` that time.
+
+        It ends earlier if ``limit_idle_time`` demands it.
+        """
+        self._idle_scope = trio.CancelScope(deadline=until)
+        return self._idle_scope
+
+    def limit_idle_time(self, seconds: float) -> None:
+        """Let the connection be closed if no request begins for that long."""
+        self.idle_until = trio.current_time() + seconds
+        self._idle_scope.deadline = min(self._idle_scope.deadline, self.idle_until)
+
     def has_next_request(self) -> bool:
         """Return whether bytes of a request have arrived that is not in progress."""
         return self.is_receiving or self.has_unparsed or self.connection.has_data()
--- a/umberdrum/callpath/tests/closing.feature
+++ b/umberdrum/callpath/tests/closing.feature
@@ -33,13 +33,15 @@
     Then each of them gets a complete response
 
     Examples:
-      | leave_accept_ms | moment                           |
-      | 0               | with half a head received        |
-      | 0               | with half a body received        |
-      | 2500            | with half a head received        |
-      | 2500            | with half a body received        |
-      | 0               | just as 40 callers send requests |
-      | 2500            | just as 40 callers send requests |
+      | leave_accept_ms | moment                               |
+      | 0               | just after 40 callers have connected |
+      | 2500            | just after 40 callers have connected |
+      | 0               | with half a head received            |
+      | 0               | with half a body received            |
+      | 2500            | with half a head received            |
+      | 2500            | with half a body received            |
+      | 0               | just as 40 callers send requests     |
+      | 2500            | just as 40 callers send requests     |
 
   Scenario Outline: A request meets the idle timeout
     When a caller sends a request <seconds> s after a response that took 2 s, idle timeout 5 s
@@ -57,3 +59,7 @@
   Scenario: An idle connection is closed
     When a caller stays idle for the idle timeout
     Then it is disconnected after 4.9 to 5.1 s with no response
+
+  Scenario: A planned stop closes connections on which no request follows
+    When a daemon is stopped with 3 open connections on which nothing follows
+    Then each of them is closed within 0.5 s, and the daemon ends within 1.5 s
--- a/umberdrum/callpath/tests/closing_steps.py
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -304,3 +304,34 @@
 def check_idle_close(context: runner.Context, low: float, high: float) -> None:
     assert low <= context.seconds <= high, context.seconds
     assert context.raw == b"", context.raw
+
+
+@behave.when(
+    "a daemon is stopped with {n_connections:d} open connections on which nothing "
+    "follows"
+)
+def stop_unused(context: runner.Context, n_connections: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        address = entry.settings.caller_listen
+        callers = [await sockets.connect(address, 1.0) for _ in range(n_connections)]
+        await trio.sleep(STOP_AFTER_SECONDS)
+        stopped_at = trio.current_time()
+        entry.daemon.stop()
+        context.raws = [await _receive_until_closed(caller) for caller in callers]
+        context.close_seconds = trio.current_time() - stopped_at
+        await entry.daemon.wait_stopped()
+        context.stop_seconds = trio.current_time() - stopped_at
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then(
+    "each of them is closed within {close_limit:g} s, and the daemon ends within "
+    "{stop_limit:g} s"
+)
+def check_unused(
+    context: runner.Context, close_limit: float, stop_limit: float
+) -> None:
+    assert not any(context.raws), context.raws
+    assert context.close_seconds <= close_limit, context.close_seconds
+    assert context.stop_seconds <= stop_limit, context.stop_seconds
