--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -1,5 +1,8 @@
 """Server side of callers' HTTP/1.1 connections at an entry daemon."""
 
+import math
+import socket
+
 import expression
 import trio
 
@@ -16,6 +19,9 @@
 MAX_PIPELINED_REQUESTS = 8
 # Connections made during the start are accepted in the first passes of the event loop.
 STARTUP_ACCEPT_SECONDS = 1.0
+# A caller has connected before it sends its first request.
+FIRST_REQUEST_SECONDS = 0.2
+LAST_REQUESTS_SECONDS = 1.0
 SAFE_METHODS = frozenset((b"GET", b"HEAD"))
 
 
@@ -46,11 +52,11 @@
         self._daemon_id = daemon_id
         self.is_draining = False
         self.is_closing = False
+        self._read_until = math.inf
         self._idle_pipelines: set[_request_pipeline.RequestPipeline] = set()
         self._serving_since = trio.current_time()
         self._listening_since = self._serving_since
-        self._n_serving = 0
-        self._idle_event = trio.Event()
+        self._closed = trio.Event()
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Serve the requests of one connection until it ends."""
@@ -70,30 +76,45 @@
         """Set since when callers could connect, if before this server was created."""
         self._listening_since = since
 
-    async def wait_until_idle(self) -> None:
-        """Return once no request is being served."""
-        while self._n_serving:
-            self._idle_event = trio.Event()
-            await self._idle_event.wait()
+    async def accept(self, listener: socket.socket, max_connections: int) -> None:
+        """Serve the connections of ``listener`` until it is closed and they ended."""
+        await sockets.accept_connections(listener, self.serve, max_connections)
+        self._closed.set()
+
+    async def wait_closed(self) -> None:
+        """Wait until ``accept`` has ended, after ``start_closing``."""
+        await self._closed.wait()
 
     def start_draining(self) -> None:
         """Close each connection after the responses to the requests it has sent."""
         self.is_draining = True
 
     def start_closing(self) -> None:
-        """Close idle connections now and the others after their current requests."""
+        """Close idle connections now and the others after their current requests.
+
+        A caller that sends requests without a pause is disconnected after
+        ``LAST_REQUESTS_SECONDS``.
+        """
         self.is_draining = True
         self.is_closing = True
+        self._read_until = trio.current_time() + LAST_REQUESTS_SECONDS
         for pipeline in list(self._idle_pipelines):
             # Other connections are closed after their last response.
-            if not pipeline.n_in_flight and not pipeline.connection.has_data():
-                pipeline.connection.close()
+            if pipeline.is_idle():
+                self._close_idle(pipeline)
+
+    def _close_idle(self, pipeline: _request_pipeline.RequestPipeline) -> None:
+        """Close an idle connection, a new one only if no request follows soon."""
+        if pipeline.is_unused:
+            pipeline.limit_idle_time(FIRST_REQUEST_SECONDS)
+        else:
+            pipeline.connection.close()
 
     async def _read_requests(self, pipeline: _request_pipeline.RequestPipeline) -> None:
         """Read and start requests until the connection is to be closed."""
         unparsed = b""
         is_first = True
-        while not pipeline.is_final and not self._must_stop_reading(pipeline, unparsed):
+        while not pipeline.is_final and not self._must_stop_reading(pipeline):
             exchange = _caller_exchange.CallerExchange(
                 pipeline.connection,
                 self._get_limits,
@@ -103,6 +124,7 @@
             )
             if not unparsed and not await self._wait_for_bytes(exchange, pipeline):
                 return
+            pipeline.start_receiving()
             try:
                 waited_seconds = (
                     self._get_backlog_seconds(pipeline) if is_first else 0.0
@@ -123,13 +145,18 @@
                 return
             is_first = False
             unparsed = exchange.get_unparsed()
+            pipeline.has_unparsed = bool(unparsed)
             await self._start(pipeline, exchange, request, body)
 
-    def _must_stop_reading(
-        self, pipeline: _request_pipeline.RequestPipeline, unparsed: bytes
-    ) -> bool:
-        """Return whether this server closes and no request has arrived meanwhile."""
-        return self.is_closing and not unparsed and not pipeline.connection.has_data()
+    def _must_stop_reading(self, pipeline: _request_pipeline.RequestPipeline) -> bool:
+        """Return whether this server closes and takes no more from the connection."""
+        if not self.is_closing:
+            return False
+        if pipeline.n_in_flight and trio.current_time() >= self._read_until:
+            pipeline.is_final = True
+        if pipeline.is_idle():
+            self._close_idle(pipeline)
+        return pipeline.is_final or pipeline.connection.is_closed
 
     def _get_backlog_seconds(
         self, pipeline: _request_pipeline.RequestPipeline
@@ -159,6 +186,8 @@
             self._idle_pipelines.discard(pipeline)
         if pipeline.n_in_flight:
             raise sockets.ConnectionLostError("the caller has closed the connection")
+        # No request may arrive between the check for data and the close.
+        pipeline.connection.close()
         return False
 
     async def _start(
@@ -175,7 +204,6 @@
             if pipeline.is_final:
                 return
         position = pipeline.add_request()
-        self._n_serving += 1
         if may_overlap:
             pipeline.nursery.start_soon(
                 self._respond, pipeline, position, exchange, request, body
@@ -199,10 +227,8 @@
         except (sockets.ConnectionLostError, _call.SinkLostError):
             pipeline.nursery.cancel_scope.cancel()
         finally:
-            self._n_serving -= 1
-            self._idle_event.set()
             pipeline.remove_request(position)
-            if is_last or (self.is_closing and not pipeline.n_in_flight):
+            if is_last or (self.is_closing and pipeline.is_idle()):
                 pipeline.close()
 
     async def _respond_in_order(
@@ -267,7 +293,14 @@
         pipeline: _request_pipeline.RequestPipeline,
         position: _request_pipeline.PipelinePosition,
     ) -> bool:
-        """Return whether the connection closes after the response at ``position``."""
+        """Return whether the connection closes after the response at ``position``.
+
+        A stopping server closes it after the last request that has arrived.
+        """
         if self.is_draining and pipeline.is_newest(position):
-            pipeline.is_final = True
+            is_over = trio.current_time() >= self._read_until
+            if not pipeline.has_next_request() or (
+                is_over and not pipeline.is_receiving
+            ):
+                pipeline.is_final = True
         return pipeline.is_final and pipeline.is_newest(position)
--- a/umberdrum/callpath/_request_pipeline.py
+++ b/umberdrum/callpath/_request_pipeline.py
@@ -1,5 +1,7 @@
 """Requests in progress on a caller's connection, in the order of their responses."""
 
+import math
+
 import trio
 
 from umberdrum import sockets
@@ -22,7 +24,9 @@
     """Requests in progress on one connection, in the order of their responses.
 
     ``is_final`` means that the connection closes after the responses in progress and
-    that no further request is run.
+    that no further request is run. ``is_receiving`` means that a request is being read
+    or waits until it may start, ``has_unparsed`` that bytes were read after it.
+    ``is_unused`` means that no request has begun on the connection.
     """
 
     def __init__(self, connection: sockets.Connection, nursery: trio.Nursery) -> None:
@@ -30,7 +34,13 @@
         self.nursery = nursery
         self.read_scope = trio.CancelScope()
         self.is_final = False
+        self.is_unused = True
+        self.idle_until = math.inf
+        self._idle_scope = trio.CancelScope()
+        self.is_receiving = False
+        self.has_unparsed = False
         self.n_in_flight = 0
+        self.last_response_at = -math.inf
         self._last_done = trio.Event()
         self._last_done.set()
 
@@ -38,18 +48,47 @@
         """Return the position after all requests so far."""
         position = PipelinePosition(self._last_done)
         self._last_done = position.done
+        self.is_receiving = False
         self.n_in_flight += 1
         return position
 
     def remove_request(self, position: PipelinePosition) -> None:
         """Allow the next response to be sent."""
         self.n_in_flight -= 1
+        self.last_response_at = trio.current_time()
         position.done.set()
 
     def is_newest(self, position: PipelinePosition) -> bool:
         """Return whether no request was added after that of ``position``."""
         return self._last_done is position.done
 
+    def start_receiving(self) -> None:
+        """Note that the next request has begun."""
+        self.is_receiving = True
+        self.is_unused = False
+        self.idle_until = math.inf
+
+    def start_idle_wait(self, until: float) -> trio.CancelScope:
+        """Return a scope in which to wait for bytes ``until`` that time.
+
+        It ends earlier if ``limit_idle_time`` demands it.
+        """
+        self._idle_scope = trio.CancelScope(deadline=until)
+        return self._idle_scope
+
+    def limit_idle_time(self, seconds: float) -> None:
+        """Let the connection be closed if no request begins for that long."""
+        self.idle_until = trio.current_time() + seconds
+        self._idle_scope.deadline = min(self._idle_scope.deadline, self.idle_until)
+
+    def has_next_request(self) -> bool:
+        """Return whether bytes of a request have arrived that is not in progress."""
+        return self.is_receiving or self.has_unparsed or self.connection.has_data()
+
+    def is_idle(self) -> bool:
+        """Return whether no request is in progress or has arrived."""
+        return not self.n_in_flight and not self.has_next_request()
+
     async def wait_for_turn(self) -> None:
         """Wait until the responses to all requests so far were sent."""
         await self._last_done.wait()
--- /dev/null
+++ b/umberdrum/callpath/tests/closing.feature
@@ -0,0 +1,65 @@
+Feature: A daemon ends its callers' connections
+
+  A caller gets a complete response, a refusal, or a close before anything of its
+  request was read.
+
+  Scenario Outline: A planned stop answers <next> behind <earlier>
+    When a daemon that accepts <leave_accept_ms> ms longer is stopped during <earlier>, and <next> follows
+    Then the caller gets <n_responses> complete responses, and only the last announces the close
+
+    Examples:
+      | earlier                         | next      | leave_accept_ms | n_responses |
+      | a response with a late body     | a look-up | 0               | 2           |
+      | a response with a late body     | a look-up | 2500            | 2           |
+      | a response that awaits its turn | a look-up | 0               | 3           |
+      | a response that awaits its turn | a look-up | 2500            | 3           |
+      | a slow response                 | a payment | 0               | 2           |
+      | a slow response                 | a payment | 2500            | 2           |
+
+  Scenario Outline: A planned stop ends a connection on which requests never pause
+    When a daemon that accepts <leave_accept_ms> ms longer is stopped while <n_ahead> requests always wait
+    Then the caller gets its responses in order, and only the last announces the close
+    And the daemon ends within <limit> s
+
+    Examples:
+      | leave_accept_ms | n_ahead | limit |
+      | 0               | 2       | 2     |
+      | 0               | 4       | 2     |
+      | 2500            | 2       | 4     |
+      | 2500            | 4       | 4     |
+
+  Scenario Outline: A planned stop waits for requests on their way
+    When a daemon that accepts <leave_accept_ms> ms longer closes its listener <moment>
+    Then each of them gets a complete response
+
+    Examples:
+      | leave_accept_ms | moment                               |
+      | 0               | just after 40 callers have connected |
+      | 2500            | just after 40 callers have connected |
+      | 0               | with half a head received            |
+      | 0               | with half a body received            |
+      | 2500            | with half a head received            |
+      | 2500            | with half a body received            |
+      | 0               | just as 40 callers send requests     |
+      | 2500            | just as 40 callers send requests     |
+
+  Scenario Outline: A request meets the idle timeout
+    When a caller sends a request <seconds> s after a response that took 2 s, idle timeout 5 s
+    Then each of them gets a complete response
+
+    Examples:
+      | seconds |
+      | 4       |
+      | 4.9     |
+
+  Scenario: Requests arrive at the moment of the idle timeout
+    When 6 callers in turn send a request at the moment of the idle timeout, unless closed
+    Then each of them gets a complete response
+
+  Scenario: An idle connection is closed
+    When a caller stays idle for the idle timeout
+    Then it is disconnected after 4.9 to 5.1 s with no response
+
+  Scenario: A planned stop closes connections on which no request follows
+    When a daemon is stopped with 3 open connections on which nothing follows
+    Then each of them is closed within 0.5 s, and the daemon ends within 1.5 s
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -196,9 +196,7 @@
         server = parts.caller_server
         peer_server = parts.peer_server
         keep_running = tasks.keep_running
-        keep_running(
-            "accept_callers", accept, listeners.caller, server.serve, max_callers
-        )
+        keep_running("accept_callers", server.accept, listeners.caller, max_callers)
         keep_running(
             "accept_peers",
             accept,
@@ -267,6 +265,6 @@
         await trio.sleep_until(min(gossip_until, grace_until))
         with trio.move_on_at(grace_until) as scope:
             await parts.endpoint.wait_until_idle()
-            await parts.caller_server.wait_until_idle()
+            await parts.caller_server.wait_closed()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
