Close peer links for requests before a daemon ends

Calls that outlast the grace period ended as outcome-unknown (payment, also one whose outcome was being queried) or link-broke (lookup). Cause: the end of the daemon's task group closed each link as it was. A call frame that the kernel had accepted and the daemon had not read was reset with the link, and the entry daemon can't tell that from a crash. The query of the outcome then found no process. Ruled out: calls of which the daemon has read the frame; the stop waits for them, and refusals are written in the same step. A clean end of the stream as a proof of "not run": the kernel also sends one for a process that is killed. Change: between two exchanges, a daemon that stops sends a frame of the new kind CLOSING, ends its direction of the link and drops what still arrives. A call whose first answer is that frame has not run; the entry sends it elsewhere as a detour. Links are closed from the beginning of the stop; new ones get their first exchange, so that outcomes can be queried until the end. The end waits up to 0.3 s for links on which a request may still arrive, and tells the peers of calls that it cuts what is known of them. A call frame that could not be sent completely is no longer reported as may-have-run.

--- a/umberdrum/callpath/_peer_client.py
+++ b/umberdrum/callpath/_peer_client.py
@@ -105,15 +105,35 @@
         body: _call.RequestBody,
         sink: _sinks.TrackingSink,
     ) -> PeerCallResult:
-        """Send the request and relay the response; the link is reusable on return."""
+        """Send the request and relay the response.
+
+        On return the link is reusable or closed.
+        """
         if len(body.initial) > MAX_EAGER_BODY_BYTES:
             # Don't send a long body before the endpoint has admitted the call.
             body = _DeferredBody(body)
         now = trio.current_time()
         head = _frames.encode_call(call, link.peer.process_id, body.is_complete, now)
-        await link.channel.send(peerlink.FrameKind.CALL, head, body.initial)
+        try:
+            await link.channel.send(peerlink.FrameKind.CALL, head, body.initial)
+        except sockets.ConnectionLostError as fault:
+            # A daemon runs no call whose frame is incomplete.
+            link.close()
+            return _build_link_failure(str(fault), errors.Execution.NOT_RUN)
+        frame = await self._receive(link)
+        if frame.kind is peerlink.FrameKind.CLOSING:
+            link.close()
+            detail = f"{link.peer.address} reads no further request on this link"
+            kind = errors.ErrorKind.ENDPOINT_LEAVING
+            return expression.Error(errors.fail(kind, detail))
         if body.is_complete:
-            return await self._receive_response(call, link, sink)
+            return await self._read_response(call, link, frame, sink)
+        if frame.kind is peerlink.FrameKind.REFUSAL:
+            return _read_refusal(frame, call, sink)
+        if frame.kind is not peerlink.FrameKind.ADMITTED:
+            raise peerlink.FrameError(
+                f"expected an admission frame, found {frame.kind.name}"
+            )
         return await self._exchange_streamed(call, link, body, sink)
 
     async def _exchange_streamed(
@@ -123,21 +143,15 @@
         body: _call.RequestBody,
         sink: _sinks.TrackingSink,
     ) -> PeerCallResult:
-        """Send the rest of the body once admitted, while waiting for the response."""
-        frame = await self._receive(link)
-        if frame.kind is peerlink.FrameKind.REFUSAL:
-            return _read_refusal(frame, call, sink)
-        if frame.kind is not peerlink.FrameKind.ADMITTED:
-            raise peerlink.FrameError(
-                f"expected an admission frame, found {frame.kind.name}"
-            )
+        """Send the rest of the body of an admitted call while its response arrives."""
         sender = _sending.FrameBodySender(link.channel, body)
         result: PeerCallResult | None = None
         fault: Exception | None = None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(sender.run, nursery.cancel_scope)
             try:
-                result = await self._receive_response(call, link, sink)
+                frame = await self._receive(link)
+                result = await self._read_response(call, link, frame, sink)
             except (
                 sockets.ConnectionLostError,
                 peerlink.FrameError,
@@ -156,10 +170,14 @@
             link.close()
         return result
 
-    async def _receive_response(
-        self, call: _call.Call, link: peerlink.PeerLink, sink: _sinks.TrackingSink
+    async def _read_response(
+        self,
+        call: _call.Call,
+        link: peerlink.PeerLink,
+        frame: peerlink.Frame,
+        sink: _sinks.TrackingSink,
     ) -> PeerCallResult:
-        frame = await self._receive(link)
+        """Relay the response that begins with ``frame``, or return the refusal."""
         if frame.kind is peerlink.FrameKind.ADMITTED:
             frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.REFUSAL:
--- a/umberdrum/callpath/_peer_server.py
+++ b/umberdrum/callpath/_peer_server.py
@@ -1,5 +1,6 @@
 """Server side of peer links, with one task per connection of a peer."""
 
+import expression
 import trio
 
 from umberdrum import errors, logs, outcomes, peerlink, sockets, wire
@@ -7,6 +8,44 @@
 
 BODY_FRAME_BYTES = 1 << 16
 MAX_BODY_IDLE_SECONDS = 30.0
+MS_PER_SECOND = 1000.0
+# A request that crosses a closing frame arrives within a round trip of it; this allows
+# for another region.
+CROSSING_SECONDS = 0.3
+CLOSE_POLL_SECONDS = 0.01
+
+
+class _ServedLink:
+    """Link of a peer, with one exchange at a time.
+
+    ``scope`` cancels the call or query in progress. ``is_closing`` is set once a
+    closing frame was sent; frames that arrive after it are dropped. ``changed_at`` is
+    when the link was accepted or the closing frame was sent.
+    """
+
+    def __init__(self, channel: peerlink.FrameChannel) -> None:
+        self.channel = channel
+        self.scope: trio.CancelScope | None = None
+        self.is_busy = False
+        self.is_closing = False
+        self.n_exchanges = 0
+        self.changed_at = trio.current_time()
+
+    def close_for_requests(self) -> None:
+        """Tell the peer that no further request is read, unless an exchange runs."""
+        if self.is_busy or self.is_closing:
+            return
+        if not self.channel.try_send(peerlink.FrameKind.CLOSING):
+            return
+        self.channel.connection.finish_sending()
+        self.is_closing = True
+        self.changed_at = trio.current_time()
+
+    def may_lose_answer(self, now: float) -> bool:
+        """Return whether a request may still arrive or is still to be answered."""
+        if self.channel.connection.is_closed:
+            return False
+        return self.is_busy or now - self.changed_at < CROSSING_SECONDS
 
 
 class PeerServer:
@@ -15,6 +54,10 @@
     One exchange at a time runs on a connection. An outcome query names the connection
     that went silent. That connection is closed before the query is answered, so that no
     further frame can arrive over it.
+
+    A daemon that stops sends a closing frame over each link between two exchanges. The
+    peer then knows that a request which crossed that frame has not run. New connections
+    are still served, because a peer may query an outcome.
     """
 
     def __init__(
@@ -33,18 +76,50 @@
         self._synchronizer = synchronizer
         self._log = log
         self._connections: dict[tuple[int, int], sockets.Connection] = {}
+        self._links: set[_ServedLink] = set()
+        self._is_closing = False
+        self._is_cutting = False
+
+    def start_closing(self) -> None:
+        """Close each link for requests, now or after its present or first exchange."""
+        self._is_closing = True
+        for link in self._links:
+            if link.n_exchanges:
+                link.close_for_requests()
+
+    async def close(self) -> None:
+        """Close all links for requests; return once no answer can be lost.
+
+        Exchanges that are still in progress are cut. Their peers are told that the
+        calls may have run.
+        """
+        self.start_closing()
+        self._is_cutting = True
+        for link in self._links:
+            if link.scope is not None:
+                link.scope.cancel()
+        with trio.move_on_after(CROSSING_SECONDS):
+            while self._may_lose_answer():
+                await trio.sleep(CLOSE_POLL_SECONDS)
+        for link in self._links:
+            link.close_for_requests()
+
+    def _may_lose_answer(self) -> bool:
+        now = trio.current_time()
+        return any(link.may_lose_answer(now) for link in self._links)
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Serve one connection until it ends."""
-        channel = peerlink.FrameChannel(connection)
+        link = _ServedLink(peerlink.FrameChannel(connection))
+        self._links.add(link)
         try:
             peer = await peerlink.accept_handshake(
-                channel, self._own_identity, self._cluster_key
+                link.channel, self._own_identity, self._cluster_key
             )
             key = (peer.identity.process_id, peer.connection_id)
             self._connections[key] = connection
             try:
-                await self._serve_frames(channel, peer.identity)
+                await self._serve_frames(link, peer.identity)
             finally:
                 if self._connections.get(key) is connection:
                     del self._connections[key]
@@ -52,32 +127,49 @@
             self._log.warn("peer_refused", peer=connection.peer_name, reason=str(fault))
         except sockets.ConnectionLostError:
             return
+        finally:
+            self._links.discard(link)
 
     async def _serve_frames(
-        self, channel: peerlink.FrameChannel, peer: peerlink.DaemonIdentity
+        self, link: _ServedLink, peer: peerlink.DaemonIdentity
     ) -> None:
-        while not channel.connection.is_closed:
-            frame = await channel.receive()
-            if frame.kind is peerlink.FrameKind.CALL:
-                if not await self._serve_call(channel, frame):
-                    return
-                continue
-            if frame.kind is peerlink.FrameKind.OUTCOME_QUERY:
-                await self._serve_query(channel, frame, peer)
+        connection = link.channel.connection
+        while not connection.is_closed:
+            frame = await link.channel.receive()
+            if link.is_closing:
                 continue
-            if frame.kind is peerlink.FrameKind.SYNC_REQUEST:
-                request = _frames.parse_head(wire.messages.SyncRequest, frame)
-                reply = self._synchronizer.answer_sync(request, trio.current_time())
-                await channel.send(
-                    peerlink.FrameKind.SYNC_REPLY, reply.SerializeToString()
-                )
-                continue
-            raise peerlink.FrameError(f"unexpected frame {frame.kind.name}")
-
-    async def _serve_call(
-        self, channel: peerlink.FrameChannel, frame: peerlink.Frame
+            link.is_busy = True
+            can_reuse = await self._serve_exchange(link, frame, peer)
+            link.is_busy = False
+            link.n_exchanges += 1
+            if not can_reuse:
+                return
+            if self._is_closing:
+                link.close_for_requests()
+
+    async def _serve_exchange(
+        self,
+        link: _ServedLink,
+        frame: peerlink.Frame,
+        peer: peerlink.DaemonIdentity,
     ) -> bool:
+        """Answer one request; return False if the connection can't be used again."""
+        if frame.kind is peerlink.FrameKind.CALL:
+            return await self._serve_call(link, frame)
+        if frame.kind is peerlink.FrameKind.OUTCOME_QUERY:
+            await self._serve_query(link, frame, peer)
+            return True
+        if frame.kind is peerlink.FrameKind.SYNC_REQUEST:
+            request = _frames.parse_head(wire.messages.SyncRequest, frame)
+            reply = self._synchronizer.answer_sync(request, trio.current_time())
+            encoded = reply.SerializeToString()
+            await link.channel.send(peerlink.FrameKind.SYNC_REPLY, encoded)
+            return True
+        raise peerlink.FrameError(f"unexpected frame {frame.kind.name}")
+
+    async def _serve_call(self, link: _ServedLink, frame: peerlink.Frame) -> bool:
         """Run one call; returns False if the connection can't be used again."""
+        channel = link.channel
         head = _frames.parse_head(wire.messages.CallHead, frame)
         call = _frames.decode_call(head, trio.current_time())
         if head.target_process_id != self._own_identity.process_id:
@@ -93,16 +185,30 @@
             body = _FrameBody(channel, frame.body)
         sink = PeerSink(channel, call.request_id)
         with (
-            trio.CancelScope() as scope,
-            self._watch.watch(channel.connection, scope, channel),
+            trio.CancelScope() as link.scope,
+            self._watch.watch(channel.connection, link.scope, channel),
         ):
             result = await self._endpoint.run(call, body, sink)
-        if scope.cancelled_caught:
-            return False
+        if link.scope.cancelled_caught:
+            if not self._is_cutting:
+                return False
+            result = expression.Error(await self._build_cut_failure(call))
         if result.is_ok():
             return not isinstance(body, _FrameBody) or body.is_ended
         return await self._report_failure(channel, call, body, sink, result.error)
 
+    async def _build_cut_failure(self, call: _call.Call) -> errors.Failure:
+        """Return the failure of a call that this daemon's end has interrupted."""
+        execution = errors.Execution.MAY_HAVE_RUN
+        if not call.is_idempotent:
+            # The query also bars a call that still waits for its slot.
+            now = trio.current_time()
+            report = await self._endpoint.record.query(call.request_id, 0.0, now)
+            execution = report.execution
+        return errors.fail(
+            errors.ErrorKind.ENDPOINT_LEAVING, "the endpoint has ended", execution
+        )
+
     async def _report_failure(
         self,
         channel: peerlink.FrameChannel,
@@ -130,7 +236,7 @@
 
     async def _serve_query(
         self,
-        channel: peerlink.FrameChannel,
+        link: _ServedLink,
         frame: peerlink.Frame,
         peer: peerlink.DaemonIdentity,
     ) -> None:
@@ -138,32 +244,40 @@
         if query.target_process_id != self._own_identity.process_id:
             raise peerlink.FrameError("the query is addressed to another process")
         self._close_abandoned((peer.process_id, query.silent_connection_id))
-        report = await self._find_outcome(channel, query)
+        report = await self._find_outcome(link, query)
         head = _frames.encode_outcome(query.request_id, report)
-        await channel.send(peerlink.FrameKind.OUTCOME, head)
+        await link.channel.send(peerlink.FrameKind.OUTCOME, head)
         if report.response is not None:
             await self._send_recorded_response(
-                channel, query.request_id, report.response
+                link.channel, query.request_id, report.response
             )
 
     async def _find_outcome(
-        self, channel: peerlink.FrameChannel, query: wire.messages.OutcomeQuery
+        self, link: _ServedLink, query: wire.messages.OutcomeQuery
     ) -> outcomes.OutcomeReport:
+        record = self._endpoint.record
+        report: outcomes.OutcomeReport | None = None
         with (
-            trio.CancelScope() as scope,
-            self._watch.watch(channel.connection, scope, channel),
+            trio.CancelScope() as link.scope,
+            self._watch.watch(link.channel.connection, link.scope, link.channel),
         ):
-            report = await self._endpoint.record.query(
-                query.request_id, query.wait_ms / 1000.0, trio.current_time()
+            wait_seconds = 0.0 if self._is_cutting else query.wait_ms / MS_PER_SECOND
+            report = await record.query(
+                query.request_id, wait_seconds, trio.current_time()
             )
-            self._log.write(
-                "outcome_query",
-                request=query.request_id,
-                execution=report.execution.token,
-                running=report.is_running,
-            )
-            return report
-        raise sockets.ConnectionLostError("closed by the peer")
+        if self._is_cutting:
+            # No later query would be answered, so this answer is final.
+            report = await record.query(query.request_id, 0.0, trio.current_time())
+            report = report._replace(is_running=False)
+        if report is None:
+            raise sockets.ConnectionLostError("closed by the peer")
+        self._log.write(
+            "outcome_query",
+            request=query.request_id,
+            execution=report.execution.token,
+            running=report.is_running,
+        )
+        return report
 
     def _close_abandoned(self, key: tuple[int, int]) -> None:
         """Close the connection that a peer has stopped using."""
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -142,7 +142,10 @@
             )
             task_status.started()
             await self._stop_requested.wait()
+            parts.peer_server.start_closing()
             await self._shut_down(parts, listeners)
+            sockets.close_listener(listeners.peer)
+            await parts.peer_server.close()
             nursery.cancel_scope.cancel()
 
     def _bind(self) -> _Listeners:
--- a/umberdrum/peerlink/_channel.py
+++ b/umberdrum/peerlink/_channel.py
@@ -38,6 +38,9 @@
     SYNC_REQUEST = 12
     SYNC_REPLY = 13
     ABORT = 14
+    # Sent by the acceptor while no exchange runs: it reads no further request on this
+    # connection, so a request that it has not begun to answer has not run.
+    CLOSING = 15
 
 
 class Frame(NamedTuple):
@@ -95,10 +98,12 @@
         """
         await self.connection.send(self._encode(kind, head, body))
 
-    def try_send(self, kind: FrameKind) -> None:
-        """Send an empty frame if the connection can send now, else do nothing."""
-        if self.connection.can_send_now():
-            self.connection.try_send(self._encode(kind, b"", b""))
+    def try_send(self, kind: FrameKind) -> bool:
+        """Send an empty frame if the connection can send now; return whether it can."""
+        if not self.connection.can_send_now():
+            return False
+        self.connection.try_send(self._encode(kind, b"", b""))
+        return True
 
     async def receive(self) -> Frame:
         """Return the next frame.
