Give up the contact key at the beginning of a stop, and claim none

Seen: a daemon that stops and still takes calls for 2.5 s (leave_accept_ms) kept its contact key for that time, and claimed one when its zone had none: while the store came back, while a claim was under way, or after a restore. Keys that were claimed so stayed until the end of the stop. Cause: only resign(), which follows after that time, told the contact manager of the stop. Change: ContactManager.leave(), called right after the final record is published. A contact that leaves follows the documents until it ends.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -90,6 +90,10 @@
     but keeps its key; another daemon of the zone then claims an additional key.
     If a zone has more contacts than wanted, those with the highest keys resign first.
 
+    A daemon that leaves gives up its key at once, so that another daemon claims it
+    while this one still serves calls. It never claims again. A contact that leaves
+    follows the documents until it ends, because its successor may need a moment.
+
     When the store is restored from an older copy, its leases end. The contacts then
     claim their keys again, compare the member lists and read the documents again. Other
     daemons make no store call for it.
@@ -128,6 +132,9 @@
         self._is_reclaim_due = False
         self._is_listing_due = False
         self._new_era = trio.Event()
+        self._leaving = trio.Event()
+        # Held while a lease is granted, bound to a key or revoked.
+        self._lease_lock = trio.Lock()
         self._started_at = 0.0
         self._claim_delay = _claim_delay.ClaimDelay(rng)
         # Key holders when this daemon joined: of the own zone, and of all zones.
@@ -140,6 +147,7 @@
         self._started_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load_initial_documents)
+            nursery.start_soon(self._resign_on_leaving)
             await self._join()
             nursery.start_soon(self._repeat_introductions)
             await self._act_as_contact_when_needed()
@@ -203,13 +211,27 @@
             finally:
                 self._publish_contact_flag(False)
 
+    def leave(self) -> None:
+        """Give up the contact key, if any, and claim none again; return at once."""
+        self._leaving.set()
+
     async def resign(self) -> None:
-        """Revoke the lease of the contact key, if any, which deletes the key."""
-        if not self._lease_id:
-            return
-        lease_id = self._lease_id
-        self._lease_id = 0
-        await self._store.revoke_lease(lease_id)
+        """Revoke the lease of the contact key, if any, which deletes the key.
+
+        A claim or another revocation in progress is awaited first.
+        """
+        async with self._lease_lock:
+            if not self._lease_id:
+                return
+            lease_id = self._lease_id
+            self._lease_id = 0
+            await self._store.revoke_lease(lease_id)
+
+    async def _resign_on_leaving(self) -> None:
+        await self._leaving.wait()
+        if self._lease_id:
+            self._log.write("contact_resigned", n_contacts=self._count_contacts())
+        await self.resign()
 
     async def _join(self) -> None:
         """Introduce this daemon to seeds and contacts until the store could be read.
@@ -267,8 +289,13 @@
         )
 
     async def _wait_until_contact_needed(self) -> None:
-        """Return once the zone has too few contacts before and after a random delay."""
+        """Return once the zone has too few contacts before and after a random delay.
+
+        Never returns while this daemon leaves.
+        """
         while True:
+            if self._leaving.is_set():
+                await trio.sleep_forever()
             while self._count_contacts() >= self._count_wanted_contacts():
                 await trio.sleep(CONTACT_CHECK_INTERVAL_SECONDS)
             was_holder = self._state.table.own.endpoint_id in self._initial_zone_holders
@@ -276,6 +303,8 @@
                 self._count_zone_members(), was_holder, bool(self._initial_zone_holders)
             )
             await trio.sleep(delay)
+            if self._leaving.is_set():
+                continue
             if self._count_contacts() < self._count_wanted_contacts():
                 return
 
@@ -345,23 +374,32 @@
     async def _acquire_key(self, index: int, revision: int, read_era: int) -> bool:
         """Write a contact key under a new lease if it is still at ``revision``.
 
-        Return False if the key has changed, a store call fails, or the store is no
-        longer in the era ``read_era``, in which the revision was read.
+        Return False if the key has changed, a store call fails, this daemon leaves, or
+        the store is no longer in the era ``read_era``, in which the revision was read.
         """
+        async with self._lease_lock:
+            if self._leaving.is_set():
+                return False
+            return await self._bind_key_to_new_lease(index, revision, read_era)
+
+    async def _bind_key_to_new_lease(
+        self, index: int, revision: int, read_era: int
+    ) -> bool:
         key = self._keys.get_key(index)
         own_address = self._state.table.own.endpoint_id.encode()
         granted = await self._store.grant_lease(LEASE_TTL_SECONDS)
         if granted.is_error():
             return False
         lease_id = granted.ok.lease_id
-        swapped = await self._store.compare_and_swap(
-            key, revision, own_address, lease_id, read_era
-        )
-        if swapped.is_ok() and swapped.ok.is_applied:
-            self._lease_id = lease_id
-            self._key_index = index
-            self._log.write("contact_claimed", key=key)
-            return True
+        if not self._leaving.is_set():
+            swapped = await self._store.compare_and_swap(
+                key, revision, own_address, lease_id, read_era
+            )
+            if swapped.is_ok() and swapped.ok.is_applied:
+                self._lease_id = lease_id
+                self._key_index = index
+                self._log.write("contact_claimed", key=key)
+                return True
         if granted.ok.era == self._store.eras.era:
             await self._store.revoke_lease(lease_id)
         return False
@@ -384,12 +422,14 @@
 
         While the store does not answer, this daemon keeps trying to renew the lease,
         but its record says that it is not a contact: another daemon may still be able
-        to reach the store.
+        to reach the store. Never returns while this daemon leaves.
         """
         while True:
             if not self._is_reclaim_due:
                 interval = KEEP_ALIVE_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
                 await self._sleep_until_new_era(interval)
+            if self._leaving.is_set():
+                await trio.sleep_forever()
             if self._is_reclaim_due and not await self._reclaim_key():
                 return
             if not self._lease_id:
@@ -399,7 +439,7 @@
                 await self.resign()
                 return
             renewed = await self._store.keep_alive(self._lease_id)
-            if self._is_reclaim_due:
+            if self._is_reclaim_due or self._leaving.is_set():
                 continue
             if renewed.is_error():
                 self._publish_contact_flag(False)
@@ -455,7 +495,7 @@
 
     def _publish_contact_flag(self, is_contact: bool) -> None:
         now = trio.current_time()
-        if self._state.table.own.is_contact == is_contact:
+        if self._leaving.is_set() or self._state.table.own.is_contact == is_contact:
             return
         record = self._state.table.update_own_record(now, is_contact=is_contact)
         self._state.publish_own_record(record)
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -219,6 +219,7 @@
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
         parts.state_updater.leave()
+        parts.contact_manager.leave()
         gossip_until = trio.current_time() + FINAL_GOSSIP_SECONDS
         grace_until = trio.current_time() + self._settings.grace_ms / MS_PER_SECOND
         if self._settings.leave_accept_ms:
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -28,6 +28,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 
+importlib.import_module("umberdrum.tests.handover_steps")
 importlib.import_module("umberdrum.tests.system_steps")
 for package in PACKAGES:
     importlib.import_module(f"umberdrum.{package}.tests.{package}_steps")
