--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -159,7 +159,10 @@
             )
             task_status.started()
             await self._stop_requested.wait()
+            parts.peer_server.start_closing()
             await self._shut_down(parts, listeners)
+            sockets.close_listener(listeners.peer)
+            await parts.peer_server.close()
             nursery.cancel_scope.cancel()
 
     def _bind(self) -> _Listeners:
@@ -251,6 +254,8 @@
         parts.reporter.is_stopping = True
         with self.errors.suppress("departure"):
             parts.state_updater.leave()
+        with self.errors.suppress("resignation"):
+            parts.contact_manager.leave()
         gossip_until = trio.current_time() + FINAL_GOSSIP_SECONDS
         grace_until = trio.current_time() + self._settings.grace_ms / MS_PER_SECOND
         if self._settings.leave_accept_ms:
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -30,6 +30,7 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent.parent
 
+importlib.import_module("umberdrum.tests.handover_steps")
 importlib.import_module("umberdrum.tests.system_steps")
 for package in PACKAGES:
     importlib.import_module(f"umberdrum.{package}.tests.{package}_steps")
@@ -38,6 +39,7 @@
 importlib.import_module("umberdrum.admission.tests.target_gate_steps")
 importlib.import_module("umberdrum.callpath.tests.closing_steps")
 importlib.import_module("umberdrum.callpath.tests.hostile_steps")
+importlib.import_module("umberdrum.callpath.tests.peer_stop_steps")
 # The adapter is outside the library, in a folder that must not be a package: a package
 # of that name would shadow the standard library's module ``platform``.
 sys.path.append(str(ROOT / "platform"))
