End a call at its deadline while no link to its endpoint opens

Cause: opening a peer link was bounded by its own timeouts alone (1 s to connect, 2 s for the handshake). A peer that accepts connections and stays silent, as behind a cut link, held a call for 2 s, whatever its deadline was. Ruled out: attempts that begin after the deadline (the sequence checks it before each). Change: the peer client stops opening a link at the deadline of the call. The result stays link-broke/not-run, so that the endpoint is suspected as before.

--- a/umberdrum/callpath/_peer_client.py
+++ b/umberdrum/callpath/_peer_client.py
@@ -44,10 +44,15 @@
         sink: _sinks.TrackingSink,
     ) -> PeerCallResult:
         """Run ``call`` at the endpoint of ``peer``, with the response to ``sink``."""
+        link: peerlink.PeerLink | None = None
         try:
-            link = await self._pool.acquire(peer)
+            with trio.move_on_at(call.deadline):
+                link = await self._pool.acquire(peer)
         except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError) as fault:
             return _build_link_failure(str(fault), errors.Execution.NOT_RUN)
+        if link is None:
+            detail = f"no link to {peer.address} was open by the deadline"
+            return _build_link_failure(detail, errors.Execution.NOT_RUN)
         watched = _liveness.WatchedLink(
             link.channel, call.deadline + DEADLINE_GRACE_SECONDS
         )
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -34,6 +34,7 @@
 importlib.import_module("umberdrum.configuration.tests.snapshot_steps")
 importlib.import_module("umberdrum_bench.soak.tests.soak_steps")
 importlib.import_module("umberdrum.admission.tests.target_gate_steps")
+importlib.import_module("umberdrum.callpath.tests.deadlines_steps")
 importlib.import_module("umberdrum.callpath.tests.hostile_steps")
 # The adapter is outside the library, in a folder that must not be a package: a package
 # of that name would shadow the standard library's module ``platform``.
