Count the deadline of a request from its arrival, however late it is read

The soak's own timers lagged by 0.06 s at most. Cause: a request's deadline began when its daemon read it. The call that ended after 8.85 s had waited 7.3 s before that and took 1.5 s of a fresh 2 s afterwards. A daemon that fell behind so worked on requests that nobody waited for any longer, which delayed the others. Ruled out: the soak's judge (its lag was small; with its own process stopped for 180 of every 200 ms no call was late), upstream and store stand-ins (not slowed), the start (no daemon is killed or stopped in this plan). Change: the time that the kernel reports since the last bytes arrived is subtracted for every request, not just during the start; a call whose deadline has passed is answered deadline-exceeded/not-run before an endpoint is chosen. Tests on the virtual clock take the kernel's measure as 0; the scenario of the start that depends on it still uses it. Measured: 6 of the 7 new scenarios failed before (the upstream was given 2000 instead of 500 ms; calls past their deadlines ran). Not mended: a daemon that gets 20 ms in every 500 ms still answers late by its own timers.

--- a/umberdrum/callpath/_attempt_sequence.py
+++ b/umberdrum/callpath/_attempt_sequence.py
@@ -87,6 +87,8 @@
 
     async def run(self) -> _endpoint.CallResult:
         """Return the report of the successful attempt, or the final failure."""
+        if trio.current_time() >= self._call.deadline:
+            return expression.Error(_build_missed_deadline_failure())
         self._budget.record_call()
         last_result: _endpoint.CallResult | None = None
         while True:
@@ -233,6 +235,11 @@
         )
 
 
+def _build_missed_deadline_failure() -> errors.Failure:
+    detail = "the deadline passed before the request was read"
+    return errors.fail(errors.ErrorKind.DEADLINE_EXCEEDED, detail)
+
+
 def _is_detour(failure: errors.Failure) -> bool:
     """Return whether the attempt ended before its request reached an upstream."""
     return (
--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -13,8 +13,6 @@
 )
 
 MAX_PIPELINED_REQUESTS = 8
-# Connections made during the start are accepted in the first passes of the event loop.
-STARTUP_ACCEPT_SECONDS = 1.0
 SAFE_METHODS = frozenset((b"GET", b"HEAD"))
 
 
@@ -44,8 +42,7 @@
         self.is_draining = False
         self.is_closing = False
         self._idle_pipelines: set[_request_pipeline.RequestPipeline] = set()
-        self._serving_since = trio.current_time()
-        self._listening_since = self._serving_since
+        self._listening_since = trio.current_time()
         self._n_serving = 0
         self._idle_event = trio.Event()
 
@@ -101,9 +98,7 @@
             if not unparsed and not await self._wait_for_bytes(exchange, pipeline):
                 return
             try:
-                waited_seconds = (
-                    self._get_backlog_seconds(pipeline) if is_first else 0.0
-                )
+                waited_seconds = 0.0 if unparsed else self._get_wait_seconds(pipeline)
                 request = await exchange.receive_request(waited_seconds)
                 if request is None:
                     return
@@ -128,19 +123,14 @@
         """Return whether this server closes and no request has arrived meanwhile."""
         return self.is_closing and not unparsed and not pipeline.connection.has_data()
 
-    def _get_backlog_seconds(
-        self, pipeline: _request_pipeline.RequestPipeline
-    ) -> float:
-        """Return how many seconds the first request waited before it was read.
+    def _get_wait_seconds(self, pipeline: _request_pipeline.RequestPipeline) -> float:
+        """Return how many seconds the bytes of a request waited before they were read.
 
-        Only requests that arrived while this daemon was starting have waited long. For
-        later ones the result is 0.
+        Load pattern: a daemon that is starting, was paused or gets little processor
+        time reads requests long after they arrived. Their deadlines count from then.
         """
-        now = trio.current_time()
-        if now > self._serving_since + STARTUP_ACCEPT_SECONDS:
-            return 0.0
         waited_seconds = pipeline.connection.get_seconds_since_receive()
-        return min(waited_seconds, now - self._listening_since)
+        return min(waited_seconds, trio.current_time() - self._listening_since)
 
     async def _wait_for_bytes(
         self,
--- a/umberdrum/callpath/tests/deadlines.feature
+++ b/umberdrum/callpath/tests/deadlines.feature
@@ -10,3 +10,17 @@
       | look  | 500      | 550   |
       | pay   | 500      | 550   |
       | look  | 1900     | 1950  |
+
+  Scenario Outline: The deadline of a request counts from its arrival, however late it is read
+    When a <class> request with a deadline of 2000 ms on a <connection> connection is read <wait> ms late
+    Then the caller gets "<result>" and the upstream runs it <runs> times with at most <left> ms
+
+    Examples:
+      | class | connection | wait | result                    | runs | left |
+      | look  | new        | 0    | 200                       | 1    | 2000 |
+      | look  | new        | 1500 | 200                       | 1    | 500  |
+      | look  | kept       | 1500 | 200                       | 1    | 500  |
+      | pay   | kept       | 1500 | 200                       | 1    | 500  |
+      | look  | new        | 2000 | deadline-exceeded/not-run | 0    | 0    |
+      | look  | kept       | 8000 | deadline-exceeded/not-run | 0    | 0    |
+      | pay   | kept       | 8000 | deadline-exceeded/not-run | 0    | 0    |
--- a/umberdrum/callpath/tests/deadlines_steps.py
+++ b/umberdrum/callpath/tests/deadlines_steps.py
@@ -4,9 +4,11 @@
 import trio
 from behave import runner
 
+from umberdrum.callpath.tests import callpath_steps
 from umberdrum.tests import harness
 
 MS_PER_SECOND = 1000.0
+UPTIME_SECONDS = 10.0
 
 
 @behave.when(
@@ -50,3 +52,43 @@
 @behave.then("the endpoint is suspected by its entry daemon")
 def check_suspected(context: runner.Context) -> None:
     assert [row.is_suspected for row in context.candidates] == [True]
+
+
+@behave.when(
+    "a {cls} request with a deadline of {deadline_ms:d} ms on a {connection} "
+    "connection is read {wait_ms:d} ms late"
+)
+def read_late(
+    context: runner.Context, cls: str, deadline_ms: int, connection: str, wait_ms: int
+) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        body = b"x" if cls == "pay" else b""
+        await trio.sleep(UPTIME_SECONDS)
+        if connection == "kept":
+            await site.call(entry, "pay", "first", f"/{cls}", "", body)
+        with harness.replace_wait_measure(lambda _connection: wait_ms / MS_PER_SECOND):
+            context.answer = await site.call(
+                entry, "pay", "late", f"/{cls}", "", body, deadline_ms=deadline_ms
+            )
+        context.n_runs = node.upstream.begun.count("late")
+        context.fields = node.upstream.seen_headers[-1] if context.n_runs else {}
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then(
+    'the caller gets "{result}" and the upstream runs it {n_runs:d} times with at most '
+    "{left_ms:d} ms"
+)
+def check_time_left(
+    context: runner.Context, result: str, n_runs: int, left_ms: int
+) -> None:
+    answer = context.answer
+    found = str(answer.status)
+    if answer.kind:
+        found = f"{answer.kind}/{answer.execution}"
+    assert found == result, answer
+    assert context.n_runs == n_runs, context.n_runs
+    given_ms = int(context.fields.get("umberdrum-deadline-ms", 0))
+    assert (given_ms > 0) == (n_runs > 0), context.fields
+    assert given_ms <= left_ms, given_ms
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -15,6 +15,7 @@
 import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple, TypeVar
+from unittest import mock
 
 import trio
 import trio.testing
@@ -38,6 +39,7 @@
 CALL_TIMEOUT_SECONDS = 60.0
 RAW_TIMEOUT_SECONDS = 90.0
 
+measure_kernel_wait = sockets.Connection.get_seconds_since_receive
 _Result = TypeVar("_Result")
 
 
@@ -46,16 +48,26 @@
 
     The clock does not advance while any task is ready to run. A loop that repeats a
     wait of length zero would therefore stop the clock for ever. After
-    ``STALL_TIMEOUT_SECONDS`` the process dumps all stacks and exits.
+    ``STALL_TIMEOUT_SECONDS`` the process dumps all stacks and exits. The kernel uses a
+    clock of its own to measure how long bytes have waited, so this is taken to be 0.
     """
     clock = trio.testing.MockClock(autojump_threshold=AUTOJUMP_SECONDS)
     faulthandler.dump_traceback_later(STALL_TIMEOUT_SECONDS, exit=True)
     try:
-        return trio.run(function, clock=clock)
+        with replace_wait_measure(lambda _connection: 0.0):
+            return trio.run(function, clock=clock)
     finally:
         faulthandler.cancel_dump_traceback_later()
 
 
+def replace_wait_measure(
+    measure: Callable[[sockets.Connection], float],
+) -> contextlib.AbstractContextManager[object]:
+    """Return a context in which ``measure`` tells how long received bytes waited."""
+    name = "get_seconds_since_receive"
+    return mock.patch.object(sockets.Connection, name, measure)
+
+
 _ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
 _reservations: dict[int, socket.socket] = {}
 
