Don't announce the close on connections whose requests overlap while leaving

A caller that sends requests before the earlier ones are answered lost one when it was on its way while a leaving daemon sent a response with "Connection: close".

A daemon that leaves still accepts connections, so that nothing is gained by closing these. It now closes them when it closes its listener, mostly while they are idle.

Before: the third request in "A planned stop answers a request that crosses a response" got no answer.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -83,7 +83,11 @@
         await self._closed.wait()
 
     def start_draining(self) -> None:
-        """Close each connection after the responses to the requests it has sent."""
+        """Close each connection after the responses to the requests it has sent.
+
+        A request of a caller that doesn't wait for its responses could cross the
+        announcement of the close. Its connection is closed by ``start_closing``.
+        """
         self.is_draining = True
 
     def start_closing(self) -> None:
@@ -270,10 +274,13 @@
 
         A stopping server closes it after the last request that has arrived.
         """
-        if self.is_draining and pipeline.is_newest(position):
+        if self._may_close(pipeline) and pipeline.is_newest(position):
             is_over = trio.current_time() >= self._read_until
             if not pipeline.has_next_request() or (
                 is_over and not pipeline.is_receiving
             ):
                 pipeline.is_final = True
         return pipeline.is_final and pipeline.is_newest(position)
+
+    def _may_close(self, pipeline: _request_pipeline.RequestPipeline) -> bool:
+        return self.is_closing or (self.is_draining and not pipeline.is_overlapping)
--- a/umberdrum/callpath/_request_pipeline.py
+++ b/umberdrum/callpath/_request_pipeline.py
@@ -26,7 +26,8 @@
     ``is_final`` means that the connection closes after the responses in progress and
     that no further request is run. ``is_receiving`` means that a request is being read
     or waits until it may start, ``has_unparsed`` that bytes were read after it.
-    ``is_unused`` means that no request has begun on the connection.
+    ``is_unused`` means that no request has begun on the connection, ``is_overlapping``
+    that a request has begun before the response to an earlier one was sent.
     """
 
     def __init__(self, connection: sockets.Connection, nursery: trio.Nursery) -> None:
@@ -35,6 +36,7 @@
         self.read_scope = trio.CancelScope()
         self.is_final = False
         self.is_unused = True
+        self.is_overlapping = False
         self.idle_until = math.inf
         self._idle_scope = trio.CancelScope()
         self.is_receiving = False
@@ -66,6 +68,8 @@
         """Note that the next request has begun."""
         self.is_receiving = True
         self.is_unused = False
+        if self.n_in_flight:
+            self.is_overlapping = True
         self.idle_until = math.inf
 
     def start_idle_wait(self, until: float) -> trio.CancelScope:
