Answer control requests that arrive as a daemon ends

Clients of the announcement, admin and readiness addresses were cut off when a stopping daemon ended: a request that the kernel had accepted, or of which half had arrived, got no answer, such as an upstream's announcement its acknowledgement.

That takes the end of the process 0.5 s at most.

In umberdrum/daemon/_daemon.py the last step of the shutdown is the call of _close_control_servers; the three accept tasks are started in one loop. A readiness address without a handler answers 404, where it closed the connection before.

--- a/umberdrum/callpath/tests/closing.feature
+++ b/umberdrum/callpath/tests/closing.feature
@@ -67,3 +67,17 @@
   Scenario: A planned stop closes connections on which no request follows
     When a daemon is stopped with 3 open connections on which nothing follows
     Then each of them is closed within 0.5 s, and the daemon ends within 1.5 s
+
+  Scenario Outline: A planned stop answers control requests
+    When <first> of a request to the <address> address has arrived on a <kind> connection as the daemon ends
+    Then each of them gets a complete response
+
+    Examples:
+      | first   | address  | kind |
+      | all     | announce | new  |
+      | half    | announce | new  |
+      | nothing | announce | new  |
+      | all     | announce | kept |
+      | half    | announce | kept |
+      | all     | admin    | new  |
+      | half    | admin    | kept |
--- a/umberdrum/callpath/tests/closing_steps.py
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -20,6 +20,9 @@
 CONNECT_BEFORE_SECONDS = 0.02
 IDLE_TIMEOUT_SECONDS = 5.0
 LEAVE_ACCEPT_MS = 2_500
+# The stopping daemon spreads its departure for that long.
+END_AFTER_SECONDS = 1.0
+N_CONTROL_CLIENTS = 20
 STREAM_SERVICE_SECONDS = 0.1
 RESPONSE_TIMEOUT_SECONDS = 60.0
 
@@ -355,3 +358,57 @@
     assert not any(context.raws), context.raws
     assert context.close_seconds <= close_limit, context.close_seconds
     assert context.stop_seconds <= stop_limit, context.stop_seconds
+
+
+def _build_control_request(address: str, node: harness.Node) -> bytes:
+    if address == "admin":
+        return b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+    document = {
+        "service": "pay",
+        "address": str(node.upstream.address),
+        "slots": 4,
+        "state": "draining",
+    }
+    body = json.dumps(document).encode()
+    head = f"PUT /v1/upstream HTTP/1.1\r\nHost: x\r\ncontent-length: {len(body)}"
+    return head.encode() + b"\r\n\r\n" + body
+
+
+@behave.when(
+    "{first} of a request to the {address} address has arrived on a {kind} connection "
+    "as the daemon ends"
+)
+def end_during_control_request(
+    context: runner.Context, first: str, address: str, kind: str
+) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        listen = entry.settings.admin_listen
+        if address == "announce":
+            listen = entry.settings.announce_listen
+        request = _build_control_request(address, node)
+        n_first = {"all": len(request), "half": len(request) // 2, "nothing": 0}[first]
+        entry.daemon.stop()
+        await trio.sleep(END_AFTER_SECONDS - 2 * CONNECT_BEFORE_SECONDS)
+        raw_sockets = [
+            socket.create_connection((listen.host, listen.port))
+            for _ in range(N_CONTROL_CLIENTS)
+        ]
+        clients = [sockets.Connection(row) for row in raw_sockets]
+        if kind == "kept":
+            for client in clients:
+                await client.send(request)
+                await client.receive()
+        # Without a wait in between, the daemon has read none of the requests.
+        for raw_socket in raw_sockets:
+            raw_socket.sendall(request[:n_first])
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(2 * CONNECT_BEFORE_SECONDS)
+        await trio.sleep(CONNECT_BEFORE_SECONDS)
+        for client in clients:
+            with contextlib.suppress(sockets.ConnectionLostError):
+                await client.send(request[n_first:])
+        context.responses = [await _receive_until_closed(row) for row in clients]
+        await entry.daemon.wait_stopped()
+
+    callpath_steps.run_with_upstream(test)
--- a/umberdrum/controlhttp/__init__.py
+++ b/umberdrum/controlhttp/__init__.py
@@ -4,18 +4,18 @@
     ControlHandler,
     ControlRequest,
     ControlResponse,
+    ControlServer,
     build_failure_response,
     build_json_response,
     build_text_response,
-    serve_control,
 )
 
 __all__ = [
     "ControlHandler",
     "ControlRequest",
     "ControlResponse",
+    "ControlServer",
     "build_failure_response",
     "build_json_response",
     "build_text_response",
-    "serve_control",
 ]
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -9,6 +9,7 @@
 import trio
 
 from umberdrum import (
+    controlhttp,
     logs,
     measuring,
     peerlink,
@@ -23,6 +24,7 @@
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 FINAL_GOSSIP_SECONDS = 1.0
 RESIGN_TIMEOUT_SECONDS = 0.5
+CONTROL_CLOSE_SECONDS = 0.5
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
 
@@ -176,16 +178,8 @@
         nursery.start_soon(
             accept, listeners.peer, parts.peer_server.serve, MAX_PEER_CONNECTIONS
         )
-        nursery.start_soon(
-            accept, listeners.admin, parts.serve_admin, MAX_CONTROL_CONNECTIONS
-        )
-        nursery.start_soon(
-            accept, listeners.announce, parts.serve_announce, MAX_CONTROL_CONNECTIONS
-        )
-        if listeners.ready is not None:
-            nursery.start_soon(
-                accept, listeners.ready, parts.serve_ready, MAX_CONTROL_CONNECTIONS
-            )
+        for listener, server in self._list_control_servers(parts, listeners):
+            nursery.start_soon(server.accept, listener, MAX_CONTROL_CONNECTIONS)
         nursery.start_soon(parts.prober.run)
         nursery.start_soon(parts.startup_probe.run)
         nursery.start_soon(parts.exchange.run)
@@ -195,6 +189,17 @@
         nursery.start_soon(parts.watch.run)
         nursery.start_soon(self._maintain, parts)
 
+    def _list_control_servers(
+        self, parts: _parts.DaemonParts, listeners: _Listeners
+    ) -> list[tuple[socket.socket, controlhttp.ControlServer]]:
+        servers = [
+            (listeners.admin, parts.admin_server),
+            (listeners.announce, parts.announce_server),
+        ]
+        if listeners.ready is not None:
+            servers.append((listeners.ready, parts.ready_server))
+        return servers
+
     async def _maintain(self, parts: _parts.DaemonParts) -> None:
         """Close idle connections and drop the statistics of removed endpoints."""
         while True:
@@ -230,3 +235,16 @@
             await parts.caller_server.wait_closed()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
+        with trio.move_on_after(CONTROL_CLOSE_SECONDS):
+            await self._close_control_servers(parts, listeners)
+
+    async def _close_control_servers(
+        self, parts: _parts.DaemonParts, listeners: _Listeners
+    ) -> None:
+        """Answer the control requests that have arrived, and take no more."""
+        servers = self._list_control_servers(parts, listeners)
+        for listener, server in servers:
+            sockets.close_listener(listener)
+            server.start_closing()
+        for _, server in servers:
+            await server.wait_closed()
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -22,7 +22,6 @@
     routetable,
     routing,
     settings,
-    sockets,
     store,
 )
 from umberdrum.daemon import (
@@ -152,8 +151,8 @@
             log,
         )
         self.endpoint.relay.on_misdirected = self._mark_misdirected_absent
-        self._handle_announcement = integration.build_announcement_handler(
-            self.announcement_tracker
+        self.announce_server = controlhttp.ControlServer(
+            integration.build_announcement_handler(self.announcement_tracker)
         )
         self._store = integration.build_store(own_settings, counter)
         self._store.eras.on_change = self._handle_new_era
@@ -190,11 +189,12 @@
             counter,
             self.routes,
         )
-        self._handle_readiness: controlhttp.ControlHandler | None = None
+        readiness_handler: controlhttp.ControlHandler = _refuse_request
         if integration.build_readiness_handler is not None:
-            self._handle_readiness = integration.build_readiness_handler(
+            readiness_handler = integration.build_readiness_handler(
                 self.reporter.is_ready
             )
+        self.ready_server = controlhttp.ControlServer(readiness_handler)
         metric_page = _metric_page.MetricPage(
             _metric_page.MetricSources(
                 self.endpoint,
@@ -214,20 +214,8 @@
                 self.routes,
             )
         )
-        self._admin_handler = admin.AdminHandler(self.reporter, metric_page.render)
-
-    async def serve_admin(self, connection: sockets.Connection) -> None:
-        """Serve one connection of the admin address."""
-        await controlhttp.serve_control(connection, self._admin_handler.handle)
-
-    async def serve_announce(self, connection: sockets.Connection) -> None:
-        """Serve one connection of the announcement address."""
-        await controlhttp.serve_control(connection, self._handle_announcement)
-
-    async def serve_ready(self, connection: sockets.Connection) -> None:
-        """Serve one connection of the readiness address."""
-        if self._handle_readiness is not None:
-            await controlhttp.serve_control(connection, self._handle_readiness)
+        admin_handler = admin.AdminHandler(self.reporter, metric_page.render)
+        self.admin_server = controlhttp.ControlServer(admin_handler.handle)
 
     def close(self) -> None:
         """Close bound sockets, idle connections and the store client."""
@@ -327,3 +315,9 @@
         own_settings.shared_retry_share,
         RETRY_LIMIT_SAFETY_FACTOR,
     )
+
+
+async def _refuse_request(
+    request: controlhttp.ControlRequest,
+) -> controlhttp.ControlResponse:
+    return controlhttp.build_text_response("not found\n", 404)
--- a/umberdrum/sockets/_connection.py
+++ b/umberdrum/sockets/_connection.py
@@ -74,6 +74,16 @@
             except trio.ClosedResourceError:
                 raise ConnectionLostError("closed by this side") from None
 
+    async def wait_for_data(self) -> None:
+        """Wait until ``has_data``; raises ``ConnectionLostError``."""
+        if self.has_data():
+            await trio.lowlevel.checkpoint()
+            return
+        try:
+            await trio.lowlevel.wait_readable(self._socket)
+        except trio.ClosedResourceError:
+            raise ConnectionLostError("closed by this side") from None
+
     async def send(self, data: bytes) -> None:
         """Send all of ``data``, after any bytes left unsent by ``try_send``.
 
