--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -9,6 +9,7 @@
 import trio
 
 from umberdrum import (
+    controlhttp,
     logs,
     measuring,
     peerlink,
@@ -24,6 +25,7 @@
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 FINAL_GOSSIP_SECONDS = 1.0
 RESIGN_TIMEOUT_SECONDS = 0.5
+CONTROL_CLOSE_SECONDS = 0.5
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
 
@@ -195,35 +197,23 @@
     ) -> None:
         accept = sockets.accept_connections
         max_callers = self._settings.max_connections
-        n_control = MAX_CONTROL_CONNECTIONS
-        server = parts.caller_server
-        peer_server = parts.peer_server
         keep_running = tasks.keep_running
-        keep_running("accept_callers", server.accept, listeners.caller, max_callers)
+        keep_running(
+            "accept_callers",
+            parts.caller_server.accept,
+            listeners.caller,
+            max_callers,
+        )
         keep_running(
             "accept_peers",
             accept,
             listeners.peer,
-            peer_server.serve,
+            parts.peer_server.serve,
             MAX_PEER_CONNECTIONS,
         )
-        keep_running(
-            "accept_admin", accept, listeners.admin, parts.serve_admin, n_control
-        )
-        keep_running(
-            "accept_announcements",
-            accept,
-            listeners.announce,
-            parts.serve_announce,
-            n_control,
-        )
-        if listeners.ready is not None:
+        for listener, server in self._list_control_servers(parts, listeners):
             keep_running(
-                "accept_readiness",
-                accept,
-                listeners.ready,
-                parts.serve_ready,
-                n_control,
+                "accept_control", server.accept, listener, MAX_CONTROL_CONNECTIONS
             )
         keep_running("prober", parts.prober.run)
         keep_running("startup_probe", parts.startup_probe.run)
@@ -234,6 +224,17 @@
         keep_running("liveness_watch", parts.watch.run)
         keep_running("maintenance", self._maintain, parts)
 
+    def _list_control_servers(
+        self, parts: _parts.DaemonParts, listeners: _Listeners
+    ) -> list[tuple[socket.socket, controlhttp.ControlServer]]:
+        servers = [
+            (listeners.admin, parts.admin_server),
+            (listeners.announce, parts.announce_server),
+        ]
+        if listeners.ready is not None:
+            servers.append((listeners.ready, parts.ready_server))
+        return servers
+
     async def _maintain(self, parts: _parts.DaemonParts) -> None:
         """Close idle connections and drop the statistics of removed endpoints."""
         while True:
@@ -273,3 +274,16 @@
             await parts.caller_server.wait_closed()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
+        with trio.move_on_after(CONTROL_CLOSE_SECONDS):
+            await self._close_control_servers(parts, listeners)
+
+    async def _close_control_servers(
+        self, parts: _parts.DaemonParts, listeners: _Listeners
+    ) -> None:
+        """Answer the control requests that have arrived, and take no more."""
+        servers = self._list_control_servers(parts, listeners)
+        for listener, server in servers:
+            sockets.close_listener(listener)
+            server.start_closing()
+        for _, server in servers:
+            await server.wait_closed()
