Keep or announce the end of links whose upload was not read

Seen: a link on which an upload was refused before its body was asked for was closed by the endpoint daemon, while the entry daemon put it back into its pool: a second upload on it found the end of the stream. A link whose upload was answered early was reset (errno 104) right after the response, which can lose that response on the way and any call that follows it. Cause: the server counted a body that it had never asked for as unread, and closed connections with unread bytes. Ruled out: loss of the response on loopback; the kernel returns data that arrived before a reset. So the new scenario checks the mechanism, which is that no reset is sent.

--- a/umberdrum/callpath/_peer_server.py
+++ b/umberdrum/callpath/_peer_server.py
@@ -143,10 +143,22 @@
             link.is_busy = False
             link.n_exchanges += 1
             if not can_reuse:
+                await self._end_link(link)
                 return
             if self._is_closing:
                 link.close_for_requests()
 
+    async def _end_link(self, link: _ServedLink) -> None:
+        """Drop what the peer still sends for a moment, then close.
+
+        Closing a connection with unread bytes would reset it, by which the peer could
+        lose the response.
+        """
+        link.close_for_requests()
+        with trio.move_on_after(CROSSING_SECONDS):
+            while True:
+                await link.channel.receive()
+
     async def _serve_exchange(
         self,
         link: _ServedLink,
@@ -179,8 +191,8 @@
                 f"found {self._own_identity.process_id:x}",
             )
             await self._refuse(channel, call, failure)
-            return head.is_body_complete
-        body: _call.RequestBody = _call.WholeBody(frame.body)
+            return True
+        body: _call.WholeBody | _FrameBody = _call.WholeBody(frame.body)
         if not head.is_body_complete:
             body = _FrameBody(channel, frame.body)
         sink = PeerSink(channel, call.request_id)
@@ -193,9 +205,11 @@
             if not self._is_cutting:
                 return False
             result = expression.Error(await self._build_cut_failure(call))
-        if result.is_ok():
-            return not isinstance(body, _FrameBody) or body.is_ended
-        return await self._report_failure(channel, call, body, sink, result.error)
+        if result.is_error():
+            await self._report_failure(channel, call, sink, result.error)
+            if sink.is_sent:
+                return False
+        return not isinstance(body, _FrameBody) or body.is_settled
 
     async def _build_cut_failure(self, call: _call.Call) -> errors.Failure:
         """Return the failure of a call that this daemon's end has interrupted."""
@@ -213,16 +227,14 @@
         self,
         channel: peerlink.FrameChannel,
         call: _call.Call,
-        body: _call.RequestBody,
         sink: "PeerSink",
         failure: errors.Failure,
-    ) -> bool:
+    ) -> None:
         if not sink.is_sent:
             await self._refuse(channel, call, failure)
-            return body.is_complete or (isinstance(body, _FrameBody) and body.is_ended)
+            return
         head = _frames.encode_refusal(call.request_id, failure, None)
         await channel.send(peerlink.FrameKind.ABORT, head)
-        return False
 
     async def _refuse(
         self,
@@ -380,6 +392,11 @@
         """Whether ``initial`` is the whole body: always false."""
         return False
 
+    @property
+    def is_settled(self) -> bool:
+        """Whether the peer sends no more of the body: it ended or wasn't requested."""
+        return self.is_ended or not self._is_requested
+
     @property
     def can_be_sent_again(self) -> bool:
         """Whether the body can be sent again: endpoint daemons never retry."""
--- a/umberdrum/callpath/tests/peer_stop.feature
+++ b/umberdrum/callpath/tests/peer_stop.feature
@@ -1,4 +1,4 @@
-Feature: A planned stop of an endpoint daemon ends no call on its links with an unknown outcome
+Feature: The end of a peer link leaves no call on it with an unknown outcome
 
   The calls come from an entry daemon that does not know of the stop yet.
 
@@ -23,3 +23,12 @@
       | pay   | on its link                 | endpoint-leaving/may-have-run |
       | look  | on its link                 | endpoint-leaving/may-have-run |
       | pay   | and its outcome is queried  | link-broke/may-have-run       |
+
+  Scenario: A link is used again after a call that was refused before its body
+    Given an endpoint daemon whose upstream is draining
+    When 3 uploads are sent on one link, one after the other
+    Then each of them is refused as "endpoint-leaving/not-run"
+
+  Scenario: A link whose upload was answered early is closed without a reset
+    When an upstream answers an upload of 2000000 bytes after 300000 bytes
+    Then the link brings the response, a closing frame and the end of the stream
--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -1,12 +1,15 @@
 """Steps for calls on peer links of an endpoint daemon that stops."""
 
+import contextlib
+import functools
+
 import behave
 import trio
 import trio.testing
 from behave import runner
 
-from umberdrum import errors, peerlink
-from umberdrum.callpath import _call, _endpoint, _sinks
+from umberdrum import errors, peerlink, sockets, wire
+from umberdrum.callpath import _call, _endpoint, _frames, _sinks
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.daemon import _parts
 from umberdrum.tests import harness
@@ -14,6 +17,7 @@
 DEADLINE_SECONDS = 30.0
 N_WARM_UP_CALLS = 24
 GRACE_MS = 1500
+BODY_FRAME_BYTES = 1 << 16
 # Calls are sent in this many successive passes of the event loop.
 N_PASSES = 8
 
@@ -157,3 +161,103 @@
     found = f"{failure.kind.token}/{failure.execution.token}"
     assert found == result, failure
     assert context.seconds < GRACE_MS / 1000 + 0.5, context.seconds
+
+
+async def _open_link(node: harness.Node, entry: harness.Node) -> peerlink.PeerLink:
+    own = get_parts(node).table.own
+    peer = peerlink.PeerAddress(own.address, own.process_id)
+    return await get_parts(entry).peer_pool.open(peer)
+
+
+async def _send_upload_head(link: peerlink.PeerLink, request_id: str) -> None:
+    call = build_call("pay", request_id)
+    now = trio.current_time()
+    head = _frames.encode_call(call, link.peer.process_id, False, now)
+    await link.channel.send(peerlink.FrameKind.CALL, head)
+
+
+async def _receive_frame(link: peerlink.PeerLink) -> peerlink.Frame:
+    """Return the next frame that is no keepalive."""
+    while True:
+        frame = await link.channel.receive()
+        if frame.kind is not peerlink.FrameKind.KEEPALIVE:
+            return frame
+
+
+@behave.given("an endpoint daemon whose upstream is draining")
+def set_draining(context: runner.Context) -> None:
+    context.upstream_state = "draining"
+
+
+@behave.when("{n_calls:d} uploads are sent on one link, one after the other")
+def send_uploads(context: runner.Context, n_calls: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        await site.announce(node, "pay", 4, context.upstream_state)
+        link = await _open_link(node, entry)
+        context.failures = []
+        for number in range(n_calls):
+            await _send_upload_head(link, f"upload-{number}")
+            frame = await _receive_frame(link)
+            assert frame.kind is peerlink.FrameKind.REFUSAL, frame
+            message = _frames.parse_head(wire.messages.Refusal, frame)
+            context.failures.append(_frames.decode_refusal(message))
+        link.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then('each of them is refused as "{result}"')
+def check_refusals(context: runner.Context, result: str) -> None:
+    found = {f"{row.kind.token}/{row.execution.token}" for row in context.failures}
+    assert found == {result}, context.failures
+
+
+async def _answer_early(connection: sockets.Connection, n_bytes: int) -> None:
+    """Read ``n_bytes`` of a request, respond and read no further."""
+    n_read = 0
+    while n_read < n_bytes:
+        data = await connection.receive()
+        assert data
+        n_read += len(data)
+    await connection.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    await trio.sleep(DEADLINE_SECONDS)
+
+
+async def _send_body(link: peerlink.PeerLink, n_bytes: int) -> None:
+    with contextlib.suppress(sockets.ConnectionLostError):
+        for _ in range(n_bytes // BODY_FRAME_BYTES):
+            body = bytes(BODY_FRAME_BYTES)
+            await link.channel.send(peerlink.FrameKind.BODY, b"", body)
+
+
+@behave.when(
+    "an upstream answers an upload of {n_bytes:d} bytes after {n_read:d} bytes"
+)
+def answer_upload_early(context: runner.Context, n_bytes: int, n_read: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.serve_connection = functools.partial(
+            _answer_early, n_bytes=n_read
+        )
+        link = await _open_link(node, entry)
+        await _send_upload_head(link, "upload")
+        context.received = []
+        async with trio.open_nursery() as nursery:
+            frame = await _receive_frame(link)
+            assert frame.kind is peerlink.FrameKind.ADMITTED, frame
+            nursery.start_soon(_send_body, link, n_bytes)
+            try:
+                while True:
+                    frame = await _receive_frame(link)
+                    context.received.append(frame.kind.name)
+            except sockets.ConnectionLostError as fault:
+                context.received.append(str(fault))
+            nursery.cancel_scope.cancel()
+        link.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the link brings the response, a closing frame and the end of the stream")
+def check_early_answer(context: runner.Context) -> None:
+    expected = ["RESPONSE", "CLOSING", "closed by the peer"]
+    assert context.received == expected, context.received
