Send a call again that a peer has not read on an idle link

Seen: a payment or lookup that crossed the end of an idle link failed its attempt as endpoint-leaving/not-run (closing frame) or link-broke/not-run (link broken before the call was sent completely), although the endpoint served. Cause: the peer client took the end of a link for the end of its daemon. Change: a call that the peer provably has not read is sent once more, on a new link to the same process. This holds for non-idempotent calls too: a daemon runs no call whose frame is incomplete, and reads none after its closing frame. Nothing of the request's body has been taken from the caller at that point. Ruled out: sending again after a reset that follows a complete frame; the peer may have read it.

--- a/umberdrum/callpath/_peer_client.py
+++ b/umberdrum/callpath/_peer_client.py
@@ -18,6 +18,10 @@
 PeerCallResult = expression.Result[_call.CallReport, errors.Failure]
 
 
+class _CallNotReadError(Exception):
+    """Raised when the peer has not read a call, so that it may be sent again."""
+
+
 class PeerClient:
     """Sends calls to endpoint daemons over peer links.
 
@@ -43,11 +47,34 @@
         body: _call.RequestBody,
         sink: _sinks.TrackingSink,
     ) -> PeerCallResult:
-        """Run ``call`` at the endpoint of ``peer``, with the response to ``sink``."""
-        try:
-            link = await self._pool.acquire(peer)
-        except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError) as fault:
-            return _build_link_failure(str(fault), errors.Execution.NOT_RUN)
+        """Run ``call`` at the endpoint of ``peer``, with the response to ``sink``.
+
+        A call that the peer has not read on an idle link is sent once more, on a new
+        link.
+        """
+        detail = ""
+        for open_link in (self._pool.acquire, self._pool.open):
+            try:
+                link = await open_link(peer)
+            except (
+                sockets.ConnectionLostError,
+                peerlink.PeerNotAuthenticError,
+            ) as fault:
+                return _build_link_failure(str(fault), errors.Execution.NOT_RUN)
+            try:
+                return await self._run_on_link(call, link, body, sink)
+            except _CallNotReadError as fault:
+                detail = str(fault)
+        return expression.Error(errors.fail(errors.ErrorKind.ENDPOINT_LEAVING, detail))
+
+    async def _run_on_link(
+        self,
+        call: _call.Call,
+        link: peerlink.PeerLink,
+        body: _call.RequestBody,
+        sink: _sinks.TrackingSink,
+    ) -> PeerCallResult:
+        """Run ``call`` over ``link``; raises ``_CallNotReadError``."""
         watched = _liveness.WatchedLink(
             link.channel, call.deadline + DEADLINE_GRACE_SECONDS
         )
@@ -57,7 +84,7 @@
             result = await self._exchange(call, link, body, sink)
             is_clean = True
         except (sockets.ConnectionLostError, peerlink.FrameError) as fault:
-            result = self._build_loss_result(call, peer, watched, str(fault))
+            result = self._build_loss_result(call, link.peer, watched, str(fault))
         except _call.BodyLostError as fault:
             failure = fault.failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
             return expression.Error(failure)
@@ -105,9 +132,9 @@
         body: _call.RequestBody,
         sink: _sinks.TrackingSink,
     ) -> PeerCallResult:
-        """Send the request and relay the response.
+        """Send the request and relay the response; the link is reusable on return.
 
-        On return the link is reusable or closed.
+        Raises ``_CallNotReadError``.
         """
         if len(body.initial) > MAX_EAGER_BODY_BYTES:
             # Don't send a long body before the endpoint has admitted the call.
@@ -118,14 +145,10 @@
             await link.channel.send(peerlink.FrameKind.CALL, head, body.initial)
         except sockets.ConnectionLostError as fault:
             # A daemon runs no call whose frame is incomplete.
-            link.close()
-            return _build_link_failure(str(fault), errors.Execution.NOT_RUN)
+            raise _CallNotReadError(str(fault)) from None
         frame = await self._receive(link)
         if frame.kind is peerlink.FrameKind.CLOSING:
-            link.close()
-            detail = f"{link.peer.address} reads no further request on this link"
-            kind = errors.ErrorKind.ENDPOINT_LEAVING
-            return expression.Error(errors.fail(kind, detail))
+            raise _CallNotReadError(f"{link.peer.address} was closing the link")
         if body.is_complete:
             return await self._read_response(call, link, frame, sink)
         if frame.kind is peerlink.FrameKind.REFUSAL:
--- a/umberdrum/callpath/tests/peer_stop.feature
+++ b/umberdrum/callpath/tests/peer_stop.feature
@@ -32,3 +32,14 @@
   Scenario: A link whose upload was answered early is closed without a reset
     When an upstream answers an upload of 2000000 bytes after 300000 bytes
     Then the link brings the response, a closing frame and the end of the stream
+
+  Scenario Outline: A call on an idle link that the peer closes meanwhile is sent again
+    When a <class> call is sent on an idle link that <ending>
+    Then the caller gets a response from its only run
+
+    Examples:
+      | class | ending                                      |
+      | pay   | the peer closes with a frame                |
+      | look  | the peer closes with a frame                |
+      | pay   | breaks before the call was sent completely |
+      | look  | breaks before the call was sent completely |
--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import functools
+import socket
 
 import behave
 import trio
@@ -261,3 +262,36 @@
 def check_early_answer(context: runner.Context) -> None:
     expected = ["RESPONSE", "CLOSING", "closed by the peer"]
     assert context.received == expected, context.received
+
+
+@behave.when("a {cls} call is sent on an idle link that {ending}")
+def call_on_ending_link(context: runner.Context, cls: str, ending: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        calls = _PeerCalls(node, entry, cls)
+        await calls.warm_up()
+        pool = get_parts(entry).peer_pool
+        acquire = pool.acquire
+
+        async def acquire_ending(peer: peerlink.PeerAddress) -> peerlink.PeerLink:
+            # The link is chosen first, so that the call crosses its end.
+            link = await acquire(peer)
+            assert link.idle_since > 0.0
+            if ending.startswith("the peer"):
+                for served in get_parts(node).peer_server._links:
+                    served.close_for_requests()
+            else:
+                link.channel.connection._socket.shutdown(socket.SHUT_WR)
+            return link
+
+        pool.acquire = acquire_ending  # type: ignore[method-assign]
+        await calls.call(1)
+        (context.result,) = calls.results
+        context.n_runs = node.upstream.begun.count(f"{cls}-1")
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the caller gets a response from its only run")
+def check_single_run(context: runner.Context) -> None:
+    assert context.result.is_ok(), context.result
+    assert context.n_runs == 1, context.n_runs
