Query an outcome again if a slow peer doesn't complete the handshake

Seen: a payment whose link was silent for 3.0 s ended as outcome-unknown after 2.35 s, although its deadline was 30 s away, its daemon went on and its upstream answered after 2 s. Cause: a handshake without an answer within 2 s was reported like a peer that can't prove the cluster key, and such a peer ends the search for the outcome. Ruled out: a stop of the daemon while its link is silent for 0.5 or 1.5 s; the stop waits for the payment and the query gets its response, before and after. Change: a handshake that times out is a lost connection, so that the query is repeated, three times at most as before.

--- a/umberdrum/callpath/tests/peer_stop.feature
+++ b/umberdrum/callpath/tests/peer_stop.feature
@@ -43,3 +43,15 @@
       | look  | the peer closes with a frame                |
       | pay   | breaks before the call was sent completely |
       | look  | breaks before the call was sent completely |
+
+  Scenario Outline: A payment gets its response although its link was silent for a while
+    When the link of a payment that runs for 2 s is silent for <seconds> s <while>
+    Then the payment gets a response and its upstream ran it once
+
+    Examples:
+      | seconds | while                            |
+      | 0.5     | and its daemon goes on           |
+      | 1.5     | and its daemon goes on           |
+      | 3.0     | and its daemon goes on           |
+      | 0.5     | and its daemon stops meanwhile   |
+      | 1.5     | and its daemon stops meanwhile   |
--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -13,7 +13,7 @@
 from umberdrum.callpath import _call, _endpoint, _frames, _sinks
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.daemon import _parts
-from umberdrum.tests import harness
+from umberdrum.tests import harness, payment_site
 
 DEADLINE_SECONDS = 30.0
 N_WARM_UP_CALLS = 24
@@ -295,3 +295,46 @@
 def check_single_run(context: runner.Context) -> None:
     assert context.result.is_ok(), context.result
     assert context.n_runs == 1, context.n_runs
+
+
+@behave.when(
+    "the link of a payment that runs for 2 s is silent for {seconds:g} s "
+    "and its daemon {state}"
+)
+def silence_link(context: runner.Context, seconds: float, state: str) -> None:
+    async def run() -> None:
+        async with harness.open_site() as site:
+            entry = await payment_site.start_payments(site, n_nodes=1)
+            node = site.nodes[0]
+            assert node.link is not None
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_pay, context, site, entry)
+                await site.wait_until(lambda: bool(node.upstream.begun))
+                node.link.pause()
+                if state.startswith("stops"):
+                    node.daemon.stop()
+                await trio.sleep(seconds)
+                node.link.resume()
+            context.n_runs = site.count_runs("n1")
+
+    harness.run_on_virtual_clock(run)
+
+
+async def _pay(
+    context: runner.Context, site: harness.Site, entry: harness.Node
+) -> None:
+    context.answer = await site.call(
+        entry,
+        "payments",
+        "n1",
+        "/pay",
+        "slow",
+        b"x",
+        deadline_ms=int(DEADLINE_SECONDS * 1000),
+    )
+
+
+@behave.then("the payment gets a response and its upstream ran it once")
+def check_payment(context: runner.Context) -> None:
+    assert context.answer.status == 200, context.answer
+    assert context.n_runs == 1, context.n_runs
--- a/umberdrum/peerlink/_handshake.py
+++ b/umberdrum/peerlink/_handshake.py
@@ -13,7 +13,7 @@
 import trio
 from google.protobuf import message as protobuf_message
 
-from umberdrum import wire
+from umberdrum import sockets, wire
 from umberdrum.peerlink import _channel
 
 PROTOCOL_VERSION = 1
@@ -50,8 +50,8 @@
 ) -> DaemonIdentity:
     """Authenticate a connection that this daemon opened; return the peer's identity.
 
-    Raises ``PeerNotAuthenticError``, including when the peer does not answer within
-    ``HANDSHAKE_TIMEOUT_SECONDS``.
+    Raises ``PeerNotAuthenticError``, and ``sockets.ConnectionLostError`` when the
+    connection ends or the peer does not answer within ``HANDSHAKE_TIMEOUT_SECONDS``.
     """
     hello = wire.messages.Hello(
         protocol_version=PROTOCOL_VERSION,
@@ -62,7 +62,10 @@
     ).SerializeToString()
     await channel.send(_channel.FrameKind.HELLO, hello)
     frame = await channel.receive_within(HANDSHAKE_TIMEOUT_SECONDS)
-    if frame is None or frame.kind is not _channel.FrameKind.WELCOME:
+    if frame is None:
+        detail = f"no welcome within {HANDSHAKE_TIMEOUT_SECONDS:g} s"
+        raise sockets.ConnectionLostError(detail)
+    if frame.kind is not _channel.FrameKind.WELCOME:
         raise PeerNotAuthenticError("expected a welcome frame")
     welcome = _decode_welcome(frame.head)
     proof = welcome.proof
