Test stops of entry daemons, replaced processes and payments without a caller

What could happen, and does not: a payment whose caller or entry daemon has gone is cut by the stop of its daemon; a call for a process that was replaced at its address runs at its successor or ends as may-have-run, over idle links or new ones; the stop of an entry daemon, of the endpoint daemon or of both cuts a payment that runs elsewhere. In two runs beside another whole test, which uses the ports of group 14 too, 1 and 4 scenarios of the feature ended with "Address already in use".

--- a/umberdrum/callpath/tests/peer_stop.feature
+++ b/umberdrum/callpath/tests/peer_stop.feature
@@ -55,3 +55,32 @@
       | 3.0     | and its daemon goes on           |
       | 0.5     | and its daemon stops meanwhile   |
       | 1.5     | and its daemon stops meanwhile   |
+
+  Scenario Outline: A payment whose caller has gone runs to its end before its daemon ends
+    When a payment of 2 s loses <other side>, and its daemon stops
+    Then the upstream has run the payment to its end and the daemon has waited for it
+
+    Examples:
+      | other side       |
+      | its caller       |
+      | its entry daemon |
+
+  Scenario Outline: Calls to a process that was replaced at its address are not run there
+    When an endpoint daemon <end>, is replaced at its address, and gets 24 <class> calls for it
+    Then each of them is refused as "link-broke/not-run"
+
+    Examples:
+      | class | end     |
+      | pay   | stops   |
+      | pay   | crashes |
+      | look  | crashes |
+
+  Scenario Outline: An entry daemon that stops waits for its calls elsewhere
+    When a payment runs for 2 s elsewhere and <who> of its daemons stop
+    Then the payment gets a response and its upstream ran it once
+
+    Examples:
+      | who          |
+      | the entry    |
+      | the endpoint |
+      | both         |
--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -18,6 +18,14 @@
 DEADLINE_SECONDS = 30.0
 N_WARM_UP_CALLS = 24
 GRACE_MS = 1500
+PAYMENT = (
+    b"POST /pay HTTP/1.1\r\nHost: pay\r\numberdrum-deadline-ms: 9000\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+# The loss of a connection is noticed within two checks of the liveness watch.
+NOTICE_SECONDS = 0.2
+# The addresses of a node are free for its successor soon after its daemon has stopped.
+RELEASE_SECONDS = 0.1
 BODY_FRAME_BYTES = 1 << 16
 # Calls are sent in this many successive passes of the event loop.
 N_PASSES = 8
@@ -338,3 +346,76 @@
 def check_payment(context: runner.Context) -> None:
     assert context.answer.status == 200, context.answer
     assert context.n_runs == 1, context.n_runs
+
+
+@behave.when("a payment of 2 s loses {other_side}, and its daemon stops")
+def lose_other_side(context: runner.Context, other_side: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.constant_fault = "slow"
+        async with trio.open_nursery() as nursery:
+            if other_side == "its caller":
+                address = node.settings.caller_listen
+                nursery.start_soon(site.send_raw, address, PAYMENT)
+            else:
+                nursery.start_soon(_PeerCalls(node, entry, "pay").call, 1)
+            await site.wait_until(lambda: bool(node.upstream.begun))
+            nursery.cancel_scope.cancel()
+        await trio.sleep(NOTICE_SECONDS)
+        node.daemon.stop()
+        began_at = trio.current_time()
+        await node.daemon.wait_stopped()
+        context.seconds = trio.current_time() - began_at
+        context.upstream = node.upstream
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then(
+    "the upstream has run the payment to its end and the daemon has waited for it"
+)
+def check_run_to_end(context: runner.Context) -> None:
+    upstream = context.upstream
+    found = (upstream.begun, upstream.ended, upstream.cancelled)
+    assert len(upstream.ended) == 1 and not upstream.cancelled, found
+    assert context.seconds > 1.0, context.seconds
+
+
+@behave.when(
+    "an endpoint daemon {end}, is replaced at its address, "
+    "and gets {n_calls:d} {cls} calls for it"
+)
+def call_replaced(context: runner.Context, end: str, n_calls: int, cls: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        calls = _PeerCalls(node, entry, cls)
+        await calls.warm_up()
+        if end == "crashes":
+            site.kill(node)
+        else:
+            node.daemon.stop()
+            await node.daemon.wait_stopped()
+        await trio.sleep(RELEASE_SECONDS)
+        await site.add_node("pay", replaces=node)
+        async with trio.open_nursery() as nursery:
+            for number in range(n_calls):
+                nursery.start_soon(calls.call, number)
+        context.failures = [result.error for result in calls.results]
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when("a payment runs for 2 s elsewhere and {who} of its daemons stop")
+def stop_during_payment(context: runner.Context, who: str) -> None:
+    async def run() -> None:
+        async with harness.open_site() as site:
+            entry = await payment_site.start_payments(site, n_nodes=1)
+            node = site.nodes[0]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_pay, context, site, entry)
+                await site.wait_until(lambda: bool(node.upstream.begun))
+                if who != "the entry":
+                    node.daemon.stop()
+                if who != "the endpoint":
+                    entry.daemon.stop()
+            context.n_runs = site.count_runs("n1")
+
+    harness.run_on_virtual_clock(run)
