--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -1,19 +1,32 @@
 """Steps for calls on peer links of an endpoint daemon that stops."""
 
+import contextlib
+import functools
+import socket
+
 import behave
 import trio
 import trio.testing
 from behave import runner
 
-from umberdrum import errors, peerlink
-from umberdrum.callpath import _call, _endpoint, _sinks
+from umberdrum import errors, peerlink, sockets, wire
+from umberdrum.callpath import _call, _endpoint, _frames, _sinks
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.daemon import _parts
-from umberdrum.tests import harness
+from umberdrum.tests import harness, payment_site
 
 DEADLINE_SECONDS = 30.0
 N_WARM_UP_CALLS = 24
 GRACE_MS = 1500
+PAYMENT = (
+    b"POST /pay HTTP/1.1\r\nHost: pay\r\numberdrum-deadline-ms: 9000\r\n"
+    b"Content-Length: 0\r\n\r\n"
+)
+# The loss of a connection is noticed within two checks of the liveness watch.
+NOTICE_SECONDS = 0.2
+# The addresses of a node are free for its successor soon after its daemon has stopped.
+RELEASE_SECONDS = 0.1
+BODY_FRAME_BYTES = 1 << 16
 # Calls are sent in this many successive passes of the event loop.
 N_PASSES = 8
 
@@ -157,3 +170,252 @@
     found = f"{failure.kind.token}/{failure.execution.token}"
     assert found == result, failure
     assert context.seconds < GRACE_MS / 1000 + 0.5, context.seconds
+
+
+async def _open_link(node: harness.Node, entry: harness.Node) -> peerlink.PeerLink:
+    own = get_parts(node).table.own
+    peer = peerlink.PeerAddress(own.address, own.process_id)
+    return await get_parts(entry).peer_pool.open(peer)
+
+
+async def _send_upload_head(link: peerlink.PeerLink, request_id: str) -> None:
+    call = build_call("pay", request_id)
+    now = trio.current_time()
+    head = _frames.encode_call(call, link.peer.process_id, False, now)
+    await link.channel.send(peerlink.FrameKind.CALL, head)
+
+
+async def _receive_frame(link: peerlink.PeerLink) -> peerlink.Frame:
+    """Return the next frame that is no keepalive."""
+    while True:
+        frame = await link.channel.receive()
+        if frame.kind is not peerlink.FrameKind.KEEPALIVE:
+            return frame
+
+
+@behave.given("an endpoint daemon whose upstream is draining")
+def set_draining(context: runner.Context) -> None:
+    context.upstream_state = "draining"
+
+
+@behave.when("{n_calls:d} uploads are sent on one link, one after the other")
+def send_uploads(context: runner.Context, n_calls: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        await site.announce(node, "pay", 4, context.upstream_state)
+        link = await _open_link(node, entry)
+        context.failures = []
+        for number in range(n_calls):
+            await _send_upload_head(link, f"upload-{number}")
+            frame = await _receive_frame(link)
+            assert frame.kind is peerlink.FrameKind.REFUSAL, frame
+            message = _frames.parse_head(wire.messages.Refusal, frame)
+            context.failures.append(_frames.decode_refusal(message))
+        link.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then('each of them is refused as "{result}"')
+def check_refusals(context: runner.Context, result: str) -> None:
+    found = {f"{row.kind.token}/{row.execution.token}" for row in context.failures}
+    assert found == {result}, context.failures
+
+
+async def _answer_early(connection: sockets.Connection, n_bytes: int) -> None:
+    """Read ``n_bytes`` of a request, respond and read no further."""
+    n_read = 0
+    while n_read < n_bytes:
+        data = await connection.receive()
+        assert data
+        n_read += len(data)
+    await connection.send(b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n")
+    await trio.sleep(DEADLINE_SECONDS)
+
+
+async def _send_body(link: peerlink.PeerLink, n_bytes: int) -> None:
+    with contextlib.suppress(sockets.ConnectionLostError):
+        for _ in range(n_bytes // BODY_FRAME_BYTES):
+            body = bytes(BODY_FRAME_BYTES)
+            await link.channel.send(peerlink.FrameKind.BODY, b"", body)
+
+
+@behave.when(
+    "an upstream answers an upload of {n_bytes:d} bytes after {n_read:d} bytes"
+)
+def answer_upload_early(context: runner.Context, n_bytes: int, n_read: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.serve_connection = functools.partial(
+            _answer_early, n_bytes=n_read
+        )
+        link = await _open_link(node, entry)
+        await _send_upload_head(link, "upload")
+        context.received = []
+        async with trio.open_nursery() as nursery:
+            frame = await _receive_frame(link)
+            assert frame.kind is peerlink.FrameKind.ADMITTED, frame
+            nursery.start_soon(_send_body, link, n_bytes)
+            try:
+                while True:
+                    frame = await _receive_frame(link)
+                    context.received.append(frame.kind.name)
+            except sockets.ConnectionLostError as fault:
+                context.received.append(str(fault))
+            nursery.cancel_scope.cancel()
+        link.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the link brings the response, a closing frame and the end of the stream")
+def check_early_answer(context: runner.Context) -> None:
+    expected = ["RESPONSE", "CLOSING", "closed by the peer"]
+    assert context.received == expected, context.received
+
+
+@behave.when("a {cls} call is sent on an idle link that {ending}")
+def call_on_ending_link(context: runner.Context, cls: str, ending: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        calls = _PeerCalls(node, entry, cls)
+        await calls.warm_up()
+        pool = get_parts(entry).peer_pool
+        acquire = pool.acquire
+
+        async def acquire_ending(peer: peerlink.PeerAddress) -> peerlink.PeerLink:
+            # The link is chosen first, so that the call crosses its end.
+            link = await acquire(peer)
+            assert link.idle_since > 0.0
+            if ending.startswith("the peer"):
+                for served in get_parts(node).peer_server._links:
+                    served.close_for_requests()
+            else:
+                link.channel.connection._socket.shutdown(socket.SHUT_WR)
+            return link
+
+        pool.acquire = acquire_ending  # type: ignore[method-assign]
+        await calls.call(1)
+        (context.result,) = calls.results
+        context.n_runs = node.upstream.begun.count(f"{cls}-1")
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the caller gets a response from its only run")
+def check_single_run(context: runner.Context) -> None:
+    assert context.result.is_ok(), context.result
+    assert context.n_runs == 1, context.n_runs
+
+
+@behave.when(
+    "the link of a payment that runs for 2 s is silent for {seconds:g} s "
+    "and its daemon {state}"
+)
+def silence_link(context: runner.Context, seconds: float, state: str) -> None:
+    async def run() -> None:
+        async with harness.open_site() as site:
+            entry = await payment_site.start_payments(site, n_nodes=1)
+            node = site.nodes[0]
+            assert node.link is not None
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_pay, context, site, entry)
+                await site.wait_until(lambda: bool(node.upstream.begun))
+                node.link.pause()
+                if state.startswith("stops"):
+                    node.daemon.stop()
+                await trio.sleep(seconds)
+                node.link.resume()
+            context.n_runs = site.count_runs("n1")
+
+    harness.run_on_virtual_clock(run)
+
+
+async def _pay(
+    context: runner.Context, site: harness.Site, entry: harness.Node
+) -> None:
+    context.answer = await site.call(
+        entry,
+        "payments",
+        "n1",
+        "/pay",
+        "slow",
+        b"x",
+        deadline_ms=int(DEADLINE_SECONDS * 1000),
+    )
+
+
+@behave.then("the payment gets a response and its upstream ran it once")
+def check_payment(context: runner.Context) -> None:
+    assert context.answer.status == 200, context.answer
+    assert context.n_runs == 1, context.n_runs
+
+
+@behave.when("a payment of 2 s loses {other_side}, and its daemon stops")
+def lose_other_side(context: runner.Context, other_side: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.constant_fault = "slow"
+        async with trio.open_nursery() as nursery:
+            if other_side == "its caller":
+                address = node.settings.caller_listen
+                nursery.start_soon(site.send_raw, address, PAYMENT)
+            else:
+                nursery.start_soon(_PeerCalls(node, entry, "pay").call, 1)
+            await site.wait_until(lambda: bool(node.upstream.begun))
+            nursery.cancel_scope.cancel()
+        await trio.sleep(NOTICE_SECONDS)
+        node.daemon.stop()
+        began_at = trio.current_time()
+        await node.daemon.wait_stopped()
+        context.seconds = trio.current_time() - began_at
+        context.upstream = node.upstream
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then(
+    "the upstream has run the payment to its end and the daemon has waited for it"
+)
+def check_run_to_end(context: runner.Context) -> None:
+    upstream = context.upstream
+    found = (upstream.begun, upstream.ended, upstream.cancelled)
+    assert len(upstream.ended) == 1 and not upstream.cancelled, found
+    assert context.seconds > 1.0, context.seconds
+
+
+@behave.when(
+    "an endpoint daemon {end}, is replaced at its address, "
+    "and gets {n_calls:d} {cls} calls for it"
+)
+def call_replaced(context: runner.Context, end: str, n_calls: int, cls: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        calls = _PeerCalls(node, entry, cls)
+        await calls.warm_up()
+        if end == "crashes":
+            site.kill(node)
+        else:
+            node.daemon.stop()
+            await node.daemon.wait_stopped()
+        await trio.sleep(RELEASE_SECONDS)
+        await site.add_node("pay", replaces=node)
+        async with trio.open_nursery() as nursery:
+            for number in range(n_calls):
+                nursery.start_soon(calls.call, number)
+        context.failures = [result.error for result in calls.results]
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when("a payment runs for 2 s elsewhere and {who} of its daemons stop")
+def stop_during_payment(context: runner.Context, who: str) -> None:
+    async def run() -> None:
+        async with harness.open_site() as site:
+            entry = await payment_site.start_payments(site, n_nodes=1)
+            node = site.nodes[0]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_pay, context, site, entry)
+                await site.wait_until(lambda: bool(node.upstream.begun))
+                if who != "the entry":
+                    node.daemon.stop()
+                if who != "the endpoint":
+                    entry.daemon.stop()
+            context.n_runs = site.count_runs("n1")
+
+    harness.run_on_virtual_clock(run)
