Answer a caller while no byte of an incomplete response was sent

On the virtual clock: an upstream that stalls inside a short response, called at the endpoint's own daemon. Cause: a response counted as started once its head was in the caller's buffer. A short response is sent only when it is complete, so at the deadline the connection was closed although nothing had been sent, instead of answering 504. Calls from another daemon were answered, as the peer link doesn't start a response before it is complete. Change: the caller's sink renders a response when it is sent, and a call that fails before that is answered with its failure. Measured: 2 of the 4 new scenarios failed before (status 0 after 1.25 s), the two calls from another daemon passed; all pass now.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -211,7 +211,7 @@
             return False
         await position.turn.wait()
         if outcome.result.is_error():
-            if outcome.is_started:
+            if sink.has_sent:
                 # The response is incomplete, which only a close can signal.
                 return False
             if self._must_close(pipeline, position):
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -276,7 +276,9 @@
     """Writes the response to the caller; a small response takes a single send.
 
     A response that is ready before earlier ones on the connection were sent is
-    buffered, up to ``MAX_PENDING_RESPONSE_BYTES``.
+    buffered, up to ``MAX_PENDING_RESPONSE_BYTES``. Nothing is rendered before it is
+    sent. Until then a response that stays incomplete can be replaced by a refusal.
+    ``has_sent`` tells whether that is too late.
     """
 
     def __init__(
@@ -288,24 +290,26 @@
         self._exchange = exchange
         self._turn = position.turn
         self._must_close = must_close
-        self._parts: list[bytes] = []
+        self._pending: list[h11.Event] = []
         self._n_pending = 0
+        self.has_sent = False
 
     async def start(
         self, head: _call.HttpResponseHead, report: _call.CallReport
     ) -> None:
-        """Render the head, which is sent with the next flush."""
+        """Keep the head, which is sent with the next flush."""
         headers = head.headers
         if self._must_close() or not self._exchange.has_read_request:
             headers = [*headers, (b"connection", b"close")]
         response = h11.Response(
             status_code=head.status, headers=headers, reason=head.reason
         )
-        self._render(response)
+        self._pending.append(response)
 
     async def write(self, data: bytes) -> None:
-        """Render body bytes, and flush once enough are pending."""
-        self._render(h11.Data(data=data))
+        """Keep body bytes, and flush once enough are pending."""
+        self._pending.append(h11.Data(data=data))
+        self._n_pending += len(data)
         if self._n_pending >= OUTPUT_BUFFER_BYTES:
             await self.flush()
             await trio.lowlevel.checkpoint()
@@ -321,30 +325,31 @@
 
     async def send_pending(self) -> None:
         """Send pending bytes after waiting for the earlier responses to be sent."""
-        if not self._parts:
+        if not self._pending:
             return
         await self._turn.wait()
-        data = b"".join(self._parts)
-        self._parts.clear()
-        self._n_pending = 0
+        data = self._render_pending()
+        self.has_sent = True
         try:
             await self._exchange.connection.send(data)
         except sockets.ConnectionLostError as fault:
             raise _call.SinkLostError(str(fault)) from None
 
     async def finish(self) -> None:
-        """Render the end of the response and flush."""
-        self._render(h11.EndOfMessage())
+        """Add the end of the response and flush."""
+        self._pending.append(h11.EndOfMessage())
         await self.flush()
 
-    def _render(self, event: "h11.Event") -> None:
+    def _render_pending(self) -> bytes:
+        parts: list[bytes] = []
         try:
-            data = self._exchange.http.send(event)
+            for event in self._pending:
+                parts.append(self._exchange.http.send(event) or b"")
         except h11.LocalProtocolError as fault:
             raise _call.SinkLostError(str(fault)) from None
-        if data:
-            self._parts.append(data)
-            self._n_pending += len(data)
+        self._pending.clear()
+        self._n_pending = 0
+        return b"".join(parts)
 
 
 async def discard_input(connection: sockets.Connection) -> None:
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -50,13 +50,9 @@
 
 
 class EntryOutcome(NamedTuple):
-    """Result of a call at its entry daemon.
-
-    ``is_started`` says whether the head of a response was passed to the sink.
-    """
+    """Result of a call at its entry daemon."""
 
     result: _endpoint.CallResult
-    is_started: bool
     request_id: str
 
 
@@ -126,7 +122,7 @@
                 execution=failure.execution.token,
                 detail=failure.detail,
             )
-            return EntryOutcome(expression.Error(failure), False, request_id)
+            return EntryOutcome(expression.Error(failure), request_id)
         class_with_policy = matched.ok
         call = self._build_call(request, request_id, class_with_policy)
         if not self._directory.list_candidates(call.service):
@@ -148,7 +144,7 @@
             trio.current_time() - request.received_at,
             result,
         )
-        return EntryOutcome(result, tracking.is_started, request_id)
+        return EntryOutcome(result, request_id)
 
     def _has_routes(self) -> bool:
         return self._matcher.version > 0
--- a/umberdrum/callpath/tests/deadlines.feature
+++ b/umberdrum/callpath/tests/deadlines.feature
@@ -24,3 +24,14 @@
       | look  | new        | 2000 | deadline-exceeded/not-run | 0    | 0    |
       | look  | kept       | 8000 | deadline-exceeded/not-run | 0    | 0    |
       | pay   | kept       | 8000 | deadline-exceeded/not-run | 0    | 0    |
+
+  Scenario Outline: A caller gets an answer although the upstream stalls inside a short response
+    When a <class> call at the <entry> daemon reaches an upstream that stalls inside its response
+    Then the caller gets "deadline-exceeded/may-have-run" after 1000 to 1350 ms
+
+    Examples:
+      | class | entry    |
+      | look  | endpoint |
+      | look  | other    |
+      | pay   | endpoint |
+      | pay   | other    |
--- a/umberdrum/callpath/tests/deadlines_steps.py
+++ b/umberdrum/callpath/tests/deadlines_steps.py
@@ -1,14 +1,19 @@
 """Steps for calls that are held up before they reach an upstream."""
 
+import re
+
 import behave
 import trio
 from behave import runner
 
+from umberdrum import sockets
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.tests import harness
 
 MS_PER_SECOND = 1000.0
 UPTIME_SECONDS = 10.0
+STALL_DEADLINE_MS = 1000
+_REQUEST_ID = re.compile(rb"umberdrum-request-id: (\S+)", re.IGNORECASE)
 
 
 @behave.when(
@@ -92,3 +97,32 @@
     given_ms = int(context.fields.get("umberdrum-deadline-ms", 0))
     assert (given_ms > 0) == (n_runs > 0), context.fields
     assert given_ms <= left_ms, given_ms
+
+
+async def _stall_in_response(connection: sockets.Connection) -> None:
+    """Send the head of a response and one byte of its body, and nothing more."""
+    found = _REQUEST_ID.search(await connection.receive())
+    assert found is not None
+    await connection.send(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 20\r\n"
+        b"umberdrum-request-id: " + found.group(1) + b"\r\n\r\n{"
+    )
+    await connection.receive()
+
+
+@behave.when(
+    "a {cls} call at the {place} daemon reaches an upstream that stalls inside its "
+    "response"
+)
+def call_stalling_upstream(context: runner.Context, cls: str, place: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.serve_connection = _stall_in_response
+        at = node if place == "endpoint" else entry
+        body = b"x" if cls == "pay" else b""
+        began_at = trio.current_time()
+        context.answer = await site.call(
+            at, "pay", "n1", f"/{cls}", "", body, deadline_ms=STALL_DEADLINE_MS
+        )
+        context.ms = (trio.current_time() - began_at) * MS_PER_SECOND
+
+    callpath_steps.run_with_upstream(test)
