--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -239,12 +239,12 @@
         )
         connection = pipeline.connection
         with trio.CancelScope() as scope, self._watch.watch(connection, scope):
-            outcome = await self._handle(exchange, request, body, sink)
+            outcome = await self._handle(request, body, sink)
         if scope.cancelled_caught:
             return False
         await position.turn.wait()
         if outcome.result.is_error():
-            if outcome.is_started:
+            if sink.has_sent:
                 # The response is incomplete, which only a close can signal.
                 return False
             if self._must_close(pipeline, position):
@@ -260,7 +260,6 @@
 
     async def _handle(
         self,
-        exchange: _caller_exchange.CallerExchange,
         request: _entry.IncomingRequest,
         body: _call.RequestBody,
         sink: _caller_exchange.CallerSink,
@@ -278,9 +277,7 @@
                 f"request {request_id or '-'} was aborted by an error in the daemon",
                 errors.Execution.MAY_HAVE_RUN,
             )
-            return _entry.EntryOutcome(
-                expression.Error(failure), exchange.has_begun_response, request_id
-            )
+            return _entry.EntryOutcome(expression.Error(failure), request_id)
 
     def _must_close(
         self,
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -180,7 +180,7 @@
 
     async def refuse(self, failure: errors.Failure, request_id: str) -> None:
         """Send the error response; close afterwards if the body is unread."""
-        if self.has_begun_response:
+        if self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         problem = errors.render_problem(
             failure,
@@ -200,11 +200,6 @@
         if not self.has_read_request:
             await self.linger()
 
-    @property
-    def has_begun_response(self) -> bool:
-        """Whether the head of the response was rendered."""
-        return self.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
-
     @property
     def has_read_request(self) -> bool:
         """Whether the current request was received to its end."""
@@ -288,7 +283,9 @@
 
     A response that is ready before earlier ones on the connection were sent is
     buffered, up to ``MAX_PENDING_RESPONSE_BYTES``. Whether it closes the connection is
-    decided when its head is sent, because requests may arrive until then.
+    decided when its head is sent, because requests may arrive until then. Until then
+    a response that stays incomplete can also be replaced by a refusal; ``has_sent``
+    tells whether that is too late.
     """
 
     def __init__(
@@ -303,6 +300,7 @@
         self._head: _call.HttpResponseHead | None = None
         self._body = bytearray()
         self._is_finished = False
+        self.has_sent = False
 
     async def start(
         self, head: _call.HttpResponseHead, report: _call.CallReport
@@ -332,6 +330,7 @@
             return
         await self._turn.wait()
         data = self._render_pending()
+        self.has_sent = True
         try:
             await self._exchange.connection.send(data)
         except sockets.ConnectionLostError as fault:
