Refuse configurations whose numbers daemons can't pass on

What callers saw: after one configuration whose version has more than 64 bits, all daemons of the site stopped and ended with code 1; a priority, target or time outside of 32 bits gave each call that goes to another daemon a 500. Cause: versions and numbers of routes were not bounded. They raise in the encoder of gossip messages and calls, again for each message, so that the supervisor of tasks gave up in every daemon that had read the document. An infinite time raised OverflowError, which the decoder did not expect; the document then was neither in force nor reported as invalid. Ruled out: leaving it to the store, which should accept only valid configurations: one document must not stop the whole fleet.

--- a/umberdrum/routetable/_table.py
+++ b/umberdrum/routetable/_table.py
@@ -1,5 +1,6 @@
 """Route table, with matching and validation of its routes."""
 
+import math
 from collections.abc import Mapping, Sequence
 
 import expression
@@ -7,6 +8,9 @@
 from umberdrum import errors
 from umberdrum.routetable import _route
 
+# Calls carry these numbers to other daemons in fields of 32 bits.
+MAX_FIELD_VALUE = (1 << 32) - 1
+
 TableResult = expression.Result["RouteTable", errors.Failure]
 
 
@@ -88,16 +92,19 @@
     if not route.shares:
         return "expected a service, found none"
     for share in route.shares:
-        if not share.service or share.weight < 0:
+        if not share.service or not 0 <= share.weight < math.inf:
             return f"expected a service with a weight of 0 or more, found {share}"
     if sum(share.weight for share in route.shares) <= 0:
         return "expected a positive sum of weights"
-    if route.max_attempts < 1:
-        return f"attempts: expected at least 1, found {route.max_attempts}"
-    if route.timeout_ms < 1:
-        return f"timeout: expected at least 1 ms, found {route.timeout_ms}"
-    if route.target_latency_ms < 1:
-        return f"target: expected at least 1 ms, found {route.target_latency_ms}"
+    numbers = (
+        ("attempts", 1, route.max_attempts),
+        ("timeout in ms", 1, route.timeout_ms),
+        ("target in ms", 1, route.target_latency_ms),
+        ("priority", 0, route.priority),
+    )
+    for name, lowest, value in numbers:
+        if not lowest <= value <= MAX_FIELD_VALUE:
+            return f"{name}: expected {lowest} to {MAX_FIELD_VALUE}, found {value}"
     return ""
 
 
--- a/umberdrum/routetable/tests/routetable.feature
+++ b/umberdrum/routetable/tests/routetable.feature
@@ -31,6 +31,11 @@
       | max_attempts      | 0     | attempts |
       | timeout_ms        | 0     | timeout  |
       | target_latency_ms | 0     | target   |
+      | target_latency_ms | 1e10  | target   |
+      | timeout_ms        | 1e10  | timeout  |
+      | max_attempts      | 1e10  | attempts |
+      | priority          | -1    | priority |
+      | priority          | 1e10  | priority |
 
   Scenario Outline: An older table never replaces a newer one
     When documents with the versions "<versions>" arrive at the revisions "<revisions>"
