Keep a probe that can't be sent from failing calls

What callers saw: with a health path that HTTP can't carry (a space, another script), calls to that service got 500 and 502. Cause: the request of the probe raised LocalProtocolError or UnicodeEncodeError, which the prober did not expect; a call that finds the pace stale waits for the probe and got the error. Ruled out: refusing the configuration, whose routes are valid. Change: such a path is a failed probe, like an upstream that doesn't answer.

--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -166,10 +166,16 @@
         raise _build_response_error(f"expected the response to request {request_id}")
 
     async def fetch_head(self, path: str) -> _call.HttpResponseHead:
-        """Send a GET of ``path``, return the head of the response, discard its body."""
-        request = h11.Request(
-            method=b"GET", target=path.encode(), headers=[(b"host", b"upstream")]
-        )
+        """Send a GET of ``path``, return the head of the response, discard its body.
+
+        Raises ``UpstreamFailureError`` also for a path that can't be requested.
+        """
+        try:
+            request = h11.Request(
+                method=b"GET", target=path.encode(), headers=[(b"host", b"upstream")]
+            )
+        except (h11.LocalProtocolError, UnicodeEncodeError) as fault:
+            raise _build_request_error(str(fault), errors.Execution.NOT_RUN) from None
         data = self._http.send(request) or b""
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._connection.send(data)
