--- a/umberdrum/routetable/_table.py
+++ b/umberdrum/routetable/_table.py
@@ -84,6 +84,8 @@
 
 def _validate_route(route: _route.Route) -> str:
     """Return a description of the first error, or an empty string if valid."""
+    if not route.name.isprintable():
+        return "name: expected printable characters"
     if not route.host:
         return "host: expected a name, found nothing"
     prefix = route.path_prefix
--- a/umberdrum/routetable/tests/routetable.feature
+++ b/umberdrum/routetable/tests/routetable.feature
@@ -24,6 +24,7 @@
 
     Examples:
       | field             | value | detail   |
+      | name              | "\ud800" | name   |
       | host              | ""    | host     |
       | path_prefix       | "/a"  | prefix   |
       | path_prefix       | "a/"  | prefix   |
