--- a/umberdrum/routetable/tests/routetable.feature
+++ b/umberdrum/routetable/tests/routetable.feature
@@ -24,6 +24,7 @@
 
     Examples:
       | field             | value | detail   |
+      | name              | "\ud800" | name   |
       | host              | ""    | host     |
       | path_prefix       | "/a"  | prefix   |
       | path_prefix       | "a/"  | prefix   |
@@ -31,6 +32,11 @@
       | max_attempts      | 0     | attempts |
       | timeout_ms        | 0     | timeout  |
       | target_latency_ms | 0     | target   |
+      | target_latency_ms | 1e10  | target   |
+      | timeout_ms        | 1e10  | timeout  |
+      | max_attempts      | 1e10  | attempts |
+      | priority          | -1    | priority |
+      | priority          | 1e10  | priority |
 
   Scenario Outline: An older table never replaces a newer one
     When documents with the versions "<versions>" arrive at the revisions "<revisions>"
