Keep the upstream of a stopping daemon in use until callers have noticed

Cause: a daemon left the cluster at SIGTERM, so that its upstream got no calls for the 2.5 s in which callers were still served, nor during the restart: 3.5 s of each stop, 2 to 3 of 11 endpoints at any time. The refusals are nearly all `overloaded`: what was left was full. Five peers were told of the departure, the others by gossip up to 1.5 s later. Ruled out: refusals by the leaving endpoint itself (89 and 77 attempts, 8 and 1 final answers). Change: after SIGTERM the daemon is not ready, and all else goes on, until `[limits] ready_failures` checks have failed, or until 0.5 s before `leave_accept_ms` is over. Then it sends its final record to all peers (up to 64; the rest by gossip, for which it waits 1 s as before) and repeats it until they have answered; calls that arrive late are served until then. It resigns its contact key meanwhile. The callers' listener stays open for the calls that the upstream makes while it finishes, at most for `leave_accept_ms`. Calls whose deadline lies beyond the grace period are refused as not run from SIGTERM on. Announcements of the upstream are applied throughout; after the departure they can only end its service.

--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -1,5 +1,7 @@
 """Endpoint service: admits calls to this daemon's upstream and runs them there."""
 
+import math
+
 import expression
 import trio
 
@@ -76,6 +78,8 @@
         )
         self.state = _announcement.EndpointState.ABSENT
         self.n_in_progress = 0
+        # Calls with later deadlines are refused. It is set while the daemon stops.
+        self.ends_at = math.inf
         self._idle_event = trio.Event()
 
     def set_state(self, state: _announcement.EndpointState) -> None:
@@ -99,6 +103,11 @@
         """
         if self.state is not _announcement.EndpointState.SERVING:
             return expression.Error(self._build_leaving_failure())
+        if call.deadline > self.ends_at:
+            detail = "the daemon may end before the deadline"
+            return expression.Error(
+                errors.fail(errors.ErrorKind.ENDPOINT_LEAVING, detail)
+            )
         if call.service and self.service and call.service != self.service:
             detail = f"expected service {call.service}, found {self.service}"
             return expression.Error(
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -22,6 +22,10 @@
 MAX_PEER_CONNECTIONS = 4096
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 FINAL_GOSSIP_SECONDS = 1.0
+# A departure that peers answer, and the calls in progress, end within about this time.
+DEPARTURE_SECONDS = 0.5
+# Calls and connections that were sent before the departure was known arrive by then.
+ARRIVAL_SECONDS = 0.1
 RESIGN_TIMEOUT_SECONDS = 0.5
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
@@ -41,8 +45,9 @@
     """Daemon for one upstream.
 
     It is built from validated settings, runs until ``stop`` is called and then shuts
-    down gracefully: it refuses new calls, gossips its departure, waits for calls in
-    progress, and ends. Tests pass a seeded ``rng`` to make random choices repeatable.
+    down gracefully: it serves until its callers have noticed, gossips its departure,
+    waits for calls in progress, and ends. Tests pass a seeded ``rng`` to make random
+    choices repeatable.
     """
 
     def __init__(
@@ -209,26 +214,69 @@
     async def _shut_down(
         self, parts: _parts.DaemonParts, listeners: _Listeners
     ) -> None:
-        """Refuse new calls, gossip the departure and finish calls in progress.
+        """Serve until callers have noticed the stop, then leave and finish all calls.
 
         Calls that are still in progress after the grace period are cut off.
         """
         self._log.write("stopping", in_progress=parts.watch.n_watched)
+        now = trio.current_time()
+        grace_until = now + self._settings.grace_ms / MS_PER_SECOND
+        accept_until = now + self._settings.leave_accept_ms / MS_PER_SECOND
+        accept_until = min(accept_until, grace_until)
         parts.reporter.is_stopping = True
-        parts.state_updater.leave()
-        gossip_until = trio.current_time() + FINAL_GOSSIP_SECONDS
-        grace_until = trio.current_time() + self._settings.grace_ms / MS_PER_SECOND
+        parts.endpoint.ends_at = grace_until
         if self._settings.leave_accept_ms:
-            # Callers still connect until they have noticed that this daemon leaves.
             parts.caller_server.start_draining()
-            await trio.sleep(self._settings.leave_accept_ms / MS_PER_SECOND)
-        sockets.close_listener(listeners.caller)
-        parts.caller_server.start_closing()
+            with trio.move_on_at(accept_until - DEPARTURE_SECONDS):
+                await self._wait_until_noticed(parts)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._resign, parts)
+            with trio.move_on_at(grace_until) as scope:
+                await self._leave(parts, listeners, accept_until)
+        if scope.cancelled_caught:
+            self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
+
+    async def _wait_until_noticed(self, parts: _parts.DaemonParts) -> None:
+        """Return once failed readiness checks have told callers to go elsewhere."""
+        n_failures = self._settings.n_ready_failures
+        if not n_failures:
+            await trio.sleep_forever()
+        await parts.readiness.wait_until_failed(n_failures)
+
+    async def _resign(self, parts: _parts.DaemonParts) -> None:
         with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
             await parts.contact_manager.resign()
-        await trio.sleep_until(min(gossip_until, grace_until))
-        with trio.move_on_at(grace_until) as scope:
-            await parts.endpoint.wait_until_idle()
+
+    async def _leave(
+        self, parts: _parts.DaemonParts, listeners: _Listeners, accept_until: float
+    ) -> None:
+        """Gossip the departure, close the caller's listener and finish all calls.
+
+        The listener stays open for calls that the upstream makes while it finishes the
+        calls of peers, at most until ``accept_until``.
+        """
+        has_drained = trio.Event()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._drain_endpoint, parts, has_drained)
+            with trio.move_on_at(accept_until):
+                await has_drained.wait()
+            sockets.close_listener(listeners.caller)
+            parts.caller_server.start_closing()
+            await has_drained.wait()
             await parts.caller_server.wait_until_idle()
-        if scope.cancelled_caught:
-            self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
+
+    async def _drain_endpoint(
+        self, parts: _parts.DaemonParts, has_drained: trio.Event
+    ) -> None:
+        """Gossip the departure, then refuse new calls and finish those in progress.
+
+        Peers that have not heard of the departure yet are served until then.
+        """
+        left_at = trio.current_time()
+        parts.state_updater.leave()
+        with trio.move_on_at(left_at + FINAL_GOSSIP_SECONDS):
+            await parts.exchange.deliver_own_record()
+        await trio.sleep_until(left_at + ARRIVAL_SECONDS)
+        parts.state_updater.refuse_calls()
+        await parts.endpoint.wait_until_idle()
+        has_drained.set()
--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -39,14 +39,15 @@
         self._state = state
         self._exchange = exchange
         self._nursery = nursery
-        self.is_stopping = False
+        self._has_left = False
 
     def apply_announcement(self, announcement: callpath.UpstreamAnnouncement) -> None:
         """Apply the address, state, slots and identity of ``announcement``.
 
-        It is ignored while the daemon is stopping.
+        After the daemon has left, it can only end the service of the upstream.
         """
-        if self.is_stopping:
+        if self._has_left:
+            self._end_service(announcement.state)
             return
         self._pool.set_address(announcement.address)
         if announcement.instance_id != self._endpoint.relay.instance_id:
@@ -71,8 +72,9 @@
         self._publish(record)
 
     def apply_absence(self) -> None:
-        """Mark the endpoint as absent, unless the daemon is stopping."""
-        if self.is_stopping:
+        """Mark the endpoint as absent."""
+        if self._has_left:
+            self._end_service(callpath.EndpointState.ABSENT)
             return
         self._endpoint.set_state(callpath.EndpointState.ABSENT)
         record = self._state.table.update_own_record(
@@ -81,16 +83,23 @@
         self._publish(record)
 
     def leave(self) -> None:
-        """Refuse new calls and publish the daemon's final record."""
-        self.is_stopping = True
-        self._endpoint.set_state(callpath.EndpointState.DRAINING)
+        """Publish the daemon's final record, and still run calls that arrive late."""
+        self._has_left = True
         record = self._state.table.update_own_record(
             trio.current_time(),
             state=membership.RecordState.DRAINING,
             is_contact=False,
             is_final=True,
         )
-        self._publish(record)
+        self._state.publish_own_record(record)
+
+    def refuse_calls(self) -> None:
+        """Refuse new calls, after ``leave``."""
+        self._end_service(callpath.EndpointState.DRAINING)
+
+    def _end_service(self, state: callpath.EndpointState) -> None:
+        if state is not callpath.EndpointState.SERVING:
+            self._endpoint.set_state(state)
 
     def _publish(self, record: membership.EndpointRecord) -> None:
         self._state.publish_own_record(record)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -29,6 +29,7 @@
     _endpoint_state,
     _integration,
     _metric_page,
+    _readiness,
     _reporter,
     _startup_probe,
 )
@@ -190,10 +191,11 @@
             counter,
             self.routes,
         )
+        self.readiness = _readiness.ReadinessCheck(self.reporter.is_ready)
         self._handle_readiness: controlhttp.ControlHandler | None = None
         if integration.build_readiness_handler is not None:
             self._handle_readiness = integration.build_readiness_handler(
-                self.reporter.is_ready
+                self.readiness.check
             )
         metric_page = _metric_page.MetricPage(
             _metric_page.MetricSources(
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -23,6 +23,9 @@
 N_INDIRECT_PROBERS = 2
 RESERVED_MESSAGE_BYTES = 160  # for everything except updates
 EXPIRY_INTERVAL_SECONDS = 5.0
+# Bounds the datagrams of one delivery to about 16 KB.
+MAX_DELIVERY_PEERS = 64
+DELIVERY_RETRY_SECONDS = 0.1
 
 
 class _Probe(NamedTuple):
@@ -69,6 +72,9 @@
         self._sequence = 0
         self._probes: dict[int, _Probe] = {}
         self._urgent_probe_ids: set[str] = set()
+        # Peers by the sequence numbers of the unanswered messages of a delivery.
+        self._deliveries: dict[int, str] = {}
+        self._delivery_answered = trio.Event()
         self._peer_selector = _peer_selector.PeerSelector(state.table, rng)
         self._sync_schedule = _sync_schedule.SyncSchedule(rng)
         self._fetch_selector = _fetch_selector.FetchPeerSelector()
@@ -115,12 +121,43 @@
     async def introduce(self, address: settings.Address) -> None:
         """Send the own record and updates to a daemon that may not know this one."""
         message = self._build_message(0)
+        self._add_own_record(message)
+        await self._send(message, address)
+
+    async def deliver_own_record(self) -> None:
+        """Send the own record to peers until each live peer has answered.
+
+        Peers that do not answer get it again. A larger cluster than
+        ``MAX_DELIVERY_PEERS`` learns it by gossip, of which the end is not known: then
+        this does not return, and the caller cancels it.
+        """
+        peers = self._peer_selector.choose_push_targets(MAX_DELIVERY_PEERS)
+        unanswered = {row.endpoint_id: row for row in peers}
+        self._deliveries.clear()
+        while unanswered:
+            for record in unanswered.values():
+                message = self._build_message(record.process_id)
+                self._add_own_record(message)
+                self._deliveries[message.sequence] = record.endpoint_id
+                await self._send(message, record.address)
+            with trio.move_on_after(DELIVERY_RETRY_SECONDS):
+                while not unanswered.keys().isdisjoint(self._deliveries.values()):
+                    self._delivery_answered = trio.Event()
+                    await self._delivery_answered.wait()
+            pending = frozenset(self._deliveries.values())
+            unanswered = {key: row for key, row in unanswered.items() if key in pending}
+        if len(self._peer_selector.list_live_peers()) > len(peers):
+            await trio.sleep_forever()
+
+    def _add_own_record(self, message: wire.messages.Gossip) -> None:
+        """Add the own record to ``message`` unless it is one of its updates.
+
+        The update leaves the queue after a number of sends, and all of them may have
+        been lost.
+        """
         own = self._state.table.own
         if all(row.endpoint_id != own.endpoint_id for row in message.records):
-            # The update of the own record leaves the queue after a number of sends, and
-            # all of them may have been introductions that were lost.
             message.records.append(membership.encode_record(own))
-        await self._send(message, address)
 
     def expects_documents(self) -> bool:
         """Return whether a peer has newer documents that are not fetched yet."""
@@ -274,6 +311,10 @@
         if message.probe_for:
             self._drop_probes(message.probe_for)
             return
+        delivered_to = self._deliveries.pop(message.answers_sequence, None)
+        if delivered_to is not None:
+            self._end_delivery(delivered_to)
+            return
         probe = self._probes.pop(message.answers_sequence, None)
         if probe is None:
             return
@@ -297,6 +338,12 @@
         if record is not None:
             await self._send_probe(record, sender)
 
+    def _end_delivery(self, endpoint_id: str) -> None:
+        for sequence, pending_id in list(self._deliveries.items()):
+            if pending_id == endpoint_id:
+                del self._deliveries[sequence]
+        self._delivery_answered.set()
+
     def _drop_probes(self, endpoint_id: str) -> None:
         for sequence, probe in list(self._probes.items()):
             if probe.endpoint_id == endpoint_id:
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -14,10 +14,11 @@
     only the announcements of the upstream state it. ``upstream_address`` is the address
     at which the upstream answers probes before it has announced itself, or None if it
     is not known. ``leave_accept_ms`` is the time for which a stopping daemon continues
-    to accept new calls from callers. ``shared_retries`` and ``shared_retry_share``
-    limit the extra attempts that all daemons together may send to one service, as a
-    number of attempts and as a share of the calls; if ``shared_retries`` is 0, each
-    daemon has its own retry budget.
+    to accept new calls from callers, or less once ``n_ready_failures`` readiness checks
+    in a row have failed, if that is not 0. ``shared_retries`` and
+    ``shared_retry_share`` limit the extra attempts that all daemons together may send
+    to one service, as a number of attempts and as a share of the calls; if
+    ``shared_retries`` is 0, each daemon has its own retry budget.
 
     A contact is a daemon that watches the store for its availability zone. A zone has
     ``n_contacts_per_zone`` contacts, or more if the cluster would otherwise have fewer
@@ -53,6 +54,7 @@
     ready_listen: _address.Address | None
     upstream_address: _address.Address | None
     leave_accept_ms: int
+    n_ready_failures: int
     shared_retries: float
     shared_retry_share: float
 
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -197,6 +197,13 @@
         _build_integer_parser(0, 600_000),
         "0",
     ),
+    _Setting(
+        "n_ready_failures",
+        "limits",
+        "ready_failures",
+        _build_integer_parser(0, 100),
+        "0",
+    ),
     _Setting("shared_retries", "retries", "shared", _build_number_parser(0, 1e6), "0"),
     _Setting(
         "shared_retry_share", "retries", "shared_share", _build_number_parser(0, 1), "0"
--- a/umberdrum/tests/cluster_scenarios.py
+++ b/umberdrum/tests/cluster_scenarios.py
@@ -233,6 +233,39 @@
         assert not any(node.upstream.cancelled for node in site.nodes)
 
 
+async def announce_departure() -> None:
+    """All daemons learn of a departure at once, a lost datagram is repeated.
+
+    Load pattern: daemons are restarted one after the other. A peer that has not heard
+    of a departure may send a call just when the daemon ends.
+    """
+    async with harness.open_site() as site:
+        leaving = await site.add_node("payments", host="127.0.9.1")
+        for index in range(11):
+            await site.add_node("payments", f"az{index % 3}", has_link=index == 0)
+        await site.wait_until_known(0)
+        peers = site.nodes[1:]
+        deaf = peers[0]
+        assert deaf.link is not None
+        deaf.link.blocked_hosts = frozenset([leaving.settings.peer_listen.host])
+        leaving.daemon.stop()
+        await trio.sleep(0.05)
+        for node in peers[1:]:
+            assert _has_left(node, leaving), node.endpoint_id
+        deaf.link.blocked_hosts = frozenset()
+        await trio.sleep(0.15)
+        assert _has_left(deaf, leaving)
+        await leaving.daemon.wait_stopped()
+
+
+def _has_left(observer: harness.Node, leaving: harness.Node) -> bool:
+    """Return whether ``observer`` knows that the daemon of ``leaving`` has left."""
+    parts = observer.daemon.parts
+    assert parts is not None
+    record = parts.table.get(leaving.endpoint_id)
+    return record is not None and record.is_final
+
+
 SCENARIOS: dict[str, Callable[[], Awaitable[None]]] = {
     "a drain takes effect within seconds": drain_upstream,
     "a dead daemon receives no calls": detect_dead_daemon,
@@ -243,4 +276,5 @@
     "all endpoints but one fail, then the last": fail_all_endpoints,
     "two regions are partitioned and rejoin": partition_and_rejoin_regions,
     "all daemons are replaced in turn": replace_daemons_in_turn,
+    "a departure is known at once": announce_departure,
 }
--- a/umberdrum/tests/system.feature
+++ b/umberdrum/tests/system.feature
@@ -23,6 +23,7 @@
       | all endpoints but one fail, then the last |
       | two regions are partitioned and rejoin |
       | all daemons are replaced in turn |
+      | a departure is known at once |
       | an upstream sheds load |
       | the measuring budget is reloaded |
       | a request body arrives slowly |
