Tell a restarted daemon of its predecessor whichever process id is higher

Seen: of a daemon that restarted, the earlier process's record was known after some ms or never, by chance. Never: the startup probe waits 0.15 s in vain, and then may put an upstream into use of which that record says that it had stopped serving. Cause: a peer answered with the record that it still held of an earlier process, but looked it up after it had merged the new record. Of two records of the same incarnation the one with the higher process id wins, so that half of the new processes had replaced it. Change: the peer looks it up before it merges.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -283,6 +283,11 @@
     ) -> None:
         now = trio.current_time()
         self.last_received_at = now
+        # The sender's record may replace that of an earlier process at its address. The
+        # sender must still be told of it.
+        replaced_record = self._state.table.find_conflicting_record(
+            message.sender_id, message.sender_process_id
+        )
         self._state.merge_records(message.records, now)
         self._state.merge_entry_messages(message.classes)
         try:
@@ -303,8 +308,10 @@
         conflicting_record = self._state.table.find_conflicting_record(
             message.sender_id, message.sender_process_id
         )
-        if conflicting_record is not None:
-            answer.records.append(membership.encode_record(conflicting_record))
+        # They are the same unless the sender's record has replaced one.
+        earlier_record = conflicting_record or replaced_record
+        if earlier_record is not None:
+            answer.records.append(membership.encode_record(earlier_record))
         await self._send(answer, sender)
 
     async def _handle_answer(self, message: wire.messages.Gossip) -> None:
--- a/umberdrum/tests/cluster_scenarios.py
+++ b/umberdrum/tests/cluster_scenarios.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from umberdrum import membership
 from umberdrum.tests import harness, payment_site
 from umberdrum_bench import caller
 
@@ -258,6 +259,30 @@
         await leaving.daemon.wait_stopped()
 
 
+async def learn_of_predecessor() -> None:
+    """A daemon that starts again learns at once of the earlier process at its address.
+
+    Of two processes' records the one with the higher process id may replace the other
+    before the new process has been told of it.
+    """
+    for seed in range(8):
+        async with harness.open_site(seed) as site:
+            for index in range(3):
+                await site.add_node("payments", f"az{index}")
+            await site.wait_until_known(0)
+            first = site.nodes[0]
+            site.kill(first)
+            await trio.sleep(0.5)
+            again = await site.add_node("payments", replaces=first)
+            # A daemon that hasn't heard of one by then assumes that there was none.
+            await trio.sleep(0.15)
+            parts = again.daemon.parts
+            assert parts is not None
+            predecessor = parts.table.predecessor
+            assert predecessor is not None, seed
+            assert predecessor.state is membership.RecordState.SERVING, seed
+
+
 def _has_left(observer: harness.Node, leaving: harness.Node) -> bool:
     """Return whether ``observer`` knows that the daemon of ``leaving`` has left."""
     parts = observer.daemon.parts
@@ -277,4 +302,5 @@
     "two regions are partitioned and rejoin": partition_and_rejoin_regions,
     "all daemons are replaced in turn": replace_daemons_in_turn,
     "a departure is known at once": announce_departure,
+    "a daemon that starts again learns of its predecessor": learn_of_predecessor,
 }
