Do not probe an upstream that had stopped serving before a planned stop

Seen: an endpoint that had withdrawn, while its health path still answered, got new calls again after its daemon had been stopped and started (20 of 60 payments). Cause: the final record of a daemon said "draining" whatever the state of its upstream was, so the next process probed the upstream after any planned stop. Change: the final record keeps the upstream's state, also where it changes after the departure, and the next process probes only if it was serving. Directories leave out final records anyway. During an upgrade, a daemon whose earlier process wrote the old record waits for the upstream's announcement instead of probing it. Test: "stopped" and "stopped eight times" failed before, "killed" and "killed eight times" passed.

--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -83,11 +83,13 @@
         self._publish(record)
 
     def leave(self) -> None:
-        """Publish the daemon's final record, and still run calls that arrive late."""
+        """Publish the daemon's final record, and still run calls that arrive late.
+
+        The record keeps the state of the upstream, for the next process of the daemon.
+        """
         self._has_left = True
         record = self._state.table.update_own_record(
             trio.current_time(),
-            state=membership.RecordState.DRAINING,
             is_contact=False,
             is_final=True,
         )
@@ -95,11 +97,17 @@
 
     def refuse_calls(self) -> None:
         """Refuse new calls, after ``leave``."""
-        self._end_service(callpath.EndpointState.DRAINING)
+        self._endpoint.set_state(callpath.EndpointState.DRAINING)
 
     def _end_service(self, state: callpath.EndpointState) -> None:
-        if state is not callpath.EndpointState.SERVING:
-            self._endpoint.set_state(state)
+        """Apply a state of the upstream that was announced after ``leave``."""
+        if state is callpath.EndpointState.SERVING:
+            return
+        self._endpoint.set_state(state)
+        record = self._state.table.update_own_record(
+            trio.current_time(), state=_RECORD_STATES[state]
+        )
+        self._publish(record)
 
     def _publish(self, record: membership.EndpointRecord) -> None:
         self._state.publish_own_record(record)
--- a/umberdrum/daemon/_startup_probe.py
+++ b/umberdrum/daemon/_startup_probe.py
@@ -72,16 +72,13 @@
     def _may_probe(self) -> bool:
         """Return whether the record of the previous daemon process allows a probe.
 
-        It does if the upstream was serving, or if that process stopped gracefully.
-        Without a record, a probe is allowed once ``GOSSIP_WAIT_SECONDS`` have passed.
+        It does if the upstream was serving. Without a record, a probe is allowed once
+        ``GOSSIP_WAIT_SECONDS`` have passed.
         """
         record = self._table.predecessor
         if record is None:
             return trio.current_time() - self._started_at >= GOSSIP_WAIT_SECONDS
-        # After a graceful stop, the final record describes the daemon process only, not
-        # its upstream.
-        is_serving = record.state is membership.RecordState.SERVING
-        return record.is_final or is_serving
+        return record.state is membership.RecordState.SERVING
 
     async def _probe(self, address: settings.Address, service: str, path: str) -> None:
         self._pool.set_address(address)
--- a/umberdrum/membership/_record.py
+++ b/umberdrum/membership/_record.py
@@ -24,7 +24,7 @@
     process makes to its record. ``is_suspected`` is the exception that any daemon may
     set; it only lowers the endpoint's routing preference. ``is_contact`` means that the
     daemon reads the store on behalf of its availability zone. ``is_final`` means that
-    the daemon has left the cluster.
+    the daemon has left the cluster; ``state`` is then that of its upstream at the end.
     """
 
     endpoint_id: str
