--- a/umberdrum/callpath/tests/closing_steps.py
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -11,17 +11,20 @@
 import trio.testing
 from behave import runner
 
-from umberdrum import callpath, sockets
+from umberdrum import callpath, settings, sockets
 from umberdrum.callpath.tests import callpath_steps
+from umberdrum.daemon import _daemon
 from umberdrum.tests import harness
 
 DEADLINE_MS = 5_000
 STOP_AFTER_SECONDS = 0.1
 CONNECT_BEFORE_SECONDS = 0.02
+MAX_CLOSE_PASSES = 20
 IDLE_TIMEOUT_SECONDS = 5.0
 LEAVE_ACCEPT_MS = 2_500
 # The stopping daemon spreads its departure for that long.
-END_AFTER_SECONDS = 1.0
+# An idle daemon closes its listeners this long after its departure.
+END_AFTER_SECONDS = _daemon.ARRIVAL_SECONDS
 N_CONTROL_CLIENTS = 20
 STREAM_SERVICE_SECONDS = 0.1
 RESPONSE_TIMEOUT_SECONDS = 60.0
@@ -89,6 +92,17 @@
     return responses
 
 
+async def _check_closed(address: settings.Address) -> None:
+    """Fail unless the listener at ``address`` is closed by now or some passes later."""
+    for _ in range(MAX_CLOSE_PASSES):
+        try:
+            connection = await sockets.connect(address, 1.0)
+        except sockets.ConnectionLostError:
+            return
+        connection.close()
+    raise AssertionError(f"{address} still accepts connections")
+
+
 async def _receive_until_closed(connection: sockets.Connection) -> bytes:
     """Return what arrives until the connection ends, also if it is reset."""
     received = b""
@@ -234,7 +248,9 @@
     async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
         if leave_accept_ms:
             entry.daemon.stop()
-            await trio.sleep(leave_accept_ms / 1000 - CONNECT_BEFORE_SECONDS)
+            leaves_after = leave_accept_ms / 1000 - _daemon.DEPARTURE_SECONDS
+            closes_after = leaves_after + END_AFTER_SECONDS
+            await trio.sleep(closes_after - CONNECT_BEFORE_SECONDS)
         address = entry.settings.caller_listen
         raw_sockets = [
             socket.create_connection((address.host, address.port))
@@ -254,6 +270,7 @@
         for caller in callers:
             with contextlib.suppress(sockets.ConnectionLostError):
                 await caller.send(arrival.rest)
+        await _check_closed(address)
         context.responses = [await _receive_until_closed(row) for row in callers]
 
     callpath_steps.run_with_upstream(test, leave_accept_ms)
@@ -408,6 +425,7 @@
         for client in clients:
             with contextlib.suppress(sockets.ConnectionLostError):
                 await client.send(request[n_first:])
+        await _check_closed(listen)
         context.responses = [await _receive_until_closed(row) for row in clients]
         await entry.daemon.wait_stopped()
 
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -213,6 +213,7 @@
 
     def leave(self) -> None:
         """Give up the contact key, if any, and claim none again; return at once."""
+        self._publish_contact_flag(False)
         self._leaving.set()
 
     async def resign(self) -> None:
@@ -231,8 +232,15 @@
         await self._leaving.wait()
         if self._lease_id:
             self._log.write("contact_resigned", n_contacts=self._count_contacts())
+            # The zone's other daemons claim the key as soon as they know.
+            await self._push_to_zone()
         await self.resign()
 
+    async def _push_to_zone(self) -> None:
+        await self._exchange.push_updates(
+            min(MAX_PUSH_PEERS, self._count_zone_members())
+        )
+
     async def _join(self) -> None:
         """Introduce this daemon to seeds and contacts until the store could be read.
 
@@ -408,8 +416,7 @@
         """Renew the lease and follow the configuration until the lease has ended."""
         self._publish_contact_flag(True)
         # Push the claim to most of the zone at once, so that few other daemons claim.
-        n_peers = min(MAX_PUSH_PEERS, self._count_zone_members())
-        await self._exchange.push_updates(n_peers)
+        await self._push_to_zone()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watcher.run)
             nursery.start_soon(self._list_periodically)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -27,6 +27,7 @@
     _endpoint_state,
     _integration,
     _metric_page,
+    _readiness,
     _reporter,
     _startup_probe,
 )
@@ -193,10 +194,11 @@
             counter,
             self.routes,
         )
+        self.readiness = _readiness.ReadinessCheck(self.reporter.is_ready)
         readiness_handler: controlhttp.ControlHandler = _refuse_request
         if integration.build_readiness_handler is not None:
             readiness_handler = integration.build_readiness_handler(
-                self.reporter.is_ready
+                self.readiness.check
             )
         self.ready_server = controlhttp.ControlServer(readiness_handler)
         metric_page = _metric_page.MetricPage(
