Tell all peers at once that the upstream of a restarted daemon serves

Cause: a new state was pushed to five of the peers that were known, and a daemon that has just started knows one or two. The others heard of it by gossip, each 0.4 s from one random peer. Change: the own record is pushed to up to 16 peers, in messages without other updates (3 KB), and once more after the first synchronisation, which brings the other records. Test: without the change a peer of 11 does not know of the restart after 0.1 s.

--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -4,8 +4,6 @@
 
 from umberdrum import callpath, gossip, membership
 
-PUSH_FANOUT = 5
-
 _RECORD_STATES = {
     callpath.EndpointState.ABSENT: membership.RecordState.ABSENT,
     callpath.EndpointState.STARTING: membership.RecordState.STARTING,
@@ -20,8 +18,8 @@
     It updates the endpoint with its admission gate, the pool of connections to the
     upstream, the prober and the daemon's own membership record.
 
-    Each change is pushed to ``PUSH_FANOUT`` peers at once, because a departing upstream
-    must stop getting new calls within seconds.
+    Each change is pushed to several peers at once, because a departing upstream must
+    stop getting new calls within seconds, and a new one is needed.
     """
 
     def __init__(
@@ -111,4 +109,4 @@
 
     def _publish(self, record: membership.EndpointRecord) -> None:
         self._state.publish_own_record(record)
-        self._nursery.start_soon(self._exchange.push_updates, PUSH_FANOUT)
+        self._nursery.start_soon(self._exchange.push_own_record)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -35,6 +35,7 @@
 )
 
 INITIAL_SLOT_LIMIT = 1
+CATALOG_PUSH_FANOUT = 5
 RETRY_LIMIT_SAFETY_FACTOR = 0.5
 MS_PER_SECOND = 1000.0
 
@@ -242,9 +243,7 @@
         self._class_matcher.catalog = catalog
         if self.routes is not None:
             self.routes.apply_catalog(catalog)
-        self._nursery.start_soon(
-            self.exchange.push_updates, _endpoint_state.PUSH_FANOUT
-        )
+        self._nursery.start_soon(self.exchange.push_updates, CATALOG_PUSH_FANOUT)
 
     def _handle_new_era(self, previous: int, era: int) -> None:
         self._log.warn("store_restored", previous_era=previous, era=era)
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -23,8 +23,9 @@
 N_INDIRECT_PROBERS = 2
 RESERVED_MESSAGE_BYTES = 160  # for everything except updates
 EXPIRY_INTERVAL_SECONDS = 5.0
-# Bounds the datagrams of one delivery to about 16 KB.
+# Bounds the datagrams of one delivery to about 13 KB, and of one push to about 3 KB.
 MAX_DELIVERY_PEERS = 64
+MAX_OWN_RECORD_PEERS = 16
 DELIVERY_RETRY_SECONDS = 0.1
 
 
@@ -74,6 +75,7 @@
         self._urgent_probe_ids: set[str] = set()
         # Peers by the sequence numbers of the unanswered messages of a delivery.
         self._deliveries: dict[int, str] = {}
+        self._has_joined = False
         self._delivery_answered = trio.Event()
         self._peer_selector = _peer_selector.PeerSelector(state.table, rng)
         self._sync_schedule = _sync_schedule.SyncSchedule(rng)
@@ -121,7 +123,11 @@
     async def introduce(self, address: settings.Address) -> None:
         """Send the own record and updates to a daemon that may not know this one."""
         message = self._build_message(0)
-        self._add_own_record(message)
+        own = self._state.table.own
+        if all(row.endpoint_id != own.endpoint_id for row in message.records):
+            # The update of the own record leaves the queue after a number of sends, and
+            # all of them may have been introductions that were lost.
+            message.records.append(membership.encode_record(own))
         await self._send(message, address)
 
     async def deliver_own_record(self) -> None:
@@ -136,10 +142,8 @@
         self._deliveries.clear()
         while unanswered:
             for record in unanswered.values():
-                message = self._build_message(record.process_id)
-                self._add_own_record(message)
-                self._deliveries[message.sequence] = record.endpoint_id
-                await self._send(message, record.address)
+                sequence = await self._send_own_record(record)
+                self._deliveries[sequence] = record.endpoint_id
             with trio.move_on_after(DELIVERY_RETRY_SECONDS):
                 while not unanswered.keys().isdisjoint(self._deliveries.values()):
                     self._delivery_answered = trio.Event()
@@ -149,15 +153,21 @@
         if len(self._peer_selector.list_live_peers()) > len(peers):
             await trio.sleep_forever()
 
-    def _add_own_record(self, message: wire.messages.Gossip) -> None:
-        """Add the own record to ``message`` unless it is one of its updates.
+    async def push_own_record(self) -> None:
+        """Send the own record to up to ``MAX_OWN_RECORD_PEERS`` peers at once.
 
-        The update leaves the queue after a number of sends, and all of them may have
-        been lost.
+        Others learn it from them. The messages hold no other updates, so that they are
+        short.
         """
-        own = self._state.table.own
-        if all(row.endpoint_id != own.endpoint_id for row in message.records):
-            message.records.append(membership.encode_record(own))
+        for record in self._peer_selector.choose_push_targets(MAX_OWN_RECORD_PEERS):
+            await self._send_own_record(record)
+
+    async def _send_own_record(self, peer: membership.EndpointRecord) -> int:
+        """Send the own record to ``peer`` and return the message's sequence number."""
+        message = self._build_bare_message(peer.process_id)
+        message.records.append(membership.encode_record(self._state.table.own))
+        await self._send(message, peer.address)
+        return message.sequence
 
     def expects_documents(self) -> bool:
         """Return whether a peer has newer documents that are not fetched yet."""
@@ -217,13 +227,21 @@
         await self._send(message, record.address)
 
     def _build_message(self, process_id: int) -> wire.messages.Gossip:
-        self._sequence += 1
-        table = self._state.table
-        own = table.own
+        """Return a message with as many updates as the byte budget allows."""
         available = self._token_bucket.get_available(trio.current_time())
         max_payload_bytes = _datagram.MAX_DATAGRAM_BYTES - RESERVED_MESSAGE_BYTES
         max_bytes = int(min(max_payload_bytes, available - RESERVED_MESSAGE_BYTES))
-        batch = self._state.updates.take_batch(max_bytes, len(table))
+        batch = self._state.updates.take_batch(max_bytes, len(self._state.table))
+        message = self._build_bare_message(process_id)
+        message.records.extend(batch.records)
+        message.classes.extend(batch.entries)
+        return message
+
+    def _build_bare_message(self, process_id: int) -> wire.messages.Gossip:
+        """Return a message without updates."""
+        self._sequence += 1
+        table = self._state.table
+        own = table.own
         return wire.messages.Gossip(
             protocol_version=_datagram.PROTOCOL_VERSION,
             sender_id=own.endpoint_id,
@@ -231,8 +249,6 @@
             sequence=self._sequence,
             membership_digest=table.digest,
             catalog_digest=self._state.catalog.digest,
-            records=batch.records,
-            classes=batch.entries,
             n_endpoints=table.n_live,
             catalog_revision=self._state.catalog.position.revision,
             catalog_era=self._state.catalog.position.era,
@@ -434,6 +450,10 @@
         """Synchronise with a peer whose digests differ."""
         result = await self._synchronizer.sync_with(peer, trio.current_time())
         self._sync_schedule.record_result(result, trio.current_time())
+        if result.n_newer_records and not self._has_joined:
+            # The own record was sent only to peers that were known before.
+            self._has_joined = True
+            await self.push_own_record()
 
     async def _fetch_forever(self) -> None:
         """Fetch newer documents that peers advertise, and advertise them in turn."""
--- a/umberdrum/tests/cluster_scenarios.py
+++ b/umberdrum/tests/cluster_scenarios.py
@@ -283,6 +283,30 @@
             assert predecessor.state is membership.RecordState.SERVING, seed
 
 
+async def announce_restart() -> None:
+    """All daemons learn at once that the upstream of a restarted daemon serves.
+
+    Load pattern: daemons are restarted one after the other. Until a peer knows that one
+    serves again, it overloads the remaining ones.
+    """
+    async with harness.open_site() as site:
+        for index in range(12):
+            await site.add_node("payments", f"az{index % 3}")
+        await site.wait_until_known(0)
+        await trio.sleep(5.0)
+        first = site.nodes[0]
+        first.daemon.stop()
+        await first.daemon.wait_stopped()
+        await trio.sleep(1.0)
+        again = await site.add_node("payments", replaces=first)
+        await trio.sleep(0.1)
+        assert again.daemon.parts is not None
+        key = again.daemon.parts.table.own.key
+        for node in site.nodes[1:]:
+            assert node.daemon.parts is not None
+            assert key in node.daemon.parts.directory.list_keys(), node.endpoint_id
+
+
 def _has_left(observer: harness.Node, leaving: harness.Node) -> bool:
     """Return whether ``observer`` knows that the daemon of ``leaving`` has left."""
     parts = observer.daemon.parts
@@ -302,5 +326,6 @@
     "two regions are partitioned and rejoin": partition_and_rejoin_regions,
     "all daemons are replaced in turn": replace_daemons_in_turn,
     "a departure is known at once": announce_departure,
+    "a restart is known at once": announce_restart,
     "a daemon that starts again learns of its predecessor": learn_of_predecessor,
 }
--- a/umberdrum/tests/system.feature
+++ b/umberdrum/tests/system.feature
@@ -24,6 +24,7 @@
       | two regions are partitioned and rejoin |
       | all daemons are replaced in turn |
       | a departure is known at once |
+      | a restart is known at once |
       | a daemon that starts again learns of its predecessor |
       | an upstream sheds load |
       | the measuring budget is reloaded |
