Let a peer's restart not hold up the departure of a daemon

Cause: the departure was sent again to the process that the peer had at first. A peer that has just started again refuses such a message, so it never answered and the bound of 1 s was waited for. Change: each repetition goes to the process that the peer has now; a peer that has left meanwhile is waited for no more. Test: without the change the daemon has not stopped 0.5 s after its peer was started again.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -133,24 +133,26 @@
     async def deliver_own_record(self) -> None:
         """Send the own record to peers until each live peer has answered.
 
-        Peers that do not answer get it again. A larger cluster than
-        ``MAX_DELIVERY_PEERS`` learns it by gossip, of which the end is not known: then
-        this does not return, and the caller cancels it.
+        Peers that do not answer get it again, in a process that may have replaced the
+        one known before. A larger cluster than ``MAX_DELIVERY_PEERS`` learns it by
+        gossip, of which the end is not known: then this does not return, and the caller
+        cancels it.
         """
-        peers = self._peer_selector.choose_push_targets(MAX_DELIVERY_PEERS)
-        unanswered = {row.endpoint_id: row for row in peers}
         self._deliveries.clear()
+        peers = self._peer_selector.choose_push_targets(MAX_DELIVERY_PEERS)
+        unanswered = {row.endpoint_id for row in peers}
         while unanswered:
-            for record in unanswered.values():
-                sequence = await self._send_own_record(record)
-                self._deliveries[sequence] = record.endpoint_id
+            for record in self._peer_selector.list_live_peers():
+                if record.endpoint_id in unanswered:
+                    sequence = await self._send_own_record(record)
+                    self._deliveries[sequence] = record.endpoint_id
             with trio.move_on_after(DELIVERY_RETRY_SECONDS):
-                while not unanswered.keys().isdisjoint(self._deliveries.values()):
+                while not unanswered.isdisjoint(self._deliveries.values()):
                     self._delivery_answered = trio.Event()
                     await self._delivery_answered.wait()
-            pending = frozenset(self._deliveries.values())
-            unanswered = {key: row for key, row in unanswered.items() if key in pending}
-        if len(self._peer_selector.list_live_peers()) > len(peers):
+            live = {row.endpoint_id for row in self._peer_selector.list_live_peers()}
+            unanswered &= live & set(self._deliveries.values())
+        if len(self._peer_selector.list_live_peers()) > MAX_DELIVERY_PEERS:
             await trio.sleep_forever()
 
     async def push_own_record(self) -> None:
--- a/umberdrum/tests/cluster_scenarios.py
+++ b/umberdrum/tests/cluster_scenarios.py
@@ -283,6 +283,25 @@
             assert predecessor.state is membership.RecordState.SERVING, seed
 
 
+async def leave_beside_restart() -> None:
+    """A peer that is starting again does not hold up the departure of a daemon.
+
+    Load pattern: daemons are restarted one after the other, so that one leaves while
+    another has just started. The first one still knows the other's earlier process.
+    """
+    async with harness.open_site() as site:
+        for index in range(3):
+            await site.add_node("payments", f"az{index}")
+        await site.wait_until_known(0)
+        leaving, peer = site.nodes[:2]
+        site.kill(peer)
+        leaving.daemon.stop()
+        await trio.sleep(0.05)
+        await site.add_node("payments", replaces=peer)
+        with trio.fail_after(0.5):
+            await leaving.daemon.wait_stopped()
+
+
 async def announce_restart() -> None:
     """All daemons learn at once that the upstream of a restarted daemon serves.
 
@@ -327,5 +346,6 @@
     "all daemons are replaced in turn": replace_daemons_in_turn,
     "a departure is known at once": announce_departure,
     "a restart is known at once": announce_restart,
+    "a peer's restart does not hold up a departure": leave_beside_restart,
     "a daemon that starts again learns of its predecessor": learn_of_predecessor,
 }
--- a/umberdrum/tests/system.feature
+++ b/umberdrum/tests/system.feature
@@ -25,6 +25,7 @@
       | all daemons are replaced in turn |
       | a departure is known at once |
       | a restart is known at once |
+      | a peer's restart does not hold up a departure |
       | a daemon that starts again learns of its predecessor |
       | an upstream sheds load |
       | the measuring budget is reloaded |
