--- a/umberdrum/tests/cluster_scenarios.py
+++ b/umberdrum/tests/cluster_scenarios.py
@@ -283,6 +283,49 @@
             assert predecessor.state is membership.RecordState.SERVING, seed
 
 
+async def leave_beside_restart() -> None:
+    """A peer that is starting again does not hold up the departure of a daemon.
+
+    Load pattern: daemons are restarted one after the other, so that one leaves while
+    another has just started. The first one still knows the other's earlier process.
+    """
+    async with harness.open_site() as site:
+        for index in range(3):
+            await site.add_node("payments", f"az{index}")
+        await site.wait_until_known(0)
+        leaving, peer = site.nodes[:2]
+        site.kill(peer)
+        leaving.daemon.stop()
+        await trio.sleep(0.05)
+        await site.add_node("payments", replaces=peer)
+        with trio.fail_after(0.5):
+            await leaving.daemon.wait_stopped()
+
+
+async def announce_restart() -> None:
+    """All daemons learn at once that the upstream of a restarted daemon serves.
+
+    Load pattern: daemons are restarted one after the other. Until a peer knows that one
+    serves again, it overloads the remaining ones.
+    """
+    async with harness.open_site() as site:
+        for index in range(12):
+            await site.add_node("payments", f"az{index % 3}")
+        await site.wait_until_known(0)
+        await trio.sleep(5.0)
+        first = site.nodes[0]
+        first.daemon.stop()
+        await first.daemon.wait_stopped()
+        await trio.sleep(1.0)
+        again = await site.add_node("payments", replaces=first)
+        await trio.sleep(0.1)
+        assert again.daemon.parts is not None
+        key = again.daemon.parts.table.own.key
+        for node in site.nodes[1:]:
+            assert node.daemon.parts is not None
+            assert key in node.daemon.parts.directory.list_keys(), node.endpoint_id
+
+
 def _has_left(observer: harness.Node, leaving: harness.Node) -> bool:
     """Return whether ``observer`` knows that the daemon of ``leaving`` has left."""
     parts = observer.daemon.parts
@@ -302,5 +345,7 @@
     "two regions are partitioned and rejoin": partition_and_rejoin_regions,
     "all daemons are replaced in turn": replace_daemons_in_turn,
     "a departure is known at once": announce_departure,
+    "a restart is known at once": announce_restart,
+    "a peer's restart does not hold up a departure": leave_beside_restart,
     "a daemon that starts again learns of its predecessor": learn_of_predecessor,
 }
