Flush the lines that a failed flush has left

What operators saw: after one flush of the log for which no thread could be started, the process wrote no line until it ended. Cause: the flusher waits for the first line in an empty buffer. After the error the buffer was not empty, so that the restarted task waited for good. Ruled out: flushing in the event loop, which a slow reader of the log would stop. Change: the task begins with a flush. Measured: the new scenario failed before with no line written; it passes.

--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -149,6 +149,8 @@
 
     async def run(self) -> None:
         """Flush lines until cancelled."""
+        # A flush that failed has left its lines in the buffer.
+        self._has_lines.set()
         while True:
             await self._has_lines.wait()
             self._has_lines = trio.Event()
--- a/umberdrum/daemon/tests/daemon.feature
+++ b/umberdrum/daemon/tests/daemon.feature
@@ -45,3 +45,8 @@
       | a file that is not UTF-8   | settings_refused  |
       | a file with an unknown key | settings_refused  |
       | settings that can't be set | task_failed       |
+
+  # The flusher waited for a first line that had already been written.
+  Scenario: Log lines are written again after a flush that failed
+    When no thread can be started for one flush of the log
+    Then the lines from before and after it are written
--- a/umberdrum/daemon/tests/daemon_steps.py
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import functools
 import itertools
+import logging
 import os
 import pathlib
 import re
@@ -13,7 +14,7 @@
 import trio
 from behave import runner
 
-from umberdrum import daemon
+from umberdrum import daemon, logs, supervision
 from umberdrum.daemon import main
 from umberdrum.tests import harness
 from umberdrum_bench import caller
@@ -341,3 +342,48 @@
         if f"event={name} " in line
     ]
     assert found == [event], found
+
+
+@behave.when("no thread can be started for one flush of the log")
+def fail_flush(context: runner.Context) -> None:
+    read_end, write_end = os.pipe()
+    writer = logs.LineWriter(write_end)
+    logger = logging.Logger("flush")
+    logger.addHandler(writer)
+    error_log = supervision.ErrorLog(logs.EventLog(logger, "d1"))
+    run_in_thread = trio.to_thread.run_sync
+    n_attempts = 0
+
+    async def flush(function: Callable[[], None], **_options: object) -> None:
+        nonlocal n_attempts
+        n_attempts += 1
+        if n_attempts == 1:
+            raise RuntimeError("can't start new thread")
+        function()
+
+    async def run() -> None:
+        async with trio.open_nursery() as nursery:
+            tasks = supervision.TaskSupervisor(
+                nursery, error_log, nursery.cancel_scope.cancel
+            )
+            tasks.keep_running("log_flush", main._LineFlusher(writer).run)
+            for number in range(3):
+                logger.info("line %d", number)
+                await trio.sleep(TASK_PERIOD_SECONDS)
+            nursery.cancel_scope.cancel()
+
+    trio.to_thread.run_sync = flush  # type: ignore[assignment]
+    try:
+        harness.run_on_virtual_clock(run)
+    finally:
+        trio.to_thread.run_sync = run_in_thread
+        os.close(write_end)
+    with open(read_end, encoding="utf-8") as written:
+        context.log_lines = written.read().splitlines()
+
+
+@behave.then("the lines from before and after it are written")
+def check_flushed(context: runner.Context) -> None:
+    found = [line.partition(" level=info ")[2] for line in context.log_lines]
+    assert [row for row in found if row] == ["line 0", "line 1", "line 2"], found
+    assert any("task=log_flush" in line for line in context.log_lines)
