--- a/umberdrum/callpath/tests/peer_stop.feature
+++ b/umberdrum/callpath/tests/peer_stop.feature
@@ -84,3 +84,7 @@
       | the entry    |
       | the endpoint |
       | both         |
+
+  Scenario: An upload that an endpoint daemon receives while it stops ends truthfully
+    When the caller of an upload sends its second half 0.3 s after the endpoint daemon stops
+    Then the caller gets a response of status 200 to its only run, or 503 without a run
--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -22,6 +22,11 @@
     b"POST /pay HTTP/1.1\r\nHost: pay\r\numberdrum-deadline-ms: 9000\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+UPLOAD_BYTES = 200_000
+UPLOAD_HEAD = (
+    b"POST /pay HTTP/1.1\r\nHost: pay\r\numberdrum-deadline-ms: 9000\r\n"
+    b"Content-Length: 200000\r\n\r\n"
+)
 # The loss of a connection is noticed within two checks of the liveness watch.
 NOTICE_SECONDS = 0.2
 # The addresses of a node are free for its successor soon after its daemon has stopped.
@@ -419,3 +424,32 @@
             context.n_runs = site.count_runs("n1")
 
     harness.run_on_virtual_clock(run)
+
+
+@behave.when(
+    "the caller of an upload sends its second half "
+    "{seconds:g} s after the endpoint daemon stops"
+)
+def upload_during_stop(context: runner.Context, seconds: float) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await caller.send(UPLOAD_HEAD + bytes(UPLOAD_BYTES // 2))
+        await trio.sleep(NOTICE_SECONDS)
+        assert get_parts(node).endpoint.n_in_progress == 1
+        node.daemon.stop()
+        await trio.sleep(seconds)
+        await caller.send(bytes(UPLOAD_BYTES // 2))
+        context.raw = await caller.receive()
+        caller.close()
+        context.n_runs = len(node.upstream.begun)
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then(
+    "the caller gets a response of status 200 to its only run, or 503 without a run"
+)
+def check_upload(context: runner.Context) -> None:
+    status = context.raw[9:12]
+    expected = {1: b"200", 0: b"503"}
+    assert status == expected.get(context.n_runs), (context.raw, context.n_runs)
