--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -22,6 +22,11 @@
     b"POST /pay HTTP/1.1\r\nHost: pay\r\numberdrum-deadline-ms: 9000\r\n"
     b"Content-Length: 0\r\n\r\n"
 )
+UPLOAD_BYTES = 200_000
+UPLOAD_HEAD = (
+    b"POST /pay HTTP/1.1\r\nHost: pay\r\numberdrum-deadline-ms: 9000\r\n"
+    b"Content-Length: 200000\r\n\r\n"
+)
 # The loss of a connection is noticed within two checks of the liveness watch.
 NOTICE_SECONDS = 0.2
 # The addresses of a node are free for its successor soon after its daemon has stopped.
@@ -29,6 +34,8 @@
 BODY_FRAME_BYTES = 1 << 16
 # Calls are sent in this many successive passes of the event loop.
 N_PASSES = 8
+# The event loop runs the tasks of a pass in random order.
+N_ROUNDS = 6
 
 
 class _PeerCalls:
@@ -105,6 +112,9 @@
     "just as the endpoint daemon {moment}"
 )
 def call_at_stop(context: runner.Context, n_calls: int, cls: str, moment: str) -> None:
+    context.results = []
+    context.n_runs = 0
+
     async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
         calls = _PeerCalls(node, entry, cls)
         await calls.warm_up()
@@ -119,10 +129,11 @@
             else:
                 event.set()
             node.daemon.stop()
-        context.results = calls.results
-        context.n_runs = len(node.upstream.begun) - n_earlier_runs
+        context.results += calls.results
+        context.n_runs += len(node.upstream.begun) - n_earlier_runs
 
-    callpath_steps.run_with_upstream(test)
+    for _ in range(N_ROUNDS):
+        callpath_steps.run_with_upstream(test)
 
 
 @behave.then("each of them got a response, or is proven not to have run")
@@ -419,3 +430,32 @@
             context.n_runs = site.count_runs("n1")
 
     harness.run_on_virtual_clock(run)
+
+
+@behave.when(
+    "the caller of an upload sends its second half "
+    "{seconds:g} s after the endpoint daemon stops"
+)
+def upload_during_stop(context: runner.Context, seconds: float) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        caller = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await caller.send(UPLOAD_HEAD + bytes(UPLOAD_BYTES // 2))
+        await trio.sleep(NOTICE_SECONDS)
+        assert get_parts(node).endpoint.n_in_progress == 1
+        node.daemon.stop()
+        await trio.sleep(seconds)
+        await caller.send(bytes(UPLOAD_BYTES // 2))
+        context.raw = await caller.receive()
+        caller.close()
+        context.n_runs = len(node.upstream.begun)
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then(
+    "the caller gets a response of status 200 to its only run, or 503 without a run"
+)
+def check_upload(context: runner.Context) -> None:
+    status = context.raw[9:12]
+    expected = {1: b"200", 0: b"503"}
+    assert status == expected.get(context.n_runs), (context.raw, context.n_runs)
