Show that errors and stops still end the work of others

What callers see: an error at the set-up of one accepted connection cuts every call of the daemon; after an error of the wait for connections none is accepted any more, with no line in the log; an error while a pipelined request is read takes the earlier one with it; a step of the stop that fails cuts all calls; one link whose check fails keeps the others from their keepalives. A request that follows a response at the moment of a stop, one whose body is arriving, and a HEAD request with a malformed chunk are closed on with no response. Cause: the accept loop and the serving of its connections share a nursery, the wait for connections takes any OSError for a closed listener, the boundary for errors in a caller's connection begins only at the routing, steps of the shutdown after the resignation have none, and the watch has one for all its links. The end of a response closes without a look for bytes that have arrived, a request is counted only once its body was read, and a refusal sends a body to HEAD where the request is malformed.

--- a/umberdrum/callpath/tests/hostile.feature
+++ b/umberdrum/callpath/tests/hostile.feature
@@ -66,3 +66,21 @@
       | n_requests | connections      |
       | 40         | new connections  |
       | 40         | kept connections |
+
+  Scenario: A planned stop answers a request that follows a response at once
+    When a daemon is stopped just as the next request follows a response
+    Then each of them gets a complete response
+
+  Scenario: A planned stop waits for a request whose body is still arriving
+    When a daemon is stopped between the two parts of a request's body
+    Then each of them gets a complete response
+
+  Scenario Outline: A malformed body is refused whatever the method
+    When a caller sends a <method> request with a malformed chunk
+    Then it gets a 400 response
+
+    Examples:
+      | method |
+      | POST   |
+      | GET    |
+      | HEAD   |
--- a/umberdrum/callpath/tests/hostile_steps.py
+++ b/umberdrum/callpath/tests/hostile_steps.py
@@ -23,6 +23,7 @@
 MAX_HEAD_BYTES = 65_536
 REPEAT_SECONDS = 0.08
 SERVICE_SECONDS = 0.1
+BODY_PAUSE_SECONDS = 1.5
 REQUEST = b"GET /look HTTP/1.1\r\nHost: pay\r\n\r\n"
 OK_HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED_HEAD = OK_HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -255,6 +256,70 @@
     callpath_steps.run_with_upstream(test)
 
 
+@behave.when("a daemon is stopped just as the next request follows a response")
+def stop_after_response(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        assert entry.daemon.parts is not None
+        server = entry.daemon.parts.caller_server
+        address = entry.settings.caller_listen
+        raw_socket = socket.create_connection((address.host, address.port))
+        connection = sockets.Connection(raw_socket)
+        exchange_type = _caller_exchange.CallerExchange
+        can_reuse_connection = exchange_type.can_reuse_connection
+
+        def stop(exchange: _caller_exchange.CallerExchange) -> bool:
+            # The first response was sent, and its request still counts.
+            exchange_type.can_reuse_connection = (  # type: ignore[method-assign]
+                can_reuse_connection
+            )
+            raw_socket.sendall(REQUEST)
+            server.start_closing()
+            entry.daemon.stop()
+            return can_reuse_connection(exchange)
+
+        await connection.send(REQUEST)
+        exchange_type.can_reuse_connection = stop  # type: ignore[method-assign, assignment]
+        first = await connection.receive()
+        assert first.startswith(b"HTTP/1.1 200"), first
+        context.responses = [await _receive_response(connection)]
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when("a daemon is stopped between the two parts of a request's body")
+def stop_in_body(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        connection = await sockets.connect(entry.settings.caller_listen, 1.0)
+        await connection.send(
+            b"POST /look HTTP/1.1\r\nHost: pay\r\nContent-Length: 4\r\n\r\nab"
+        )
+        await trio.sleep(BODY_PAUSE_SECONDS)
+        entry.daemon.stop()
+        await trio.sleep(BODY_PAUSE_SECONDS)
+        with contextlib.suppress(sockets.ConnectionLostError):
+            await connection.send(b"cd")
+        context.responses = [await _receive_response(connection)]
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when("a caller sends a {method} request with a malformed chunk")
+def send_malformed_chunk(context: runner.Context, method: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        context.raw = await site.send_raw(
+            entry.settings.caller_listen,
+            f"{method} /look HTTP/1.1\r\nHost: pay\r\n".encode()
+            + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n",
+        )
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("it gets a 400 response")
+def check_malformed(context: runner.Context) -> None:
+    assert context.raw.startswith(b"HTTP/1.1 400 "), context.raw
+
+
 async def _receive_response(connection: sockets.Connection) -> bytes:
     """Return the bytes of a response, empty if the connection is reset."""
     received = b""
--- a/umberdrum/daemon/tests/daemon.feature
+++ b/umberdrum/daemon/tests/daemon.feature
@@ -34,6 +34,27 @@
     When a stopping daemon with calls in progress can't publish its departure
     Then each of these calls is answered, and the daemon has stopped
 
+  Scenario Outline: An error of the listener cuts no call and does not end it
+    When <call> fails for the listener of callers while calls are in progress
+    Then each of these calls is answered, and so is one over a new connection
+
+    Examples:
+      | call                       |
+      | the set-up of a connection |
+      | the wait for a connection  |
+
+  Scenario: An error while a request is read ends no earlier request
+    When the reading of a pipelined request fails while an earlier one is in progress
+    Then the earlier one is answered
+
+  Scenario: A stop goes on after a step that fails
+    When a stopping daemon with calls in progress can't close idle connections
+    Then each of these calls is answered, and the daemon has stopped
+
+  Scenario: A watch that fails for one link keeps the other links alive
+    When the check of one peer link fails each time while calls are in progress
+    Then only the call over that link may fail
+
   Scenario Outline: A reload that can't be done changes nothing and cuts no call
     When a daemon without standard error reloads <settings> while calls are in progress
     Then each of these calls is answered, and the log has one line "<event>"
--- a/umberdrum/daemon/tests/daemon_steps.py
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -1,20 +1,22 @@
 """Steps for errors in the tasks of a daemon while it serves calls."""
 
 import contextlib
+import errno
 import functools
 import itertools
 import logging
 import os
 import pathlib
 import re
+import socket
 import tempfile
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 
 import behave
 import trio
 from behave import runner
 
-from umberdrum import daemon, logs, supervision
+from umberdrum import daemon, logs, settings, supervision
 from umberdrum.daemon import main
 from umberdrum.tests import harness
 from umberdrum_bench import caller
@@ -29,6 +31,10 @@
     b"umberdrum-deadline-ms: 20000\r\n\r\n"
     b"GET /look/broken HTTP/1.1\r\nHost: pay\r\nConnection: close\r\n\r\n"
 )
+LOOKUP = (
+    b"GET /look/good HTTP/1.1\r\nHost: pay\r\nX-Nonce: new\r\nConnection: close\r\n\r\n"
+)
+N_LIMITS_PER_REQUEST = 2
 
 VALID_SETTINGS = b"""[instance]
 availability_zone = az1
@@ -387,3 +393,147 @@
     found = [line.partition(" level=info ")[2] for line in context.log_lines]
     assert [row for row in found if row] == ["line 0", "line 1", "line 2"], found
     assert any("task=log_flush" in line for line in context.log_lines)
+
+
+@contextlib.contextmanager
+def _fail_listener(call: str, address: settings.Address) -> Iterator[list[str]]:
+    """Make ``call`` fail once for the listener at ``address``; yields the failures."""
+    failures: list[str] = []
+    wait_readable = trio.lowlevel.wait_readable
+    set_blocking = socket.socket.setblocking
+
+    async def wait(sock: int | socket.socket) -> None:
+        if (
+            isinstance(sock, socket.socket)
+            and sock.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
+            and sock.getsockname()[:2] == tuple(address)
+            and not failures
+        ):
+            failures.append(call)
+            raise OSError(errno.ENOSPC, "too many watched descriptors")
+        await wait_readable(sock)
+
+    def set_up(sock: socket.socket, is_blocking: bool) -> None:
+        if not failures and sock.getsockname()[:2] == tuple(address):
+            failures.append(call)
+            raise OSError(errno.ENOBUFS, "no buffer space")
+        set_blocking(sock, is_blocking)
+
+    if call == "the wait for a connection":
+        trio.lowlevel.wait_readable = wait  # type: ignore[assignment]
+    else:
+        socket.socket.setblocking = set_up  # type: ignore[method-assign, assignment]
+    try:
+        yield failures
+    finally:
+        trio.lowlevel.wait_readable = wait_readable
+        socket.socket.setblocking = set_blocking  # type: ignore[method-assign]
+
+
+@behave.when("{call} fails for the listener of callers while calls are in progress")
+def fail_listener(context: runner.Context, call: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        address = node.settings.caller_listen
+        answers: list[caller.CallerAnswer] = []
+        async with trio.open_nursery() as nursery:
+            for index in range(N_CALLS):
+                path = ("/look", "/pay")[index % 2]
+                nursery.start_soon(_call_slowly, site, node, path, answers)
+            await trio.sleep(WAIT_SECONDS)
+            with _fail_listener(call, address) as failures:
+                await site.send_raw(address, LOOKUP)
+            assert failures == [call], failures
+        await trio.sleep(TASK_PERIOD_SECONDS)
+        context.raw = await site.send_raw(address, LOOKUP)
+        context.answers = answers
+
+    _run_with_upstreams(test)
+
+
+@behave.then("each of these calls is answered, and so is one over a new connection")
+def check_listener(context: runner.Context) -> None:
+    check_stopped(context)
+    assert context.raw.startswith(b"HTTP/1.1 200"), context.raw
+
+
+@behave.when(
+    "the reading of a pipelined request fails while an earlier one is in progress"
+)
+def fail_reading(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        limits = _get_parts(node).caller_server._get_limits
+        n_reads = 0
+
+        def fail_second() -> object:
+            nonlocal n_reads
+            n_reads += 1
+            if n_reads == N_LIMITS_PER_REQUEST + 1:
+                raise RuntimeError("injected error in the limits")
+            return limits()
+
+        _get_parts(node).caller_server._get_limits = fail_second  # type: ignore
+        context.raw = await site.send_raw(
+            node.settings.caller_listen, PIPELINED_REQUESTS
+        )
+        assert n_reads > N_LIMITS_PER_REQUEST, n_reads
+
+    _run_with_upstreams(test)
+
+
+@behave.then("the earlier one is answered")
+def check_earlier(context: runner.Context) -> None:
+    assert context.raw.startswith(b"HTTP/1.1 200"), context.raw
+
+
+@behave.when("a stopping daemon with calls in progress can't close idle connections")
+def fail_closing(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        answers: list[caller.CallerAnswer] = []
+        async with trio.open_nursery() as nursery:
+            for index in range(N_CALLS):
+                path = ("/look", "/pay")[index % 2]
+                nursery.start_soon(_call_slowly, site, node, path, answers)
+            await trio.sleep(WAIT_SECONDS)
+            _FailingCall(_get_parts(node).caller_server, "start_closing")
+            node.daemon.stop()
+        with trio.fail_after(TASK_PERIOD_SECONDS):
+            await node.daemon.wait_stopped()
+        context.answers = answers
+
+    _run_with_upstreams(test)
+
+
+@behave.when("the check of one peer link fails each time while calls are in progress")
+def fail_watch(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
+        site.expects_errors = True
+        answers: list[caller.CallerAnswer] = []
+        watch = _get_parts(other).watch
+        # The calls run at the other daemon, which sends keepalives for them.
+        node.upstream.state = "draining"
+        await trio.sleep(WAIT_SECONDS)
+        async with trio.open_nursery() as nursery:
+            for index in range(N_CALLS):
+                path = ("/look", "/pay")[index % 2]
+                nursery.start_soon(_call_slowly, site, node, path, answers)
+            await trio.sleep(WAIT_SECONDS)
+            n_watched = watch.n_watched
+            first = next(iter(watch._calls.values()))
+            assert first.channel is not None
+            _FailingCall(first.channel, "try_send", is_permanent=True)
+        context.n_watched = n_watched
+        context.answers = answers
+        context.n_lost = _get_parts(node).peer_client.n_silent_links
+
+    _run_with_upstreams(test)
+
+
+@behave.then("only the call over that link may fail")
+def check_links(context: runner.Context) -> None:
+    assert context.n_watched == N_CALLS, context.n_watched
+    assert context.n_lost <= 1, context.n_lost
+    statuses = [answer.status for answer in context.answers]
+    assert statuses.count(200) >= N_CALLS - 1, context.answers
