Keep one link that can't be checked from silencing the others

What callers saw: while the check of one link failed, the peers of all other calls in progress got no keepalives and gave their links up; payments got 502. Cause: the watch checks all calls and links in one loop. An error ended the round, and the supervisor restarts the task after up to 2 s, while a link may be silent for 0.3 s. Ruled out: a shorter delay before the restart, as each round would end at the same link. Change: the watch logs the error of a call or link and goes on with the next.

--- a/umberdrum/callpath/_liveness.py
+++ b/umberdrum/callpath/_liveness.py
@@ -5,7 +5,7 @@
 
 import trio
 
-from umberdrum import peerlink, sockets
+from umberdrum import peerlink, sockets, supervision
 
 CHECK_INTERVAL_SECONDS = 0.05
 MAX_SILENCE_SECONDS = 0.3
@@ -73,7 +73,8 @@
     call that ends sooner needs no task, timer or acknowledgement of its own.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, error_log: supervision.ErrorLog) -> None:
+        self._error_log = error_log
         self._calls: dict[int, _WatchedCall] = {}
         self._links: dict[int, WatchedLink] = {}
         self._previous_calls: frozenset[int] = frozenset()
@@ -127,16 +128,30 @@
             self.check(trio.current_time())
 
     def check(self, now: float) -> None:
-        """Check all links, and the calls that were in progress at the last check."""
+        """Check all links, and the calls that were in progress at the last check.
+
+        An error is logged and does not keep the other calls and links from their check.
+        """
         for number in self._previous_calls:
             call = self._calls.get(number)
             if call is None:
                 continue
-            if call.connection.is_lost():
-                call.scope.cancel()
-                continue
-            if call.channel is not None:
-                call.channel.try_send(peerlink.FrameKind.KEEPALIVE)
+            try:
+                _check_call(call)
+            except Exception as fault:
+                self._error_log.record("liveness_watch", fault)
         for link in list(self._links.values()):
-            link.check(now)
+            try:
+                link.check(now)
+            except Exception as fault:
+                self._error_log.record("liveness_watch", fault)
         self._previous_calls = frozenset(self._calls)
+
+
+def _check_call(call: _WatchedCall) -> None:
+    """Cancel the call if its caller is gone, or else send a keepalive to a peer."""
+    if call.connection.is_lost():
+        call.scope.cancel()
+        return
+    if call.channel is not None:
+        call.channel.try_send(peerlink.FrameKind.KEEPALIVE)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -77,7 +77,7 @@
         self.directory = membership.MembershipDirectory(
             self.table, self.exchange.request_probe
         )
-        self.watch = callpath.LivenessWatch()
+        self.watch = callpath.LivenessWatch(tasks.errors)
         self.upstream_pool = callpath.UpstreamPool(dialect)
         gate = _build_gate(own_settings)
         self.prober = callpath.UpstreamProber(
--- a/umberdrum/daemon/tests/daemon_steps.py
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -514,7 +514,7 @@
         watch = _get_parts(other).watch
         # The calls run at the other daemon, which sends keepalives for them.
         node.upstream.state = "draining"
-        await trio.sleep(WAIT_SECONDS)
+        await trio.sleep(TASK_PERIOD_SECONDS)
         async with trio.open_nursery() as nursery:
             for index in range(N_CALLS):
                 path = ("/look", "/pay")[index % 2]
