Answer the calls in progress at the end of the grace period

A call that was still in progress when the grace period of a stopping daemon ended was cut off: its caller got no answer and couldn't tell it from a broken network. It now gets 504 outcome-unknown, in the order of the requests on its connection. A response that was started stays incomplete, because only a close can signal that.

In umberdrum/daemon/_daemon.py the end of the grace period calls CallerServer.end_calls and waits 0.1 s at most for the connections; with the wait for control requests, now 0.25 s, a daemon ends 0.35 s after its grace period at the latest.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -3,9 +3,10 @@
 import math
 import socket
 
+import expression
 import trio
 
-from umberdrum import sockets
+from umberdrum import errors, sockets
 from umberdrum.callpath import (
     _call,
     _caller_exchange,
@@ -54,6 +55,8 @@
         self._serving_since = trio.current_time()
         self._listening_since = self._serving_since
         self._closed = trio.Event()
+        self._is_ending = False
+        self._call_scopes: set[trio.CancelScope] = set()
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Serve the requests of one connection until it ends."""
@@ -78,6 +81,15 @@
         await sockets.accept_connections(listener, self.serve, max_connections)
         self._closed.set()
 
+    def end_calls(self) -> None:
+        """Refuse the requests in progress, whose outcome is unknown to their callers.
+
+        A response that was started stays incomplete.
+        """
+        self._is_ending = True
+        for scope in list(self._call_scopes):
+            scope.cancel()
+
     async def wait_closed(self) -> None:
         """Wait until ``accept`` has ended, after ``start_closing``."""
         await self._closed.wait()
@@ -246,9 +258,15 @@
         )
         connection = pipeline.connection
         with trio.CancelScope() as scope, self._watch.watch(connection, scope):
-            outcome = await self._entry.handle(request, body, sink)
+            self._call_scopes.add(scope)
+            try:
+                outcome = await self._entry.handle(request, body, sink)
+            finally:
+                self._call_scopes.discard(scope)
         if scope.cancelled_caught:
-            return False
+            if not self._is_ending:
+                return False
+            outcome = _build_ending_outcome(request)
         await position.turn.wait()
         if outcome.result.is_error():
             if outcome.is_started:
@@ -284,3 +302,14 @@
 
     def _may_close(self, pipeline: _request_pipeline.RequestPipeline) -> bool:
         return self.is_closing or (self.is_draining and not pipeline.is_overlapping)
+
+
+def _build_ending_outcome(request: _entry.IncomingRequest) -> _entry.EntryOutcome:
+    failure = errors.fail(
+        errors.ErrorKind.OUTCOME_UNKNOWN,
+        "the daemon ended before the response arrived",
+        errors.Execution.MAY_HAVE_RUN,
+    )
+    return _entry.EntryOutcome(
+        expression.Error(failure), False, request.fields.request_id
+    )
--- a/umberdrum/callpath/tests/callpath_steps.py
+++ b/umberdrum/callpath/tests/callpath_steps.py
@@ -14,10 +14,13 @@
 SiteTest = Callable[[harness.Site, harness.Node, harness.Node], Awaitable[None]]
 
 
-def run_with_upstream(test: SiteTest, leave_accept_ms: int = 0) -> None:
+def run_with_upstream(
+    test: SiteTest, leave_accept_ms: int = 0, grace_ms: int = harness.GRACE_MS
+) -> None:
     """Run ``test`` with a daemon that has an upstream and an entry daemon without.
 
-    The entry daemon accepts connections for ``leave_accept_ms`` after its stop.
+    The entry daemon accepts connections for ``leave_accept_ms`` after its stop, and
+    ends ``grace_ms`` after it.
     """
 
     async def run() -> None:
@@ -25,7 +28,9 @@
             await site.create_class("pay", "pay", "/pay", is_idempotent=False)
             await site.create_class("look", "pay", "/look")
             node = await site.add_node("pay")
-            entry = await site.add_node("", leave_accept_ms=leave_accept_ms)
+            entry = await site.add_node(
+                "", leave_accept_ms=leave_accept_ms, grace_ms=grace_ms
+            )
             await site.wait_until_known(2)
             parts = entry.daemon.parts
             assert parts is not None
--- a/umberdrum/callpath/tests/closing.feature
+++ b/umberdrum/callpath/tests/closing.feature
@@ -81,3 +81,25 @@
       | half    | announce | kept |
       | all     | admin    | new  |
       | half    | admin    | kept |
+
+  Scenario Outline: Calls in progress get their responses when <event>
+    When <event> during 4 calls that take 2 s
+    Then each of them gets a complete response with status 200
+
+    Examples:
+      | event                             |
+      | the entry daemon reloads settings |
+      | the entry daemon stops            |
+      | the upstream drains               |
+      | the upstream's daemon stops       |
+
+  Scenario Outline: The grace period ends during calls
+    When a daemon is stopped during 3 <calls>, with a grace period of 1500 ms
+    Then each of them gets a complete response with status 504
+    And the daemon ends within 1.8 s
+
+    Examples:
+      | calls                 |
+      | calls                 |
+      | payments              |
+      | calls in one pipeline |
--- a/umberdrum/callpath/tests/closing_steps.py
+++ b/umberdrum/callpath/tests/closing_steps.py
@@ -23,6 +23,8 @@
 # The stopping daemon spreads its departure for that long.
 END_AFTER_SECONDS = 1.0
 N_CONTROL_CLIENTS = 20
+CALL_SECONDS = 4.0
+N_SLOTS = 4
 STREAM_SERVICE_SECONDS = 0.1
 RESPONSE_TIMEOUT_SECONDS = 60.0
 
@@ -198,8 +200,8 @@
     assert nonces == [f"n{index}" for index in range(len(responses))], nonces
 
 
-@behave.then("the daemon ends within {limit:d} s")
-def check_stop_seconds(context: runner.Context, limit: int) -> None:
+@behave.then("the daemon ends within {limit:g} s")
+def check_stop_seconds(context: runner.Context, limit: float) -> None:
     assert context.stop_seconds <= limit, context.stop_seconds
 
 
@@ -412,3 +414,84 @@
         await entry.daemon.wait_stopped()
 
     callpath_steps.run_with_upstream(test)
+
+
+async def _apply_event(
+    event: str, site: harness.Site, node: harness.Node, entry: harness.Node
+) -> None:
+    match event:
+        case "the entry daemon reloads settings":
+            entry.daemon.reload(entry.settings)
+        case "the entry daemon stops":
+            entry.daemon.stop()
+        case "the upstream drains":
+            node.upstream.state = "draining"
+            await site.announce(node, "pay", N_SLOTS, "draining")
+        case "the upstream's daemon stops":
+            node.daemon.stop()
+        case _:
+            raise ValueError(event)
+
+
+@behave.when("{event} during {n_calls:d} calls that take 2 s")
+def apply_event_during_calls(context: runner.Context, event: str, n_calls: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        address = entry.settings.caller_listen
+        callers = [await sockets.connect(address, 1.0) for _ in range(n_calls)]
+        for index, caller in enumerate(callers):
+            await caller.send(_build_request(f"n{index}", fault="slow"))
+        await trio.sleep(STOP_AFTER_SECONDS)
+        await _apply_event(event, site, node, entry)
+        with trio.move_on_after(CALL_SECONDS):
+            async with trio.open_nursery() as nursery:
+                for caller in callers:
+                    nursery.start_soon(_collect, caller, context.raws)
+        context.responses = [_split_responses(raw) for raw in context.raws]
+
+    context.raws = []
+    callpath_steps.run_with_upstream(test)
+
+
+async def _collect(caller: sockets.Connection, raws: list[bytes]) -> None:
+    """Add what the caller receives before it is disconnected or cancelled."""
+    index = len(raws)
+    raws.append(b"")
+    with contextlib.suppress(sockets.ConnectionLostError):
+        while data := await caller.receive():
+            raws[index] += data
+
+
+@behave.then("each of them gets a complete response with status {status:d}")
+def check_statuses(context: runner.Context, status: int) -> None:
+    for responses in context.responses:
+        found = [(row.status, row.is_complete) for row in responses]
+        assert found == [(status, True)], context.responses
+
+
+@behave.when(
+    "a daemon is stopped during {n_calls:d} {kind}, with a grace period of "
+    "{grace_ms:d} ms"
+)
+def exceed_grace(
+    context: runner.Context, n_calls: int, kind: str, grace_ms: int
+) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        address = entry.settings.caller_listen
+        path = "/pay" if kind == "payments" else "/look"
+        n_connections = 1 if kind == "calls in one pipeline" else n_calls
+        callers = [await sockets.connect(address, 1.0) for _ in range(n_connections)]
+        for index in range(n_calls):
+            caller = callers[index % n_connections]
+            await caller.send(_build_request(f"n{index}", path, "hang"))
+        await trio.sleep(STOP_AFTER_SECONDS)
+        stopped_at = trio.current_time()
+        entry.daemon.stop()
+        raws = [await _receive_until_closed(caller) for caller in callers]
+        await entry.daemon.wait_stopped()
+        context.stop_seconds = trio.current_time() - stopped_at
+        context.responses = [_split_responses(raw) for raw in raws]
+        if n_connections == 1:
+            context.responses = [[row] for row in context.responses[0]]
+        assert len(context.responses) == n_calls, raws
+
+    callpath_steps.run_with_upstream(test, grace_ms=grace_ms)
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -24,7 +24,8 @@
 MAINTENANCE_INTERVAL_SECONDS = 1.0
 FINAL_GOSSIP_SECONDS = 1.0
 RESIGN_TIMEOUT_SECONDS = 0.5
-CONTROL_CLOSE_SECONDS = 0.5
+END_CALLS_SECONDS = 0.1
+CONTROL_CLOSE_SECONDS = 0.25
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
 
@@ -214,7 +215,7 @@
     ) -> None:
         """Refuse new calls, gossip the departure and finish calls in progress.
 
-        Calls that are still in progress after the grace period are cut off.
+        Calls that are still in progress after the grace period are ended.
         """
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
@@ -235,6 +236,9 @@
             await parts.caller_server.wait_closed()
         if scope.cancelled_caught:
             self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
+            parts.caller_server.end_calls()
+            with trio.move_on_after(END_CALLS_SECONDS):
+                await parts.caller_server.wait_closed()
         with trio.move_on_after(CONTROL_CLOSE_SECONDS):
             await self._close_control_servers(parts, listeners)
 
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -37,6 +37,7 @@
 CLUSTER_KEY = bytes(range(16))
 CALL_TIMEOUT_SECONDS = 60.0
 RAW_TIMEOUT_SECONDS = 90.0
+GRACE_MS = 60_000
 
 _Result = TypeVar("_Result")
 
@@ -187,6 +188,7 @@
         seeds: tuple[settings.Address, ...] = (),
         host: str = HOST,
         leave_accept_ms: int = 0,
+        grace_ms: int = GRACE_MS,
     ) -> Node:
         """Start one endpoint; ``replaces`` gives it the addresses of an earlier one."""
         if replaces is not None:
@@ -196,7 +198,7 @@
             node_settings = self._build_settings(zone, region, has_link, host)
             upstream = upstreams.FakeUpstream(find_free_address())
         node_settings = node_settings._replace(
-            seeds=seeds, leave_accept_ms=leave_accept_ms
+            seeds=seeds, leave_accept_ms=leave_accept_ms, grace_ms=grace_ms
         )
         logger = logging.Logger(f"node-{len(self.nodes)}")
         log_handler = _LogCollector()
