--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -4,12 +4,10 @@
 import random
 import socket
 import time
-from typing import NamedTuple
 
 import trio
 
 from umberdrum import (
-    controlhttp,
     logs,
     measuring,
     peerlink,
@@ -18,32 +16,15 @@
     startup,
     supervision,
 )
-from umberdrum.daemon import _integration, _parts
+from umberdrum.daemon import _integration, _listeners, _parts, _shutdown
 
 MAX_CONTROL_CONNECTIONS = 64
 MAX_PEER_CONNECTIONS = 4096
 MAINTENANCE_INTERVAL_SECONDS = 1.0
-FINAL_GOSSIP_SECONDS = 1.0
-# A departure that peers answer, and the calls in progress, end within about this time.
-DEPARTURE_SECONDS = 0.5
-# Calls and connections that were sent before the departure was known arrive by then.
-ARRIVAL_SECONDS = 0.1
-RESIGN_TIMEOUT_SECONDS = 0.5
-CONTROL_CLOSE_SECONDS = 0.3
 MS_PER_SECOND = 1000.0
 PROCESS_ID_BITS = 63
 
 
-class _Listeners(NamedTuple):
-    """Listening TCP sockets of the daemon; ``ready`` is optional."""
-
-    caller: socket.socket
-    peer: socket.socket
-    admin: socket.socket
-    announce: socket.socket
-    ready: socket.socket | None
-
-
 class Daemon:
     """Daemon for one upstream.
 
@@ -138,7 +119,7 @@
         self._stopped.set()
 
     async def _serve(
-        self, listeners: _Listeners, task_status: trio.TaskStatus[None]
+        self, listeners: _listeners.Listeners, task_status: trio.TaskStatus[None]
     ) -> None:
         async with trio.open_nursery() as nursery:
             tasks = supervision.TaskSupervisor(nursery, self.errors, self.fail)
@@ -166,16 +147,19 @@
             )
             task_status.started()
             await self._stop_requested.wait()
-            await self._shut_down(parts, listeners)
+            shutdown = _shutdown.Shutdown(
+                parts, listeners, self._settings, self._log, self.errors
+            )
+            await shutdown.run()
             nursery.cancel_scope.cancel()
 
-    def _bind(self) -> _Listeners:
+    def _bind(self) -> _listeners.Listeners:
         own = self._settings
         caller = self._pop_early_listener(own.caller_listen)
         announce = self._pop_early_listener(own.announce_listen)
         for listener in self._early_listeners:
             listener.close()
-        return _Listeners(
+        return _listeners.Listeners(
             caller or sockets.bind_tcp(own.caller_listen),
             sockets.bind_tcp(own.peer_listen),
             sockets.bind_tcp(own.admin_listen),
@@ -194,7 +178,7 @@
     def _start_tasks(
         self,
         parts: _parts.DaemonParts,
-        listeners: _Listeners,
+        listeners: _listeners.Listeners,
         tasks: supervision.TaskSupervisor,
     ) -> None:
         accept = sockets.accept_connections
@@ -213,7 +197,7 @@
             parts.peer_server.serve,
             MAX_PEER_CONNECTIONS,
         )
-        for listener, server in self._list_control_servers(parts, listeners):
+        for listener, server in listeners.list_control_servers(parts):
             keep_running(
                 "accept_control", server.accept, listener, MAX_CONTROL_CONNECTIONS
             )
@@ -226,17 +210,6 @@
         keep_running("liveness_watch", parts.watch.run)
         keep_running("maintenance", self._maintain, parts)
 
-    def _list_control_servers(
-        self, parts: _parts.DaemonParts, listeners: _Listeners
-    ) -> list[tuple[socket.socket, controlhttp.ControlServer]]:
-        servers = [
-            (listeners.admin, parts.admin_server),
-            (listeners.announce, parts.announce_server),
-        ]
-        if listeners.ready is not None:
-            servers.append((listeners.ready, parts.ready_server))
-        return servers
-
     async def _maintain(self, parts: _parts.DaemonParts) -> None:
         """Close idle connections and drop the statistics of removed endpoints."""
         while True:
@@ -245,96 +218,3 @@
             parts.peer_pool.close_idle(now)
             parts.upstream_pool.close_idle(now)
             parts.entry.router.prune_endpoints(parts.directory.list_keys())
-
-    async def _shut_down(
-        self, parts: _parts.DaemonParts, listeners: _Listeners
-    ) -> None:
-        """Serve until callers have noticed the stop, then leave and finish all calls.
-
-        Calls that are still in progress after the grace period are cut off. A step that
-        fails does not keep the following ones from being taken.
-        """
-        self._log.write("stopping", in_progress=parts.watch.n_watched)
-        now = trio.current_time()
-        grace_until = now + self._settings.grace_ms / MS_PER_SECOND
-        accept_until = now + self._settings.leave_accept_ms / MS_PER_SECOND
-        accept_until = min(accept_until, grace_until)
-        parts.reporter.is_stopping = True
-        parts.endpoint.ends_at = grace_until
-        with self.errors.suppress("resignation"):
-            parts.contact_manager.leave()
-        if self._settings.leave_accept_ms:
-            parts.caller_server.start_draining()
-            with trio.move_on_at(accept_until - DEPARTURE_SECONDS):
-                await self._wait_until_noticed(parts)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._resign, parts)
-            with trio.move_on_at(grace_until) as scope:
-                await self._leave(parts, listeners, accept_until)
-        if scope.cancelled_caught:
-            self._log.warn("grace_exceeded", in_progress=parts.watch.n_watched)
-        sockets.close_listener(listeners.peer)
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(parts.peer_server.close)
-            nursery.start_soon(self._close_control_servers, parts, listeners)
-
-    async def _wait_until_noticed(self, parts: _parts.DaemonParts) -> None:
-        """Return once failed readiness checks have told callers to go elsewhere."""
-        n_failures = self._settings.n_ready_failures
-        if not n_failures:
-            await trio.sleep_forever()
-        await parts.readiness.wait_until_failed(n_failures)
-
-    async def _resign(self, parts: _parts.DaemonParts) -> None:
-        with trio.move_on_after(RESIGN_TIMEOUT_SECONDS):
-            with self.errors.suppress("resignation"):
-                await parts.contact_manager.resign()
-
-    async def _leave(
-        self, parts: _parts.DaemonParts, listeners: _Listeners, accept_until: float
-    ) -> None:
-        """Gossip the departure, close the caller's listener and finish all calls.
-
-        The listener stays open for calls that the upstream makes while it finishes the
-        calls of peers, at most until ``accept_until``.
-        """
-        has_drained = trio.Event()
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._drain_endpoint, parts, has_drained)
-            with trio.move_on_at(accept_until):
-                await has_drained.wait()
-            sockets.close_listener(listeners.caller)
-            parts.caller_server.start_closing()
-            await has_drained.wait()
-            await parts.caller_server.wait_closed()
-
-    async def _drain_endpoint(
-        self, parts: _parts.DaemonParts, has_drained: trio.Event
-    ) -> None:
-        """Gossip the departure, then refuse new calls and finish those in progress.
-
-        Peers that have not heard of the departure yet are served until then.
-        """
-        left_at = trio.current_time()
-        with self.errors.suppress("departure"):
-            parts.state_updater.leave()
-            with trio.move_on_at(left_at + FINAL_GOSSIP_SECONDS):
-                await parts.exchange.deliver_own_record()
-        await trio.sleep_until(left_at + ARRIVAL_SECONDS)
-        with self.errors.suppress("departure"):
-            parts.state_updater.refuse_calls()
-        parts.peer_server.start_closing()
-        await parts.endpoint.wait_until_idle()
-        has_drained.set()
-
-    async def _close_control_servers(
-        self, parts: _parts.DaemonParts, listeners: _Listeners
-    ) -> None:
-        """Answer the control requests that have arrived, and take no more."""
-        servers = self._list_control_servers(parts, listeners)
-        for listener, server in servers:
-            sockets.close_listener(listener)
-            server.start_closing()
-        with trio.move_on_after(CONTROL_CLOSE_SECONDS):
-            for _, server in servers:
-                await server.wait_closed()
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -38,6 +38,7 @@
 CLUSTER_KEY = bytes(range(16))
 CALL_TIMEOUT_SECONDS = 60.0
 RAW_TIMEOUT_SECONDS = 90.0
+GRACE_MS = 60_000
 
 measure_kernel_wait = sockets.Connection.get_seconds_since_receive
 _Result = TypeVar("_Result")
@@ -201,6 +202,7 @@
         seeds: tuple[settings.Address, ...] = (),
         host: str = HOST,
         leave_accept_ms: int = 0,
+        grace_ms: int = GRACE_MS,
     ) -> Node:
         """Start one endpoint; ``replaces`` gives it the addresses of an earlier one."""
         if replaces is not None:
@@ -210,7 +212,7 @@
             node_settings = self._build_settings(zone, region, has_link, host)
             upstream = upstreams.FakeUpstream(find_free_address())
         node_settings = node_settings._replace(
-            seeds=seeds, leave_accept_ms=leave_accept_ms
+            seeds=seeds, leave_accept_ms=leave_accept_ms, grace_ms=grace_ms
         )
         logger = logging.Logger(f"node-{len(self.nodes)}")
         log_handler = _LogCollector()
