Stop a daemon only for errors in tasks that calls can't do without

Ruled out: a boundary around each datagram alone, as other input may be common too. Change: only the accept loops of callers and peers and the liveness watch are essential; other tasks are tried again for good. A once-started task needs no name; an accept loop with an unexpected error lets other tasks run.

--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -189,6 +189,7 @@
             parts.caller_server.accept,
             listeners.caller,
             max_callers,
+            is_essential=True,
         )
         keep_running(
             "accept_peers",
@@ -196,6 +197,7 @@
             listeners.peer,
             parts.peer_server.serve,
             MAX_PEER_CONNECTIONS,
+            is_essential=True,
         )
         for listener, server in listeners.list_control_servers(parts):
             keep_running(
@@ -207,7 +209,7 @@
         keep_running("contact_manager", parts.contact_manager.run)
         keep_running("announcements", parts.announcement_tracker.expire_announcements)
         keep_running("hedging", parts.entry.hedge_scheduler.run)
-        keep_running("liveness_watch", parts.watch.run)
+        keep_running("liveness_watch", parts.watch.run, is_essential=True)
         keep_running("maintenance", self._maintain, parts)
 
     async def _maintain(self, parts: _parts.DaemonParts) -> None:
--- a/umberdrum/sockets/_listener.py
+++ b/umberdrum/sockets/_listener.py
@@ -106,6 +106,7 @@
                 continue
             if fault.errno == errno.EBADF:
                 return None
+            await trio.lowlevel.checkpoint()
             continue
         connection = _set_up(accepted)
         if connection is not None:
--- a/umberdrum/supervision/_tasks.py
+++ b/umberdrum/supervision/_tasks.py
@@ -28,9 +28,11 @@
 
     In a plain nursery an error cancels all tasks, among them those that serve
     connections, and their callers get no response. Here it is logged, and the task is
-    started again after a delay. After ``MAX_CONSECUTIVE_FAILURES`` of one task
+    started again after a delay. After ``MAX_CONSECUTIVE_FAILURES`` of an essential task
     ``on_give_up`` is called once. It should request a graceful stop; until that has
-    ended, the task is still restarted.
+    ended, the task is still restarted. Only tasks without which no call can be served
+    are essential: an error may be common to all daemons of a cluster, which then must
+    not all stop.
     """
 
     def __init__(
@@ -48,19 +50,33 @@
         """Run ``async_fn(*args)`` once in a task of its own and log its error."""
         self._nursery.start_soon(self._run_once, async_fn, args)
 
-    def keep_running(self, name: str, async_fn: TaskFunction, /, *args: object) -> None:
+    def keep_running(
+        self,
+        name: str,
+        async_fn: TaskFunction,
+        /,
+        *args: object,
+        is_essential: bool = False,
+    ) -> None:
         """Run ``async_fn(*args)`` until it returns, again after each error.
 
         ``name`` stands for the task in the log and in the metrics.
         """
-        self._nursery.start_soon(self._run_repeatedly, name, async_fn, args)
+        self._nursery.start_soon(
+            self._run_repeatedly, name, async_fn, args, is_essential
+        )
 
     async def _run_once(self, async_fn: TaskFunction, args: tuple[object, ...]) -> None:
-        with self.errors.suppress(async_fn.__name__.lstrip("_")):
+        name = getattr(async_fn, "__name__", "task").lstrip("_")
+        with self.errors.suppress(name):
             await async_fn(*args)
 
     async def _run_repeatedly(
-        self, name: str, async_fn: TaskFunction, args: tuple[object, ...]
+        self,
+        name: str,
+        async_fn: TaskFunction,
+        args: tuple[object, ...],
+        is_essential: bool,
     ) -> None:
         delay = MIN_RESTART_DELAY_SECONDS
         n_consecutive = 0
@@ -78,7 +94,7 @@
                 delay = MIN_RESTART_DELAY_SECONDS
                 n_consecutive = 0
             n_consecutive += 1
-            if n_consecutive >= MAX_CONSECUTIVE_FAILURES:
+            if is_essential and n_consecutive >= MAX_CONSECUTIVE_FAILURES:
                 self._give_up()
             await trio.sleep(delay)
             delay = min(MAX_RESTART_DELAY_SECONDS, delay * 2)
