Keep the ports of a whole test away from the soak's and the operating system's

Cause: a whole test gives each process 1,200 ports from 10000 on. Ruled out: fewer processes, which would make the whole test slower. Change: 900 ports for each process, 22 groups below 29800, runs by hand above; a whole test with more groups is refused.

--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -11,6 +11,8 @@
 import sys
 from typing import NamedTuple
 
+from umberdrum.tests import harness
+
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 TESTS = "umberdrum/tests"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
@@ -95,7 +97,11 @@
 
 def main() -> int:
     """Run all groups; print failures and totals; return 1 on an unknown failure."""
-    processes = [start_group(*row) for row in enumerate(list_groups())]
+    groups = list_groups()
+    if len(groups) > harness.N_GROUPS:
+        print(f"{len(groups)} groups, but ports for only {harness.N_GROUPS}")
+        return 1
+    processes = [start_group(*row) for row in enumerate(groups)]
     results = [collect_result(process) for process in processes]
     known = read_known_red()
     n_known = 0
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -31,9 +31,13 @@
 ANNOUNCE_SECONDS = 1.0
 HOST = "127.0.0.1"
 RESERVATION_HOST = "127.99.0.1"
-# The range ends below the ephemeral ports of the operating system.
-N_PORTS = 1200
-FIRST_PORT = 10_000 + int(os.environ.get("UMBERDRUM_TEST_GROUP", "17")) * N_PORTS
+# All ranges end below the ports of the soak and the operating system's ephemeral ports.
+# A whole test uses the groups below ``N_GROUPS``.
+N_PORTS = 900
+N_GROUPS = 22
+FIRST_PORT = 10_000 + N_PORTS * int(
+    os.environ.get("UMBERDRUM_TEST_GROUP", str(N_GROUPS))
+)
 LAST_PORT = FIRST_PORT + N_PORTS
 CLUSTER_KEY = bytes(range(16))
 CALL_TIMEOUT_SECONDS = 60.0
