Share the calls in progress of the daemon's scenarios

Cause: six steps started the same calls. Ruled out: nothing. Change: one context manager; the checks are as they were. Measured: daemon.feature passes.

--- a/umberdrum/daemon/tests/daemon_steps.py
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -11,7 +11,7 @@
 import re
 import socket
 import tempfile
-from collections.abc import Awaitable, Callable, Iterator
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 
 import behave
 import trio
@@ -136,6 +136,23 @@
     answers.append(answer)
 
 
+@contextlib.asynccontextmanager
+async def _keep_calls_in_progress(
+    site: harness.Site, node: harness.Node
+) -> AsyncIterator[list[caller.CallerAnswer]]:
+    """Run the block while lookups and payments are in progress; yields their answers.
+
+    All of them have ended when the block is left.
+    """
+    answers: list[caller.CallerAnswer] = []
+    async with trio.open_nursery() as nursery:
+        for index in range(N_CALLS):
+            path = ("/look", "/pay")[index % 2]
+            nursery.start_soon(_call_slowly, site, node, path, answers)
+        await trio.sleep(WAIT_SECONDS)
+        yield answers
+
+
 async def _inject_error(
     site: harness.Site, node: harness.Node, part: str, is_permanent: bool = False
 ) -> _FailingCall:
@@ -160,12 +177,7 @@
 def fail_part(context: runner.Context, part: str) -> None:
     async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
         site.expects_errors = True
-        answers: list[caller.CallerAnswer] = []
-        async with trio.open_nursery() as nursery:
-            for index in range(N_CALLS):
-                path = ("/look", "/pay")[index % 2]
-                nursery.start_soon(_call_slowly, site, node, path, answers)
-            await trio.sleep(WAIT_SECONDS)
+        async with _keep_calls_in_progress(site, node) as answers:
             failing = await _inject_error(site, node, part)
         await trio.sleep(TASK_PERIOD_SECONDS)
         await _call_slowly(site, node, "/look", answers)
@@ -193,15 +205,10 @@
 def fail_call(context: runner.Context, part: str) -> None:
     async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
         site.expects_errors = True
-        answers: list[caller.CallerAnswer] = []
         failing_answers: list[caller.CallerAnswer] = []
         parts = _get_parts(node)
         relay = parts.endpoint.relay
-        async with trio.open_nursery() as nursery:
-            for index in range(N_CALLS):
-                path = ("/look", "/pay")[index % 2]
-                nursery.start_soon(_call_slowly, site, node, path, answers)
-            await trio.sleep(WAIT_SECONDS)
+        async with _keep_calls_in_progress(site, node) as answers:
             if part == "the relay of a lookup":
                 failing = _FailingCall(
                     relay, "run", lambda call, *_: call.is_idempotent
@@ -318,12 +325,7 @@
 def fail_departure(context: runner.Context) -> None:
     async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
         site.expects_errors = True
-        answers: list[caller.CallerAnswer] = []
-        async with trio.open_nursery() as nursery:
-            for index in range(N_CALLS):
-                path = ("/look", "/pay")[index % 2]
-                nursery.start_soon(_call_slowly, site, node, path, answers)
-            await trio.sleep(WAIT_SECONDS)
+        async with _keep_calls_in_progress(site, node) as answers:
             _FailingCall(_get_parts(node).state, "publish_own_record")
             node.daemon.stop()
         with trio.fail_after(TASK_PERIOD_SECONDS):
@@ -464,12 +466,7 @@
     async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
         site.expects_errors = True
         address = node.settings.caller_listen
-        answers: list[caller.CallerAnswer] = []
-        async with trio.open_nursery() as nursery:
-            for index in range(N_CALLS):
-                path = ("/look", "/pay")[index % 2]
-                nursery.start_soon(_call_slowly, site, node, path, answers)
-            await trio.sleep(WAIT_SECONDS)
+        async with _keep_calls_in_progress(site, node) as answers:
             with _fail_listener(call, address) as failures:
                 await site.send_raw(address, LOOKUP)
             assert failures == [call], failures
@@ -520,12 +517,7 @@
 def fail_closing(context: runner.Context) -> None:
     async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
         site.expects_errors = True
-        answers: list[caller.CallerAnswer] = []
-        async with trio.open_nursery() as nursery:
-            for index in range(N_CALLS):
-                path = ("/look", "/pay")[index % 2]
-                nursery.start_soon(_call_slowly, site, node, path, answers)
-            await trio.sleep(WAIT_SECONDS)
+        async with _keep_calls_in_progress(site, node) as answers:
             _FailingCall(_get_parts(node).caller_server, "start_closing")
             node.daemon.stop()
         grace_seconds = node.settings.grace_ms / 1000
@@ -540,16 +532,11 @@
 def fail_watch(context: runner.Context) -> None:
     async def test(site: harness.Site, node: harness.Node, other: harness.Node) -> None:
         site.expects_errors = True
-        answers: list[caller.CallerAnswer] = []
         watch = _get_parts(other).watch
         # The calls run at the other daemon, which sends keepalives for them.
         node.upstream.state = "draining"
         await trio.sleep(TASK_PERIOD_SECONDS)
-        async with trio.open_nursery() as nursery:
-            for index in range(N_CALLS):
-                path = ("/look", "/pay")[index % 2]
-                nursery.start_soon(_call_slowly, site, node, path, answers)
-            await trio.sleep(WAIT_SECONDS)
+        async with _keep_calls_in_progress(site, node) as answers:
             n_watched = watch.n_watched
             first = next(iter(watch._calls.values()))
             assert first.channel is not None
