Run the features of the call path and of the daemon in processes of their own

Cause: the process of the single packages had got the new features on whole daemons; the whole test waited for it (299 s on a quiet machine). Ruled out: leaving features out. Change: two more processes, 24 in all, with 820 ports each below 29680.

--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -17,6 +17,8 @@
 TESTS = "umberdrum/tests"
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 GROUP_VARIABLE = "UMBERDRUM_TEST_GROUP"
+# Packages whose features run whole daemons, with the index of their group.
+WHOLE_DAEMON_PACKAGES = {"callpath": 1, "daemon": 2}
 # The slowest group takes about 100 s on a busy machine.
 TIMEOUT_SECONDS = 900
 _COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
@@ -36,14 +38,17 @@
     """Return the feature paths of each process.
 
     Each feature that tests whole daemons gets its own process, since it mostly waits
-    for its virtual clock. The features of single packages share one process. Behave
-    loads steps from the directory of the first path. The other groups therefore begin
+    for its virtual clock. The features of single packages share one process, but for
+    those of the call path and the daemon, which also run whole daemons. Behave loads
+    steps from the directory of the first path. The other groups therefore begin
     with ``steps.feature``, which lies beside the steps.
     """
     steps = f"{TESTS}/steps.feature"
-    groups = [[steps]]
+    groups = [[steps], [steps], [steps]]
     for path in sorted(ROOT.glob("umberdrum/*/tests/*.feature")):
-        groups[0].append(str(path.relative_to(ROOT)))
+        package = path.parent.parent.name
+        index = WHOLE_DAEMON_PACKAGES.get(package, 0)
+        groups[index].append(str(path.relative_to(ROOT)))
     for path in sorted((ROOT / TESTS).glob("*.feature")):
         relative = str(path.relative_to(ROOT))
         if relative != steps:
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -33,8 +33,8 @@
 RESERVATION_HOST = "127.99.0.1"
 # All ranges end below the ports of the soak and the operating system's ephemeral ports.
 # A whole test uses the groups below ``N_GROUPS``.
-N_PORTS = 900
-N_GROUPS = 22
+N_PORTS = 820
+N_GROUPS = 24
 FIRST_PORT = 10_000 + N_PORTS * int(
     os.environ.get("UMBERDRUM_TEST_GROUP", str(N_GROUPS))
 )
