Keep calls to an upstream within the rate limit that its responses name

Cause: nothing read the limit; routing follows load and latency only, which don't show it. Health probes do reach it past the gate: they pause now while a limit is in force.

Change: the gate holds a token bucket, so one count bounds what all daemons send. Load reports tell each entry daemon when its next call is allowed, each a time of its own; it chooses elsewhere until then. If all are limited, a call waits where it can still be in time, else it is refused at once with the time of the next room. An answer that no longer names a limit ends it; near 0 a call every 2 s asks. Entry daemons send what they were told with their calls, so that a daemon that has started again keeps to it.

--- a/umberdrum/admission/_gate.py
+++ b/umberdrum/admission/_gate.py
@@ -2,13 +2,14 @@
 
 import heapq
 import itertools
+import math
 from typing import NamedTuple, Protocol
 
 import expression
 import trio
 
 from umberdrum import errors
-from umberdrum.admission import _limit
+from umberdrum.admission import _limit, _rate_limit
 
 MAX_QUEUED_PER_SLOT = 8
 MAX_EXPECTED_WAIT_SHARE = 0.8
@@ -18,6 +19,9 @@
 CLASS_ACTIVE_SECONDS = 10.0
 MIN_RETRY_AFTER_MS = 50
 MS_PER_SECOND = 1000.0
+RATE_LIMIT_DETAIL = "the upstream's rate limit allows no call now"
+# Waits shorter than the clock's resolution would be repeated without end.
+MIN_RECHECK_SECONDS = 0.001
 
 
 class AdmissionRequest(NamedTuple):
@@ -87,6 +91,7 @@
     """
 
     slot_limit: _limit.SlotLimit
+    rate_limiter: _rate_limit.RateLimiter
     n_running: int
 
     @property
@@ -145,6 +150,7 @@
 
     def __init__(self, slot_limit: _limit.SlotLimit) -> None:
         self.slot_limit = slot_limit
+        self.rate_limiter = _rate_limit.RateLimiter()
         self.n_running = 0
         self._queue: list[tuple[float, int, _Waiter]] = []
         self._n_queued = 0
@@ -173,6 +179,8 @@
         self._update_class(request, now)
         if self._may_run_now(request, now):
             return None
+        if not request.is_last_resort and not self.rate_limiter.may_start(now):
+            return self._build_refusal(errors.ErrorKind.RATE_LIMITED, RATE_LIMIT_DETAIL)
         return self._find_queue_refusal(request, now)
 
     async def acquire(
@@ -238,8 +246,7 @@
         self._n_queued += 1
         wait_until = min(request.deadline, now + request.max_queue_ms / MS_PER_SECOND)
         try:
-            with trio.move_on_at(wait_until):
-                await waiter.event.wait()
+            await self._wait_for_slot(waiter, wait_until)
         except trio.Cancelled:
             self._abandon(waiter)
             raise
@@ -254,6 +261,18 @@
             return expression.Error(waiter.failure)
         return expression.Ok(SlotTicket(request.class_name, trio.current_time()))
 
+    async def _wait_for_slot(self, waiter: _Waiter, wait_until: float) -> None:
+        """Wait until the call got a slot or was refused, at most to ``wait_until``."""
+        while not waiter.event.is_set():
+            now = trio.current_time()
+            if now >= wait_until:
+                return
+            wake_at = get_rate_limit_wake_time(self.rate_limiter, now)
+            with trio.move_on_at(min(wait_until, wake_at)):
+                await waiter.event.wait()
+            if not waiter.event.is_set():
+                self._wake_waiters(trio.current_time())
+
     def _abandon(self, waiter: _Waiter) -> None:
         """Remove a waiter; free its slot if it got one in the same instant."""
         if not waiter.event.is_set():
@@ -269,12 +288,15 @@
     ) -> SlotTicket:
         state.n_running += 1
         self.n_running += 1
+        self.rate_limiter.record_start(now)
         return SlotTicket(class_name, now)
 
     def _wake_waiters(self, now: float) -> None:
         """Give free slots to queued calls in order, skipping classes at their cap."""
         skipped: list[tuple[float, int, _Waiter]] = []
         while self._queue and self.n_running < self.slot_limit.get_limit():
+            if not self.rate_limiter.may_start(now):
+                break
             entry = heapq.heappop(self._queue)
             waiter = entry[2]
             if waiter.is_abandoned:
@@ -294,7 +316,7 @@
 
     def _may_run(self, class_name: str, now: float) -> bool:
         limit = self.slot_limit.get_limit()
-        if self.n_running >= limit:
+        if self.n_running >= limit or not self.rate_limiter.may_start(now):
             return False
         state = self._classes[class_name]
         if state.n_running < self._get_class_cap(state, limit, now):
@@ -322,7 +344,10 @@
             detail = f"queue holds {self._n_queued} of {max_queued} calls"
             return self._build_refusal(errors.ErrorKind.OVERLOADED, detail)
         n_ahead = self._count_ahead(request, now)
-        wait_seconds = (n_ahead + 1) * self._mean_seconds / limit
+        wait_seconds = max(
+            (n_ahead + 1) * self._mean_seconds / limit,
+            self.rate_limiter.get_wait_seconds(n_ahead, now),
+        )
         if (
             wait_seconds * MS_PER_SECOND
             > request.max_queue_ms * MAX_EXPECTED_WAIT_SHARE
@@ -352,12 +377,15 @@
 
     def _build_refusal(self, kind: errors.ErrorKind, detail: str) -> errors.Failure:
         limit = self.slot_limit.get_limit()
-        drain_ms = int(self._n_queued * self._mean_seconds / limit * MS_PER_SECOND)
+        drain_seconds = max(
+            self._n_queued * self._mean_seconds / limit,
+            self.rate_limiter.get_wait_seconds(self._n_queued, trio.current_time()),
+        )
         return errors.Failure(
             kind,
             errors.Execution.NOT_RUN,
             detail,
-            max(MIN_RETRY_AFTER_MS, drain_ms),
+            max(MIN_RETRY_AFTER_MS, int(drain_seconds * MS_PER_SECOND)),
         )
 
     def _update_class(self, request: AdmissionRequest, now: float) -> _ClassState:
@@ -379,3 +407,10 @@
         if self._mean_seconds == 0.0:
             self._mean_seconds = seconds
         self._mean_seconds += EWMA_WEIGHT * (seconds - self._mean_seconds)
+
+
+def get_rate_limit_wake_time(limiter: _rate_limit.RateLimiter, now: float) -> float:
+    """Return when queued calls should look at the limit again, infinity without one."""
+    if not limiter.is_limited:
+        return math.inf
+    return now + max(MIN_RECHECK_SECONDS, limiter.get_wait_seconds(0, now))
--- a/umberdrum/admission/_target_gate.py
+++ b/umberdrum/admission/_target_gate.py
@@ -8,6 +8,7 @@
     _gate,
     _limit,
     _pace,
+    _rate_limit,
     _retry_after,
     _target_state,
     _time_margin,
@@ -60,6 +61,9 @@
     - Calls that run at upstreams make short calls of their own, and fail if these are
       refused. A call that is short beside others waits until its deadline where no
       other endpoint is left, instead of being refused as late: it delays them little.
+    - The upstream names a rate limit: a call that it does not allow yet is refused as
+      not run while another endpoint can be tried. At the last endpoint it waits for its
+      turn if it can still be served in time.
     - A class with long targets never holds all slots while a class with short targets
       is active.
 
@@ -79,6 +83,7 @@
         self._occupancy_limit = occupancy_limit
         self.pace = pace or _pace.PaceTracker()
         self._margin = margin or _time_margin.BoundedTimeMargin()
+        self.rate_limiter = _rate_limit.RateLimiter()
         self.n_running = 0
         self._queue: list[_target_state.Waiter] = []
         self._start_times: list[float] = []
@@ -111,6 +116,10 @@
             detail = "a hedge runs only where a slot is free"
             kind = errors.ErrorKind.OVERLOADED
             return self._build_refusal(kind, detail, request, now)
+        if not request.is_last_resort and not self.rate_limiter.may_start(now):
+            return self._build_refusal(
+                errors.ErrorKind.RATE_LIMITED, _gate.RATE_LIMIT_DETAIL, request, now
+            )
         return self._find_queue_refusal(request, now)
 
     async def acquire(self, request: _gate.AdmissionRequest) -> AcquireResult:
@@ -190,7 +199,11 @@
                 now = trio.current_time()
                 if now >= give_up_at:
                     break
-                with trio.move_on_at(min(give_up_at, now + QUEUE_RECHECK_SECONDS)):
+                wake_at = min(
+                    now + QUEUE_RECHECK_SECONDS,
+                    _gate.get_rate_limit_wake_time(self.rate_limiter, now),
+                )
+                with trio.move_on_at(min(give_up_at, wake_at)):
                     await waiter.event.wait()
                 if not waiter.event.is_set():
                     # The last report of a slow episode may have become too old to wait.
@@ -223,6 +236,7 @@
         self._classes[request.class_name].n_running += 1
         self.n_running += 1
         self._start_times.append(now)
+        self.rate_limiter.record_start(now)
         pace = self.pace.get_pace(now)
         return _gate.SlotTicket(request.class_name, now, self._n_occupied, pace)
 
@@ -290,6 +304,8 @@
         return not self._queue and self._may_run(request, now)
 
     def _may_run(self, request: _gate.AdmissionRequest, now: float) -> bool:
+        if not self.rate_limiter.may_start(now):
+            return False
         limit = self.slot_limit.get_limit()
         n_occupied = self._n_occupied
         is_trial = n_occupied == limit and bool(self._queue)
@@ -360,10 +376,15 @@
         """Return the expected seconds of waiting behind calls that go first."""
         own_key = self._get_queue_key(request, now)
         seconds = self._get_mean_seconds()
+        n_ahead = 0
         for waiter in self._queue:
             if self._get_queue_key(waiter.request, now) <= own_key:
+                n_ahead += 1
                 seconds += self._get_expected_seconds(waiter.request)
-        wait = seconds / self.slot_limit.get_limit()
+        wait = max(
+            seconds / self.slot_limit.get_limit(),
+            self.rate_limiter.get_wait_seconds(n_ahead, now),
+        )
         if self._should_wait_out_episode(request, now):
             wait += self.pace.estimate_remaining_seconds(now)
         return wait
@@ -423,14 +444,19 @@
         queued = sum(
             self._get_expected_seconds(waiter.request) for waiter in self._queue
         )
-        slot_seconds = self._get_mean_seconds() / limit
+        slot_seconds = max(
+            self._get_mean_seconds() / limit, self.rate_limiter.get_interval_seconds()
+        )
+        limit_seconds = self.rate_limiter.get_wait_seconds(len(self._queue), now)
         seconds = self._retry_schedule.schedule_retry(
             now,
-            now + queued / limit + slot_seconds,
+            now + max(queued / limit + slot_seconds, limit_seconds),
             slot_seconds,
             request.target_at - self._get_conservative_seconds(request),
             request.deadline,
         )
+        # An earlier retry would be refused again.
+        seconds = max(seconds, limit_seconds)
         return errors.Failure(
             kind, errors.Execution.NOT_RUN, detail, int(seconds * MS_PER_SECOND)
         )
--- a/umberdrum/callpath/_attempt_sequence.py
+++ b/umberdrum/callpath/_attempt_sequence.py
@@ -20,6 +20,7 @@
         errors.ErrorKind.UPSTREAM_UNREACHABLE,
         errors.ErrorKind.OVERLOADED,
         errors.ErrorKind.UPSTREAM_SLOWED,
+        errors.ErrorKind.RATE_LIMITED,
         errors.ErrorKind.DEADLINE_UNREACHABLE,
         errors.ErrorKind.RECORD_FULL,
     )
@@ -128,7 +129,11 @@
         self._tried.add(decision.candidate.key)
         call = self._call._replace(
             n_extra_attempts=self._allowance.get_nested_allowance(index),
-            is_last_resort=decision.is_only_in_zone or self._is_last_resort(),
+            is_last_resort=(
+                decision.is_only_in_zone
+                or decision.are_all_limited
+                or self._is_last_resort()
+            ),
         )
         may_hedge = (
             self._class_with_policy.policy.hedge_after_ms > 0
--- a/umberdrum/callpath/_call.py
+++ b/umberdrum/callpath/_call.py
@@ -6,6 +6,18 @@
 from umberdrum.callpath import _headers
 
 
+class UpstreamNotice(NamedTuple):
+    """What a run of an upstream has said of itself.
+
+    ``run`` identifies the run. ``rate_limit`` is the number of requests a second that
+    it takes from all callers, None without a limit.
+    """
+
+    run: str
+    rate_limit: float | None
+    is_leaving: bool
+
+
 class Call(NamedTuple):
     """One call with all that an endpoint daemon needs to run it.
 
@@ -14,7 +26,8 @@
     length. ``service`` is the service that must run the call. ``priority`` orders
     queued calls, with 0 first. ``target_at`` is the time at which the latency target is
     missed, on the same clock as ``deadline``. ``is_last_resort`` means that no other
-    endpoint is left to try, ``is_hedge`` that another attempt is running.
+    endpoint is left to try, ``is_hedge`` that another attempt is running. ``notice`` is
+    what the entry daemon was last told of the endpoint's upstream.
     """
 
     request_id: str
@@ -33,6 +46,7 @@
     target_at: float = 0.0
     is_last_resort: bool = True
     is_hedge: bool = False
+    notice: UpstreamNotice | None = None
 
 
 class HttpResponseHead(NamedTuple):
@@ -49,7 +63,7 @@
     ``upstream_seconds`` is the time until the head of the upstream's response,
     ``queue_seconds`` the time in the admission queue. ``start_pace`` is the pace of the
     upstream when the call started: the duration of its work as a multiple of the usual
-    duration.
+    duration. ``notice`` is what the upstream says of itself, None if nothing.
     """
 
     status: int
@@ -57,6 +71,7 @@
     queue_seconds: float
     load: routing.LoadReport | None
     start_pace: float = 1.0
+    notice: UpstreamNotice | None = None
 
 
 class SinkLostError(Exception):
--- a/umberdrum/callpath/_dialect.py
+++ b/umberdrum/callpath/_dialect.py
@@ -17,6 +17,8 @@
     ``expected_instance`` names the upstream that may run the request; any other one
     responds with 421. ``not_run`` on a response states that the upstream did not run
     the request. ``load_report`` on a response carries the upstream's own load.
+    ``rate_limit`` on a response names the requests a second that the upstream takes
+    from all callers, and ``leaving`` with the value 1 says that it takes no more.
     ``instance_id`` on the response to a probe identifies the run of the upstream.
 
     With ``sends_via`` a ``Via`` field is added. With ``echoes_request_id`` every
@@ -33,6 +35,8 @@
     expected_instance: bytes
     not_run: bytes
     load_report: bytes
+    rate_limit: bytes
+    leaving: bytes
     instance_id: bytes
     sends_via: bool
     echoes_request_id: bool
@@ -61,6 +65,8 @@
     expected_instance=b"",
     not_run=b"",
     load_report=b"",
+    rate_limit=b"umberdrum-rate-limit",
+    leaving=b"umberdrum-leaving",
     instance_id=b"",
     sends_via=True,
     echoes_request_id=False,
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -19,6 +19,7 @@
     _body_buffer,
     _call,
     _dialect,
+    _notices,
     _prober,
     _recording,
     _upstream,
@@ -74,8 +75,9 @@
         self._log = log
         self._tasks = tasks
         self._request_buffer = _body_buffer.BodyBuffer()
+        self.notices = _notices.UpstreamNotices(gate.rate_limiter, dialect, log)
         self.relay = _upstream_relay.UpstreamRelay(
-            gate, pool, self.build_load_report, log, dialect
+            gate, pool, self.build_load_report, log, dialect, self.notices
         )
         self.state = _announcement.EndpointState.ABSENT
         self.n_in_progress = 0
@@ -102,6 +104,7 @@
         Returns the report once the whole response was written. Otherwise returns a
         failure that states whether the request may have run.
         """
+        self.notices.adopt(call.notice)
         if self.state is not _announcement.EndpointState.SERVING:
             return expression.Error(self._build_leaving_failure())
         if call.deadline > self.ends_at:
@@ -175,7 +178,11 @@
             return None
         limit = self.gate.slot_limit.get_limit()
         return routing.LoadReport(
-            self.gate.n_running, self.gate.n_queued, limit, self.gate.get_pace()
+            self.gate.n_running,
+            self.gate.n_queued,
+            limit,
+            self.gate.get_pace(),
+            self.gate.rate_limiter.assign_wait_seconds(self.gate.n_queued, now),
         )
 
     async def _admit(self, call: _call.Call) -> AdmissionResult:
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -16,6 +16,7 @@
     _headers,
     _hedging,
     _matching,
+    _notices,
     _peer_client,
     _sinks,
     _startup_period,
@@ -88,6 +89,7 @@
         self._directory = directory
         self._endpoint = endpoint
         self._peer_client = peer_client
+        self._peer_notices = _notices.PeerNotices()
         self._log = log
         self.hedge_scheduler = _hedging.HedgeScheduler(tasks)
         self._startup_period = _startup_period.StartupPeriod(trio.current_time())
@@ -228,7 +230,12 @@
         if candidate.is_local:
             return await self._endpoint.run(call, body, sink)
         peer = self._directory.get_peer(candidate.key)
-        return await self._peer_client.run(call, peer, body, sink)
+        endpoint_id = str(peer.address)
+        call = call._replace(notice=self._peer_notices.get(endpoint_id))
+        result = await self._peer_client.run(call, peer, body, sink)
+        if result.is_ok():
+            self._peer_notices.record(endpoint_id, result.ok.notice)
+        return result
 
     def _log_attempt(
         self,
--- a/umberdrum/callpath/_frames.py
+++ b/umberdrum/callpath/_frames.py
@@ -1,5 +1,6 @@
 """Conversion between call path types and the heads of peer protocol frames."""
 
+import math
 from typing import TypeVar
 
 from google.protobuf import message as protobuf_message
@@ -20,7 +21,7 @@
     """Return the head of a call frame for the daemon with ``process_id``."""
     remaining_ms = max(1, int((call.deadline - now) * MS_PER_SECOND))
     has_length = call.content_length is not None
-    return wire.messages.CallHead(
+    message = wire.messages.CallHead(
         request_id=call.request_id,
         target_process_id=process_id,
         class_name=call.class_name,
@@ -40,7 +41,10 @@
         target_remaining_ms=max(0, int((call.target_at - now) * MS_PER_SECOND)),
         is_last_resort=call.is_last_resort,
         is_hedge=call.is_hedge,
-    ).SerializeToString()
+    )
+    if call.notice is not None:
+        _encode_notice(message.notice, call.notice)
+    return message.SerializeToString()
 
 
 def decode_call(head: wire.messages.CallHead, now: float) -> _call.Call:
@@ -62,6 +66,7 @@
         target_at=now + head.target_remaining_ms / MS_PER_SECOND,
         is_last_resort=head.is_last_resort,
         is_hedge=head.is_hedge,
+        notice=_decode_notice(head.notice) if head.HasField("notice") else None,
     )
 
 
@@ -84,6 +89,8 @@
     )
     if report.load is not None:
         _encode_load(message.load, report.load)
+    if report.notice is not None:
+        _encode_notice(message.notice, report.notice)
     return message.SerializeToString()
 
 
@@ -104,6 +111,7 @@
         message.queue_time_us / US_PER_SECOND,
         load,
         message.start_pace_percent / PERCENT or 1.0,
+        _decode_notice(message.notice) if message.HasField("notice") else None,
     )
 
 
@@ -177,8 +185,29 @@
     message.n_queued = load.n_queued
     message.slot_limit = load.slot_limit
     message.pace_percent = int(load.pace * PERCENT)
+    message.limit_wait_ms = math.ceil(load.limit_wait_seconds * MS_PER_SECOND)
 
 
 def _decode_load(load: wire.messages.LoadReport) -> routing.LoadReport:
     pace = load.pace_percent / PERCENT or 1.0
-    return routing.LoadReport(load.n_running, load.n_queued, load.slot_limit, pace)
+    return routing.LoadReport(
+        load.n_running,
+        load.n_queued,
+        load.slot_limit,
+        pace,
+        load.limit_wait_ms / MS_PER_SECOND,
+    )
+
+
+def _encode_notice(
+    message: wire.messages.UpstreamNotice, notice: _call.UpstreamNotice
+) -> None:
+    message.run = notice.run
+    message.has_rate_limit = notice.rate_limit is not None
+    message.rate_limit = notice.rate_limit or 0.0
+    message.is_leaving = notice.is_leaving
+
+
+def _decode_notice(message: wire.messages.UpstreamNotice) -> _call.UpstreamNotice:
+    rate_limit = message.rate_limit if message.has_rate_limit else None
+    return _call.UpstreamNotice(message.run, rate_limit, message.is_leaving)
--- a/umberdrum/callpath/_prober.py
+++ b/umberdrum/callpath/_prober.py
@@ -64,6 +64,9 @@
         """Refresh a stale pace with a probe; returns at the latest at its timeout."""
         if not self._load_field or self._gate.has_fresh_pace():
             return
+        if self._gate.rate_limiter.is_limited:
+            # A probe would be one more request to an upstream in need.
+            return
         path = self._get_path(self.service)
         if not path:
             return
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -10,6 +10,7 @@
     _call,
     _dialect,
     _headers,
+    _notices,
     _sending,
     _sinks,
     _upstream,
@@ -46,12 +47,14 @@
         build_load_report: LoadBuilder,
         log: logs.EventLog,
         dialect: _dialect.Dialect,
+        notices: _notices.UpstreamNotices,
     ) -> None:
         self._gate = gate
         self._pool = pool
         self._build_load_report = build_load_report
         self._log = log
         self._dialect = dialect
+        self._notices = notices
         self.instance_id = ""
         self.on_misdirected: Callable[[], None] | None = None
 
@@ -124,6 +127,8 @@
             exchange = _sending.StreamedExchange(body, upstream, call.request_id)
             head = await exchange.run()
         refusal = self._find_upstream_refusal(call, head)
+        if head.status != MISDIRECTED_STATUS:
+            self._notices.read_response(head, has_run=refusal is None)
         if refusal is not None:
             await upstream.relay_body(_sinks.DiscardingSink())
             return expression.Error(refusal)
@@ -145,6 +150,7 @@
             pace=load.pace if load else None,
             upstream_running=load.n_running if load else None,
             upstream_queued=load.n_queued if load else None,
+            rate_limit=self._gate.rate_limiter.rate_per_second,
         )
         report = _call.CallReport(
             head.status,
@@ -152,6 +158,7 @@
             queue_seconds,
             self._build_load_report(now),
             ticket.pace,
+            self._notices.get_notice(),
         )
         await sink.start(head, report)
         if not _fits_buffer(head):
--- a/umberdrum/daemon/_metrics.py
+++ b/umberdrum/daemon/_metrics.py
@@ -4,6 +4,7 @@
 """
 
 import itertools
+import math
 from collections.abc import Callable, Iterator
 from typing import NamedTuple
 
@@ -11,7 +12,7 @@
 import trio
 from prometheus_client import metrics_core, registry
 
-from umberdrum import callpath, measuring, routetable, supervision
+from umberdrum import admission, callpath, measuring, routetable, supervision
 from umberdrum.daemon import _metric_page
 
 
@@ -188,6 +189,10 @@
     return lambda: float(budget.spent_bytes[use])
 
 
+def _get_rate_limit(limiter: admission.RateLimiter) -> float:
+    return math.inf if limiter.rate_per_second is None else limiter.rate_per_second
+
+
 def _list_gauges(sources: _metric_page.MetricSources) -> list[_Gauge]:
     gate = sources.endpoint.gate
     exchange = sources.exchange
@@ -202,6 +207,11 @@
             "Calls that may run at once",
             lambda: gate.slot_limit.get_limit(),
         ),
+        _Gauge(
+            "umberdrum_upstream_rate_limit",
+            "Requests a second that the upstream takes, infinity without a limit",
+            lambda: _get_rate_limit(gate.rate_limiter),
+        ),
         _Gauge(
             "umberdrum_upstream_connections",
             "Open connections to the upstream",
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -66,6 +66,7 @@
     UNKNOWN_ROUTE = 35
     BODY_TOO_LARGE = 36
     UPSTREAM_SLOWED = 37
+    RATE_LIMITED = 38
 
     @property
     def token(self) -> str:
@@ -170,6 +171,9 @@
     ErrorKind.UPSTREAM_SLOWED: ErrorResponse(
         503, "The upstream is slowed by its neighbours", "destination_unavailable"
     ),
+    ErrorKind.RATE_LIMITED: ErrorResponse(
+        503, "The upstream takes no more requests now", "connection_limit_reached"
+    ),
     ErrorKind.INVALID_ROUTES: ErrorResponse(
         400, "The route table is not valid", "http_request_error"
     ),
--- a/umberdrum/errors/tests/errors.feature
+++ b/umberdrum/errors/tests/errors.feature
@@ -43,3 +43,4 @@
       | NO_ROUTES_YET           | NOT_RUN      | 503    |
       | UNKNOWN_ROUTE           | NOT_RUN      | 404    |
       | UPSTREAM_SLOWED         | NOT_RUN      | 503    |
+      | RATE_LIMITED            | NOT_RUN      | 503    |
--- a/umberdrum/routing/_endpoint_stats.py
+++ b/umberdrum/routing/_endpoint_stats.py
@@ -22,13 +22,15 @@
     """Load of an endpoint at the time when its daemon sent the report.
 
     ``pace`` is the service time of the upstream at that time as a multiple of its usual
-    service time: 1 is usual, 2 takes twice as long.
+    service time: 1 is usual, 2 takes twice as long. ``limit_wait_seconds`` is how long
+    the receiver's next call waits because of a rate limit that the upstream has named.
     """
 
     n_running: int
     n_queued: int
     slot_limit: int
     pace: float = 1.0
+    limit_wait_seconds: float = 0.0
 
 
 class EndpointStats:
@@ -140,6 +142,12 @@
         weight = math.exp((self._reported_at - now) / PACE_DECAY_SECONDS)
         return float(weight * self._report.pace + (1.0 - weight) * mean_pace)
 
+    def get_limit_wait_seconds(self, now: float) -> float:
+        """Return how long a call would wait for the upstream's rate limit."""
+        if self._report is None:
+            return 0.0
+        return max(0.0, self._reported_at + self._report.limit_wait_seconds - now)
+
     def get_slow_start_share(self, now: float, oldest_seen_at: float) -> float:
         """Return the share of choices for which the endpoint is eligible.
 
--- a/umberdrum/routing/_finish_time.py
+++ b/umberdrum/routing/_finish_time.py
@@ -36,6 +36,9 @@
     Sampling prevents many daemons with the same load report from choosing the same
     endpoint. Suspected endpoints are considered only if there are no others.
 
+    An endpoint whose upstream has named a rate limit is left out until its next call is
+    allowed, unless that holds for all.
+
     Traffic between zones costs money. Among endpoints with nearly equal finish times,
     one in the daemon's own zone is therefore preferred. A large body stays in the zone
     unless another zone is expected to finish it much sooner.
@@ -59,7 +62,12 @@
         allowed = _tracking.filter_candidates(candidates, excluded)
         if not allowed:
             return None
-        eligible = self._apply_slow_start(allowed, now)
+        unlimited = [
+            candidate
+            for candidate in allowed
+            if not self._get_or_create_stats(candidate, now).get_limit_wait_seconds(now)
+        ]
+        eligible = self._apply_slow_start(unlimited or allowed, now)
         typical_seconds = self._get_class_seconds(class_name)
         own_zone = self._list_own_zone_in_time(
             eligible, typical_seconds, attributes, now
@@ -97,6 +105,7 @@
             POLICY_NAME,
             self._get_report_age_ms(sampled[chosen], now),
             len(own_zone) == 1,
+            not unlimited,
         )
 
     def _sample(self, candidates: list[_router.Candidate]) -> list[_router.Candidate]:
@@ -202,7 +211,8 @@
         service_seconds += min(
             service_seconds * (pace - 1.0), MEAN_SLOW_EPISODE_SECONDS
         )
-        return stats.network_seconds + service_seconds
+        wait_seconds = stats.get_limit_wait_seconds(now)
+        return wait_seconds + stats.network_seconds + service_seconds
 
 
 def _get_slot_limit(
--- a/umberdrum/routing/_router.py
+++ b/umberdrum/routing/_router.py
@@ -44,7 +44,8 @@
     ``expected_ms`` is the expected time to finish, 0 for policies that don't estimate
     it. ``report_age_ms`` is the age of the load report behind the estimate, None
     without a report. ``is_only_in_zone`` is set for a call with a large body if exactly
-    one endpoint of this zone is expected to finish it in time.
+    one endpoint of this zone is expected to finish it in time. ``are_all_limited`` is
+    set if the rate limits of all endpoints allow no call now.
     """
 
     candidate: Candidate
@@ -53,6 +54,7 @@
     policy: str
     report_age_ms: float | None = None
     is_only_in_zone: bool = False
+    are_all_limited: bool = False
 
 
 class OutstandingCall(NamedTuple):
