Drain an upstream whose responses say that it leaves

Callers saw nothing, but an upstream that said `Server-Leaving` went on to get its share for good: 154 lookups later than 2 s after it was said, 111 where its daemon started again.

Cause: the daemon beside it took only its announcements for a departure. Change: such a response ends the run like an announced departure; the gate refuses new calls at once, gossip tells the others.

--- a/umberdrum/announcements/_tracker.py
+++ b/umberdrum/announcements/_tracker.py
@@ -159,6 +159,15 @@
         self._store_end(instance_id, self._get_unix_ms())
         self._log.write("withdrawal_of_unknown", instance=instance_id)
 
+    def end_run(self) -> None:
+        """Record that the announced run is leaving, as its responses say."""
+        last = self._last
+        if last is None or last.state is callpath.EndpointState.DRAINING:
+            return
+        self._record_end(last)
+        self._last = last._replace(state=callpath.EndpointState.DRAINING)
+        self._notify_listener(self._last)
+
     def mark_absent(self, reason: str) -> None:
         """Mark the upstream as absent until its next announcement."""
         self._clear(reason)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -157,6 +157,7 @@
             log,
         )
         self.endpoint.relay.on_misdirected = self._mark_misdirected_absent
+        self.endpoint.notices.on_leaving = self.announcement_tracker.end_run
         self.announce_server = controlhttp.ControlServer(
             integration.build_announcement_handler(self.announcement_tracker)
         )
