Refuse requests under which upstreams have ended

Cause: a call whose upstream ends is `may-have-run` like any call whose connection broke, and nothing remembers it: each repetition, and each retry within a call, is taken for new.

Change: a daemon whose call breaks off asks whether the upstream still accepts connections. If not, the calls that were running get a mark, a digest of method, target, host, caller and body with the run that ended. Marks go to up to 16 peers at once, by gossip to all, and to daemons that start by synchronisation. A request with two marks is refused as not run, at the entry; with three if other upstreams ended with them, as after a power failure. Who only ran beside the culprit: an answer clears marks and, for 60 s, prevents them; requests with a mark run apart from each other, so that a second end has one suspect.

--- a/umberdrum/callpath/_call.py
+++ b/umberdrum/callpath/_call.py
@@ -27,7 +27,8 @@
     queued calls, with 0 first. ``target_at`` is the time at which the latency target is
     missed, on the same clock as ``deadline``. ``is_last_resort`` means that no other
     endpoint is left to try, ``is_hedge`` that another attempt is running. ``notice`` is
-    what the entry daemon was last told of the endpoint's upstream.
+    what the entry daemon was last told of the endpoint's upstream. ``fingerprint``
+    identifies the content of the request, empty if it is not known here.
     """
 
     request_id: str
@@ -47,6 +48,7 @@
     is_last_resort: bool = True
     is_hedge: bool = False
     notice: UpstreamNotice | None = None
+    fingerprint: bytes = b""
 
 
 class HttpResponseHead(NamedTuple):
--- /dev/null
+++ b/umberdrum/callpath/_crash_guard.py
@@ -0,0 +1,177 @@
+"""Recognises requests under which the upstream ends, and refuses them."""
+
+from collections.abc import Callable
+
+import expression
+import trio
+
+from umberdrum import crashes, errors, logs, sockets
+from umberdrum.callpath import _call, _dialect, _headers, _upstream
+
+N_CONFIRMATIONS = 2
+CONFIRMATION_SECONDS = 0.02
+CONNECT_TIMEOUT_SECONDS = 0.1
+TURN_RETRY_MS = 100
+MS_PER_SECOND = 1000.0
+MIN_SERVER_ERROR = 500
+
+MarksListener = Callable[[list[crashes.CrashMark]], None]
+
+
+class CrashGuard:
+    """Refuses requests under which upstreams have ended, and marks new ones.
+
+    An upstream that has ended refuses connections; one whose connections were cut
+    accepts new ones. Only calls that were running when it ended are marked.
+
+    ``on_marks`` is called with marks that other daemons don't know yet.
+    """
+
+    def __init__(
+        self,
+        registry: crashes.CrashRegistry,
+        pool: _upstream.UpstreamPool,
+        dialect: _dialect.Dialect,
+        log: logs.EventLog,
+    ) -> None:
+        self.registry = registry
+        self._pool = pool
+        self._dialect = dialect
+        self._log = log
+        self._turns = crashes.SuspectTurns()
+        self._check_done: trio.Event | None = None
+        self._has_ended: bool | None = None
+        self.on_marks: MarksListener | None = None
+        self.n_crashes = 0
+        self.n_refused = 0
+
+    def compute_fingerprint(self, call: _call.Call, body: _call.RequestBody) -> bytes:
+        """Return the fingerprint of a call, empty if its body is not complete."""
+        if not body.is_complete:
+            return b""
+        names = (b"host", b"authorization", self._dialect.caller_service)
+        caller = [
+            (name and _headers.get_header(call.headers, name)) or b"" for name in names
+        ]
+        return crashes.compute_fingerprint(
+            [call.method, call.target, *caller, body.initial]
+        )
+
+    def find_refusal(self, call: _call.Call) -> errors.Failure | None:
+        """Return the failure for a request that is taken for the cause of crashes."""
+        now = trio.current_time()
+        if not self.registry.must_refuse(call.fingerprint, now):
+            return None
+        self.n_refused += 1
+        n_crashes = self.registry.count_crashes(call.fingerprint, now)
+        seconds = self.registry.get_seconds_to_expiry(call.fingerprint, now)
+        return errors.Failure(
+            errors.ErrorKind.REQUEST_CRASHES_UPSTREAMS,
+            errors.Execution.NOT_RUN,
+            f"{n_crashes} upstreams have ended while they ran this request",
+            int(seconds * MS_PER_SECOND),
+        )
+
+    async def enter(self, call: _call.Call) -> expression.Result[bool, errors.Failure]:
+        """Return whether the call holds the turn of a suspect, or why it is refused.
+
+        A suspect waits while another one runs, at the last endpoint that is left to
+        try. Elsewhere it is refused at once. ``leave`` gives the turn back.
+        """
+        if not self.registry.is_suspect(call.fingerprint, trio.current_time()):
+            return expression.Ok(False)
+        may_run = self._turns.is_free(call.fingerprint)
+        if not may_run and call.is_last_resort:
+            may_run = await self._turns.wait(call.fingerprint, call.deadline)
+        refusal = self.find_refusal(call)
+        if refusal is not None:
+            return expression.Error(refusal)
+        if may_run:
+            self._turns.begin(call.fingerprint)
+            return expression.Ok(True)
+        return expression.Error(
+            errors.Failure(
+                errors.ErrorKind.OVERLOADED,
+                errors.Execution.NOT_RUN,
+                "another request under which an upstream has ended is running",
+                TURN_RETRY_MS,
+            )
+        )
+
+    def leave(self) -> None:
+        """Give back the turn of a suspect that has run."""
+        self._turns.end()
+
+    def record_answer(self, call: _call.Call, status: int) -> None:
+        """Clear a request that the upstream has answered."""
+        if not call.fingerprint or status >= MIN_SERVER_ERROR:
+            return
+        now = trio.current_time()
+        self._publish(self.registry.record_answer(call.fingerprint, now))
+
+    async def record_break(self, call: _call.Call, run: str) -> None:
+        """Mark a call whose connection broke, if the upstream has ended."""
+        if not call.fingerprint:
+            return
+        with trio.CancelScope(shield=True):
+            has_ended = await self._check_upstream()
+        if not has_ended:
+            return
+        now = trio.current_time()
+        marks = self.registry.add_crash(call.fingerprint, run, now)
+        if not marks:
+            return
+        self._log.warn(
+            "upstream_crashed",
+            request=call.request_id,
+            fingerprint=call.fingerprint.hex(),
+            run=run,
+            crashes=self.registry.count_crashes(call.fingerprint, now),
+        )
+        self._publish(marks)
+
+    def _publish(self, marks: list[crashes.CrashMark]) -> None:
+        if marks and self.on_marks is not None:
+            self.on_marks(marks)
+
+    async def _check_upstream(self) -> bool:
+        """Return whether the upstream has ended; calls that break together share it."""
+        while self._check_done is not None:
+            await self._check_done.wait()
+            if self._has_ended is not None:
+                return self._has_ended
+        self._check_done = trio.Event()
+        self._has_ended = None
+        try:
+            self._has_ended = await self._refuses_connections()
+        finally:
+            self._check_done.set()
+            self._check_done = None
+        if self._has_ended:
+            self.n_crashes += 1
+        return self._has_ended
+
+    async def _refuses_connections(self) -> bool:
+        """Return whether the upstream refuses connections.
+
+        One answer could come from a listener that is just being closed, or opened by
+        the next run. The one that is first given twice decides.
+        """
+        address = self._pool.address
+        if address is None:
+            return False
+        n_refused = 0
+        n_accepted = 0
+        while True:
+            try:
+                connection = await sockets.connect(address, CONNECT_TIMEOUT_SECONDS)
+            except sockets.PeerRefusedError:
+                n_refused += 1
+            except sockets.ConnectionLostError:
+                return False
+            else:
+                n_accepted += 1
+                connection.close()
+            if N_CONFIRMATIONS in (n_refused, n_accepted):
+                return n_refused > n_accepted
+            await trio.sleep(CONFIRMATION_SECONDS)
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -7,6 +7,7 @@
 
 from umberdrum import (
     admission,
+    crashes,
     errors,
     logs,
     measuring,
@@ -18,6 +19,7 @@
     _announcement,
     _body_buffer,
     _call,
+    _crash_guard,
     _dialect,
     _notices,
     _prober,
@@ -64,6 +66,7 @@
         tasks: supervision.TaskStarter,
         dialect: _dialect.Dialect = _dialect.OWN_DIALECT,
         prober: _prober.UpstreamProber | None = None,
+        registry: crashes.CrashRegistry | None = None,
     ) -> None:
         self._dialect = dialect
         self._prober = prober
@@ -75,6 +78,9 @@
         self._log = log
         self._tasks = tasks
         self._request_buffer = _body_buffer.BodyBuffer()
+        if registry is None:
+            registry = crashes.CrashRegistry()
+        self.crash_guard = _crash_guard.CrashGuard(registry, pool, dialect, log)
         self.notices = _notices.UpstreamNotices(gate.rate_limiter, dialect, log)
         self.relay = _upstream_relay.UpstreamRelay(
             gate, pool, self.build_load_report, log, dialect, self.notices
@@ -130,9 +136,18 @@
     async def _run_by_idempotency(
         self, call: _call.Call, body: _call.RequestBody, sink: _call.ResponseSink
     ) -> CallResult:
-        if call.is_idempotent:
-            return await self._run_idempotent(call, body, sink)
-        return await self._run_recorded(call, body, sink)
+        fingerprint = self.crash_guard.compute_fingerprint(call, body)
+        call = call._replace(fingerprint=fingerprint)
+        entered = await self.crash_guard.enter(call)
+        if entered.is_error():
+            return expression.Error(entered.error)
+        try:
+            if call.is_idempotent:
+                return await self._run_idempotent(call, body, sink)
+            return await self._run_recorded(call, body, sink)
+        finally:
+            if entered.ok:
+                self.crash_guard.leave()
 
     async def _run_buffered(
         self, call: _call.Call, body: _call.RequestBody, sink: _call.ResponseSink
@@ -340,10 +355,22 @@
         try:
             result = await self.relay.run(call, body, sink, ticket, queue_seconds)
             is_observed = result.is_ok() and result.ok.status < MIN_SERVER_ERROR
+            if result.is_ok():
+                self.crash_guard.record_answer(call, result.ok.status)
+            elif self._may_have_crashed(result.error):
+                await self.crash_guard.record_break(call, self.notices.run)
             return result
         finally:
             self.gate.release(ticket, is_observed)
 
+    def _may_have_crashed(self, failure: errors.Failure) -> bool:
+        """Return whether a failure may come from an unplanned end of the upstream."""
+        return (
+            failure.kind is errors.ErrorKind.UPSTREAM_BROKE_OFF
+            and failure.execution is errors.Execution.MAY_HAVE_RUN
+            and self.state is _announcement.EndpointState.SERVING
+        )
+
     def _build_leaving_failure(self) -> errors.Failure:
         return errors.fail(
             errors.ErrorKind.ENDPOINT_LEAVING, f"the endpoint is {self.state.value}"
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -116,17 +116,16 @@
         if matched.is_error():
             failure = matched.error
             self.statistics.count_unmatched(failure.kind)
-            self._log.write(
-                "refused",
-                request=request_id,
-                version=self._matcher.version,
-                kind=failure.kind.token,
-                execution=failure.execution.token,
-                detail=failure.detail,
-            )
+            self._log_refusal(request_id, failure)
             return EntryOutcome(expression.Error(failure), request_id)
         class_with_policy = matched.ok
         call = self._build_call(request, request_id, class_with_policy)
+        guard = self._endpoint.crash_guard
+        call = call._replace(fingerprint=guard.compute_fingerprint(call, body))
+        refusal = guard.find_refusal(call)
+        if refusal is not None:
+            self._log_refusal(request_id, refusal)
+            return EntryOutcome(expression.Error(refusal), request_id)
         if not self._directory.list_candidates(call.service):
             await self._startup_period.wait_until(
                 lambda: bool(self._directory.list_candidates(call.service)),
@@ -151,6 +150,16 @@
     def _has_routes(self) -> bool:
         return self._matcher.version > 0
 
+    def _log_refusal(self, request_id: str, failure: errors.Failure) -> None:
+        self._log.write(
+            "refused",
+            request=request_id,
+            version=self._matcher.version,
+            kind=failure.kind.token,
+            execution=failure.execution.token,
+            detail=failure.detail,
+        )
+
     def _log_end(
         self,
         call: _call.Call,
--- a/umberdrum/callpath/_notices.py
+++ b/umberdrum/callpath/_notices.py
@@ -34,7 +34,7 @@
         self._limiter = limiter
         self._dialect = dialect
         self._log = log
-        self._run = ""
+        self.run = ""
         self._is_identified = False
         self._has_responded = False
         self._is_leaving = False
@@ -44,9 +44,9 @@
     def start_run(self, instance_id: str, born_ms: int) -> None:
         """Forget the notices of the previous run if another one has begun."""
         run = f"{instance_id}/{born_ms}"
-        if run == self._run:
+        if run == self.run:
             return
-        self._run = run
+        self.run = run
         self._is_identified = bool(instance_id)
         self._has_responded = False
         self._is_leaving = False
@@ -57,7 +57,7 @@
         if not (self._is_leaving or self._limiter.is_limited):
             return None
         return _call.UpstreamNotice(
-            self._run, self._limiter.rate_per_second, self._is_leaving
+            self.run, self._limiter.rate_per_second, self._is_leaving
         )
 
     def read_response(self, head: _call.HttpResponseHead, has_run: bool) -> None:
@@ -81,7 +81,7 @@
 
         What the run's own responses have said to this daemon is newer.
         """
-        if notice is None or not self._is_identified or notice.run != self._run:
+        if notice is None or not self._is_identified or notice.run != self.run:
             return
         if notice.is_leaving:
             self._set_leaving("peer")
@@ -106,7 +106,7 @@
         self._limiter.set_rate(rate, trio.current_time())
         self._log.write(
             "rate_limit_named",
-            run=self._run,
+            run=self.run,
             rate=rate,
             previous=previous,
             source=source,
@@ -117,13 +117,13 @@
             return
         previous = self._limiter.rate_per_second
         self._limiter.lift()
-        self._log.write("rate_limit_ended", run=self._run, previous=previous)
+        self._log.write("rate_limit_ended", run=self.run, previous=previous)
 
     def _set_leaving(self, source: str) -> None:
         if self._is_leaving:
             return
         self._is_leaving = True
-        self._log.write("upstream_leaving", run=self._run, source=source)
+        self._log.write("upstream_leaving", run=self.run, source=source)
         if self.on_leaving is not None:
             self.on_leaving()
 
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -220,3 +220,4 @@
             parts.peer_pool.close_idle(now)
             parts.upstream_pool.close_idle(now)
             parts.entry.router.prune_endpoints(parts.directory.list_keys())
+            parts.state.crashes.remove_expired(now)
--- a/umberdrum/daemon/_metrics.py
+++ b/umberdrum/daemon/_metrics.py
@@ -207,6 +207,21 @@
             "Calls that may run at once",
             lambda: gate.slot_limit.get_limit(),
         ),
+        _Gauge(
+            "umberdrum_upstream_crashes",
+            "Unplanned ends of the upstream while calls were running",
+            lambda: sources.endpoint.crash_guard.n_crashes,
+        ),
+        _Gauge(
+            "umberdrum_crashing_requests_refused",
+            "Requests refused because upstreams have ended under them",
+            lambda: sources.endpoint.crash_guard.n_refused,
+        ),
+        _Gauge(
+            "umberdrum_crash_suspects",
+            "Remembered requests that were running when an upstream ended",
+            lambda: len(sources.state.crashes),
+        ),
         _Gauge(
             "umberdrum_upstream_rate_limit",
             "Requests a second that the upstream takes, infinity without a limit",
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -10,6 +10,7 @@
     classes,
     configuration,
     controlhttp,
+    crashes,
     gossip,
     logs,
     measuring,
@@ -93,7 +94,9 @@
             tasks,
             dialect,
             self.prober,
+            self.state.crashes,
         )
+        self.endpoint.crash_guard.on_marks = self._publish_crash_marks
         self.routes = _build_routes(integration, log)
         self._class_matcher = callpath.ClassMatcher()
         self.matcher: callpath.CallMatcher = self._class_matcher
@@ -243,6 +246,11 @@
         self._log.warn("store_restored", previous_era=previous, era=era)
         self.contact_manager.handle_new_era()
 
+    def _publish_crash_marks(self, marks: list[crashes.CrashMark]) -> None:
+        for mark in marks:
+            self.state.updates.add_crash_mark(mark)
+        self._tasks.start_soon(self.exchange.push_crash_marks, marks)
+
     def _get_health_path(self, service: str) -> str:
         """Return the health path of upstreams of ``service``, empty if unknown."""
         if self.routes is None or self.routes.table is None:
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -67,6 +67,7 @@
     BODY_TOO_LARGE = 36
     UPSTREAM_SLOWED = 37
     RATE_LIMITED = 38
+    REQUEST_CRASHES_UPSTREAMS = 39
 
     @property
     def token(self) -> str:
@@ -174,6 +175,9 @@
     ErrorKind.RATE_LIMITED: ErrorResponse(
         503, "The upstream takes no more requests now", "connection_limit_reached"
     ),
+    ErrorKind.REQUEST_CRASHES_UPSTREAMS: ErrorResponse(
+        503, "Upstreams have ended while they ran this request", "http_request_denied"
+    ),
     ErrorKind.INVALID_ROUTES: ErrorResponse(
         400, "The route table is not valid", "http_request_error"
     ),
--- a/umberdrum/errors/tests/errors.feature
+++ b/umberdrum/errors/tests/errors.feature
@@ -44,3 +44,4 @@
       | UNKNOWN_ROUTE           | NOT_RUN      | 404    |
       | UPSTREAM_SLOWED         | NOT_RUN      | 503    |
       | RATE_LIMITED            | NOT_RUN      | 503    |
+      | REQUEST_CRASHES_UPSTREAMS | NOT_RUN    | 503    |
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -2,11 +2,21 @@
 
 import random
 import socket
+from collections.abc import Sequence
 from typing import NamedTuple
 
 import trio
 
-from umberdrum import classes, errors, logs, membership, peerlink, settings, wire
+from umberdrum import (
+    classes,
+    crashes,
+    errors,
+    logs,
+    membership,
+    peerlink,
+    settings,
+    wire,
+)
 from umberdrum.gossip import (
     _datagram,
     _fetch_selector,
@@ -26,6 +36,7 @@
 # Bounds the datagrams of one delivery to about 13 KB, and of one push to about 3 KB.
 MAX_DELIVERY_PEERS = 64
 MAX_OWN_RECORD_PEERS = 16
+MAX_MARKS_PER_MESSAGE = 16
 DELIVERY_RETRY_SECONDS = 0.1
 
 
@@ -164,6 +175,21 @@
         for record in self._peer_selector.choose_push_targets(MAX_OWN_RECORD_PEERS):
             await self._send_own_record(record)
 
+    async def push_crash_marks(self, marks: Sequence[crashes.CrashMark]) -> None:
+        """Send marks to up to ``MAX_OWN_RECORD_PEERS`` peers at once.
+
+        The caller of a marked request may repeat it at once, at any daemon.
+        """
+        for start in range(0, len(marks), MAX_MARKS_PER_MESSAGE):
+            encoded = [
+                crashes.encode_mark(mark)
+                for mark in marks[start : start + MAX_MARKS_PER_MESSAGE]
+            ]
+            for record in self._peer_selector.choose_push_targets(MAX_OWN_RECORD_PEERS):
+                message = self._build_bare_message(record.process_id)
+                message.crash_marks.extend(encoded)
+                await self._send(message, record.address)
+
     async def _send_own_record(self, peer: membership.EndpointRecord) -> int:
         """Send the own record to ``peer`` and return the message's sequence number."""
         message = self._build_bare_message(peer.process_id)
@@ -237,6 +263,7 @@
         message = self._build_bare_message(process_id)
         message.records.extend(batch.records)
         message.classes.extend(batch.entries)
+        message.crash_marks.extend(batch.crash_marks)
         return message
 
     def _build_bare_message(self, process_id: int) -> wire.messages.Gossip:
@@ -308,6 +335,7 @@
         )
         self._state.merge_records(message.records, now)
         self._state.merge_entry_messages(message.classes)
+        self._state.merge_crash_marks(message.crash_marks, now)
         try:
             self._record_position(message)
             self._compare_digests(message)
--- a/umberdrum/gossip/_state.py
+++ b/umberdrum/gossip/_state.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from umberdrum import classes, logs, membership, wire
+from umberdrum import classes, crashes, logs, membership, wire
 from umberdrum.gossip import _entry_codec, _update_queue
 
 
@@ -31,6 +31,7 @@
         self.table = table
         self._read_version = read_version
         self.catalog = classes.Catalog()
+        self.crashes = crashes.CrashRegistry()
         self.updates = _update_queue.UpdateQueue(table.own.endpoint_id)
         self._log = log
         self._catalog_listeners: list[Callable[[classes.Catalog], None]] = []
@@ -67,6 +68,18 @@
             self._record_change(record, is_disseminated or is_own)
         return len(changed)
 
+    def merge_crash_marks(
+        self, messages: Iterable[wire.messages.CrashMark], now: float
+    ) -> None:
+        """Merge marks from another daemon and disseminate those that are new here."""
+        marks: list[crashes.CrashMark] = []
+        for message in messages:
+            mark = crashes.decode_mark(message)
+            if mark is not None:
+                marks.append(mark)
+        for mark in self.crashes.merge(marks, now):
+            self.updates.add_crash_mark(mark)
+
     def suspect(self, endpoint_id: str, process_id: int, now: float) -> None:
         """Mark a daemon that does not answer as suspected and disseminate this."""
         record = self.table.suspect(endpoint_id, process_id, now)
--- a/umberdrum/gossip/_synchronizer.py
+++ b/umberdrum/gossip/_synchronizer.py
@@ -4,7 +4,7 @@
 
 from google.protobuf import message as protobuf_message
 
-from umberdrum import classes, membership, peerlink, sockets, wire
+from umberdrum import classes, crashes, membership, peerlink, sockets, wire
 from umberdrum.gossip import _entry_codec, _state
 
 SYNC_REPLY_TIMEOUT_SECONDS = 2.0
@@ -56,6 +56,7 @@
         self.n_syncs += 1
         n_newer = self._state.merge_records(reply.records, now, is_disseminated=False)
         self._state.merge_entry_messages(reply.classes)
+        self._state.merge_crash_marks(reply.crash_marks, now)
         return SyncResult(True, n_newer)
 
     async def _exchange(
@@ -97,6 +98,8 @@
                 peer_position = peer_positions.get(entry.name, classes.NO_POSITION)
                 if entry.position > peer_position:
                     reply.classes.append(_entry_codec.encode_entry(entry))
+        for mark in self._state.crashes.list_marks(now):
+            reply.crash_marks.append(crashes.encode_mark(mark))
         self._state.merge_records(request.records, now)
         self._state.merge_entry_messages(request.classes)
         return reply
--- a/umberdrum/gossip/_update_queue.py
+++ b/umberdrum/gossip/_update_queue.py
@@ -3,7 +3,7 @@
 import math
 from typing import NamedTuple
 
-from umberdrum import classes, membership, wire
+from umberdrum import classes, crashes, membership, wire
 from umberdrum.gossip import _entry_codec
 
 SENDS_PER_LOG2_ENDPOINTS = 3
@@ -15,27 +15,32 @@
 
     records: list[wire.messages.EndpointRecord]
     entries: list[wire.messages.ClassEntry]
+    crash_marks: list[wire.messages.CrashMark]
     n_bytes: int
 
 
 class _QueuedUpdate:
     """One update, its encoded size and the number of times it was sent."""
 
-    __slots__ = ("entry", "n_bytes", "n_sends", "record")
+    __slots__ = ("crash_mark", "entry", "n_bytes", "n_sends", "record")
 
     def __init__(
         self,
-        record: wire.messages.EndpointRecord | None,
-        entry: wire.messages.ClassEntry | None,
+        record: wire.messages.EndpointRecord | None = None,
+        entry: wire.messages.ClassEntry | None = None,
+        crash_mark: wire.messages.CrashMark | None = None,
     ) -> None:
         self.record = record
         self.entry = entry
+        self.crash_mark = crash_mark
         self.n_sends = 0
         size = 0
         if record is not None:
             size = record.ByteSize()
         elif entry is not None:
             size = entry.ByteSize()
+        elif crash_mark is not None:
+            size = crash_mark.ByteSize()
         self.n_bytes = size + 4
 
 
@@ -62,9 +67,7 @@
     def add_record(self, record: membership.EndpointRecord) -> None:
         """Queue the current version of a changed record."""
         message = membership.encode_record(record)
-        self._updates[_build_record_key(record.endpoint_id)] = _QueuedUpdate(
-            message, None
-        )
+        self._updates[_build_record_key(record.endpoint_id)] = _QueuedUpdate(message)
 
     def add_entry(self, entry: classes.CatalogEntry) -> None:
         """Queue a changed class unless its document is long.
@@ -75,7 +78,13 @@
         if len(entry.document) > MAX_INLINE_DOCUMENT_BYTES:
             return
         message = _entry_codec.encode_entry(entry)
-        self._updates["class " + entry.name] = _QueuedUpdate(None, message)
+        self._updates["class " + entry.name] = _QueuedUpdate(entry=message)
+
+    def add_crash_mark(self, mark: crashes.CrashMark) -> None:
+        """Queue a new or changed mark of a request under which an upstream ended."""
+        key = f"crash {mark.fingerprint.hex()} {mark.run}"
+        message = crashes.encode_mark(mark)
+        self._updates[key] = _QueuedUpdate(crash_mark=message)
 
     def take_batch(self, max_bytes: int, n_endpoints: int) -> UpdateBatch:
         """Return updates of at most ``max_bytes`` and increment their send counts.
@@ -84,7 +93,7 @@
         maximum number of sends are removed.
         """
         max_sends = SENDS_PER_LOG2_ENDPOINTS * math.ceil(math.log2(n_endpoints + 2))
-        batch = UpdateBatch([], [], 0)
+        batch = UpdateBatch([], [], [], 0)
         n_bytes = 0
         for key, update in sorted(self._updates.items(), key=self._get_sort_key):
             is_own = key == self._own_key
@@ -95,6 +104,8 @@
                 batch.records.append(update.record)
             if update.entry is not None:
                 batch.entries.append(update.entry)
+            if update.crash_mark is not None:
+                batch.crash_marks.append(update.crash_mark)
             update.n_sends += 1
             if update.n_sends >= max_sends:
                 del self._updates[key]
--- a/umberdrum/retries/_rules.py
+++ b/umberdrum/retries/_rules.py
@@ -12,6 +12,7 @@
         errors.ErrorKind.DEADLINE_EXCEEDED,
         errors.ErrorKind.DUPLICATE_REQUEST,
         errors.ErrorKind.REQUEST_BARRED,
+        errors.ErrorKind.REQUEST_CRASHES_UPSTREAMS,
         errors.ErrorKind.OUTCOME_UNKNOWN,
         errors.ErrorKind.CALLER_GONE,
     )
--- a/umberdrum/sockets/__init__.py
+++ b/umberdrum/sockets/__init__.py
@@ -3,6 +3,7 @@
 from umberdrum.sockets._connection import (
     Connection,
     ConnectionLostError,
+    PeerRefusedError,
     connect,
 )
 from umberdrum.sockets._listener import accept_connections, bind_tcp, close_listener
@@ -11,6 +12,7 @@
 __all__ = [
     "Connection",
     "ConnectionLostError",
+    "PeerRefusedError",
     "TurnLimit",
     "accept_connections",
     "bind_tcp",
--- a/umberdrum/sockets/_connection.py
+++ b/umberdrum/sockets/_connection.py
@@ -1,6 +1,7 @@
 """Connected TCP socket with non-blocking sends and receives."""
 
 import contextlib
+import errno
 import socket
 import struct
 
@@ -26,6 +27,10 @@
     """
 
 
+class PeerRefusedError(ConnectionLostError):
+    """No process listens at the address."""
+
+
 class Connection:
     """TCP connection that sends and receives without waiting where possible.
 
@@ -194,8 +199,8 @@
 async def connect(address: settings.Address, timeout_seconds: float) -> Connection:
     """Return a new connection to ``address``.
 
-    Raises ``ConnectionLostError`` when the connection is not established in time or
-    fails.
+    Raises ``PeerRefusedError`` when nothing listens there, and ``ConnectionLostError``
+    when the connection is not established in time or fails otherwise.
     """
     family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
     sock = socket.socket(family, socket.SOCK_STREAM)
@@ -206,7 +211,10 @@
     except (OSError, trio.TooSlowError) as fault:
         sock.close()
         reason = "timed out" if isinstance(fault, trio.TooSlowError) else str(fault)
-        raise ConnectionLostError(f"no connection to {address}: {reason}") from None
+        detail = f"no connection to {address}: {reason}"
+        if isinstance(fault, OSError) and fault.errno == errno.ECONNREFUSED:
+            raise PeerRefusedError(detail) from None
+        raise ConnectionLostError(detail) from None
     except BaseException:
         sock.close()
         raise
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -11,6 +11,7 @@
     "classes",
     "commandline",
     "configuration",
+    "crashes",
     "daemon",
     "errors",
     "gossip",
