Tell the ends of upstreams apart whose announcements name no run

Found by reading: the mark of a request held the run of the upstream that ended. The product's own announcements name none, so that the ends of all upstreams were one to the memory, and a request was never refused there. The mark now names the daemon's process and a count. An upstream without a run may say again that it leaves after it had announced itself anew, and an entry daemon keeps a notice from the moment on at which it passes on the head of a response, also if the rest is lost.

--- a/umberdrum/callpath/_crash_guard.py
+++ b/umberdrum/callpath/_crash_guard.py
@@ -1,5 +1,6 @@
 """Recognises requests under which the upstream ends, and refuses them."""
 
+import secrets
 from collections.abc import Callable
 
 import expression
@@ -12,6 +13,7 @@
 CONFIRMATION_SECONDS = 0.02
 CONNECT_TIMEOUT_SECONDS = 0.1
 TURN_RETRY_MS = 100
+PROCESS_TOKEN_BYTES = 8
 MS_PER_SECOND = 1000.0
 MIN_SERVER_ERROR = 500
 
@@ -39,6 +41,7 @@
         self._dialect = dialect
         self._log = log
         self._turns = crashes.SuspectTurns()
+        self._process_token = secrets.token_hex(PROCESS_TOKEN_BYTES)
         self._check_done: trio.Event | None = None
         self._has_ended: bool | None = None
         self.on_marks: MarksListener | None = None
@@ -109,8 +112,11 @@
         now = trio.current_time()
         self._publish(self.registry.record_answer(call.fingerprint, now))
 
-    async def record_break(self, call: _call.Call, run: str) -> None:
-        """Mark a call whose connection broke, if the upstream has ended."""
+    async def record_break(self, call: _call.Call, run_id: str) -> None:
+        """Mark a call whose connection broke, if the upstream has ended.
+
+        ``run_id`` identifies the run of the upstream; it is empty if that is not known.
+        """
         if not call.fingerprint:
             return
         with trio.CancelScope(shield=True):
@@ -118,6 +124,7 @@
         if not has_ended:
             return
         now = trio.current_time()
+        run = run_id or f"{self._process_token}/{self.n_crashes}"
         marks = self.registry.add_crash(call.fingerprint, run, now)
         if not marks:
             return
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -358,7 +358,7 @@
             if result.is_ok():
                 self.crash_guard.record_answer(call, result.ok.status)
             elif self._may_have_crashed(result.error):
-                await self.crash_guard.record_break(call, self.notices.run)
+                await self.crash_guard.record_break(call, self.notices.run_id)
             return result
         finally:
             self.gate.release(ticket, is_observed)
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -241,10 +241,11 @@
         peer = self._directory.get_peer(candidate.key)
         endpoint_id = str(peer.address)
         call = call._replace(notice=self._peer_notices.get(endpoint_id))
-        result = await self._peer_client.run(call, peer, body, sink)
-        if result.is_ok():
-            self._peer_notices.record(endpoint_id, result.ok.notice)
-        return result
+        try:
+            return await self._peer_client.run(call, peer, body, sink)
+        finally:
+            if sink.report is not None:
+                self._peer_notices.record(endpoint_id, sink.report.notice)
 
     def _log_attempt(
         self,
--- a/umberdrum/callpath/_notices.py
+++ b/umberdrum/callpath/_notices.py
@@ -18,7 +18,8 @@
     """Notices of the upstream beside this daemon, as read from its responses.
 
     A limit is in force until a response to a call that ran no longer names it. Leaving
-    is final for a run of the upstream: ``on_leaving`` is called once.
+    is final for a run of the upstream: ``on_leaving`` is called once. It is called for
+    each such response of an upstream whose announcements don't identify its run.
 
     An entry daemon that has passed on a response with a notice sends the notice with
     its further calls. From it a daemon that has started again learns what its
@@ -34,19 +35,24 @@
         self._limiter = limiter
         self._dialect = dialect
         self._log = log
-        self.run = ""
+        self._run = ""
         self._is_identified = False
         self._has_responded = False
         self._is_leaving = False
         self._malformed = b""
         self.on_leaving: Callable[[], None] | None = None
 
+    @property
+    def run_id(self) -> str:
+        """Identifier of the present run, empty if its upstream names none."""
+        return self._run if self._is_identified else ""
+
     def start_run(self, instance_id: str, born_ms: int) -> None:
         """Forget the notices of the previous run if another one has begun."""
         run = f"{instance_id}/{born_ms}"
-        if run == self.run:
+        if run == self._run:
             return
-        self.run = run
+        self._run = run
         self._is_identified = bool(instance_id)
         self._has_responded = False
         self._is_leaving = False
@@ -57,7 +63,7 @@
         if not (self._is_leaving or self._limiter.is_limited):
             return None
         return _call.UpstreamNotice(
-            self.run, self._limiter.rate_per_second, self._is_leaving
+            self._run, self._limiter.rate_per_second, self._is_leaving
         )
 
     def read_response(self, head: _call.HttpResponseHead, has_run: bool) -> None:
@@ -81,7 +87,7 @@
 
         What the run's own responses have said to this daemon is newer.
         """
-        if notice is None or not self._is_identified or notice.run != self.run:
+        if notice is None or not self._is_identified or notice.run != self._run:
             return
         if notice.is_leaving:
             self._set_leaving("peer")
@@ -106,7 +112,7 @@
         self._limiter.set_rate(rate, trio.current_time())
         self._log.write(
             "rate_limit_named",
-            run=self.run,
+            run=self._run,
             rate=rate,
             previous=previous,
             source=source,
@@ -117,13 +123,13 @@
             return
         previous = self._limiter.rate_per_second
         self._limiter.lift()
-        self._log.write("rate_limit_ended", run=self.run, previous=previous)
+        self._log.write("rate_limit_ended", run=self._run, previous=previous)
 
     def _set_leaving(self, source: str) -> None:
         if self._is_leaving:
             return
-        self._is_leaving = True
-        self._log.write("upstream_leaving", run=self.run, source=source)
+        self._is_leaving = self._is_identified
+        self._log.write("upstream_leaving", run=self._run, source=source)
         if self.on_leaving is not None:
             self.on_leaving()
 
--- a/umberdrum/callpath/_sinks.py
+++ b/umberdrum/callpath/_sinks.py
@@ -34,7 +34,8 @@
 class TrackingSink(ForwardingSink):
     """Records whether and when the response was started.
 
-    ``refusal_load`` is the load reported with the last refusal by an endpoint.
+    ``refusal_load`` is the load reported with the last refusal by an endpoint,
+    ``report`` the endpoint's report on the response that was started.
     """
 
     def __init__(self, sink: _call.ResponseSink) -> None:
@@ -42,6 +43,7 @@
         self.is_started = False
         self.started_at = 0.0
         self.refusal_load: routing.LoadReport | None = None
+        self.report: _call.CallReport | None = None
 
     async def start(
         self, head: _call.HttpResponseHead, report: _call.CallReport
@@ -49,6 +51,7 @@
         """Record the start and forward the head."""
         self.is_started = True
         self.started_at = trio.current_time()
+        self.report = report
         await self._sink.start(head, report)
 
 
