Keep a busy machine from failing the property tests of merging

Cause: Hypothesis measures real time, both for drawing inputs and for each example. Shown by stopping the process for 1.2 s at a time: the same check fails, with a draw of 16.8 s. The property was not at fault. Change: neither is measured; the same 200 examples are checked as before. With the change the scenario passes while its process is stopped so.

--- a/umberdrum/classes/tests/classes_steps.py
+++ b/umberdrum/classes/tests/classes_steps.py
@@ -113,7 +113,13 @@
 def check_merge_properties(context: runner.Context) -> None:
     catalogs = _build_catalog_strategy()
 
-    @hypothesis.settings(max_examples=200, derandomize=True, database=None)
+    @hypothesis.settings(
+        max_examples=200,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
     @hypothesis.given(catalogs, catalogs, catalogs)
     def check(
         first: list[classes.CatalogEntry],
--- a/umberdrum/membership/tests/membership_steps.py
+++ b/umberdrum/membership/tests/membership_steps.py
@@ -80,7 +80,13 @@
 def check_merge_laws(context: runner.Context) -> None:
     record_lists = _build_record_lists()
 
-    @hypothesis.settings(max_examples=200, derandomize=True, database=None)
+    @hypothesis.settings(
+        max_examples=200,
+        derandomize=True,
+        database=None,
+        deadline=None,
+        suppress_health_check=[hypothesis.HealthCheck.too_slow],
+    )
     @hypothesis.given(record_lists, record_lists, record_lists)
     def check(
         first: list[membership.EndpointRecord],
