Soak: upstreams that name a limit, say that they leave, and end on a request

Three kinds of faults; the stand-in speaks the product's own header fields. A leaving upstream is checked like a draining one: no call begins later than 2 s after it, its end cuts none.

--- a/umberdrum_bench/soak/_injector.py
+++ b/umberdrum_bench/soak/_injector.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from umberdrum_bench import processes
+from umberdrum_bench import caller, processes, upstream
 from umberdrum_bench.soak import _environment, _plan
 
 # A stopping daemon finishes the calls in progress, which takes one deadline of 2 s at
@@ -19,6 +19,11 @@
 LINK_DELAY_SECONDS = 0.05
 STORE_DELAY_MS = 700
 SLOWDOWN_FACTOR = 20
+RATE_LIMITS = ("0", "2", "10.5")
+CRASH_SERVICE = "cards"
+CRASH_PATH = "/cards/crash"
+N_CRASH_REQUESTS = 8
+CRASH_INTERVAL_SECONDS = 0.3
 LOG_LEVELS = ("info", "debug", "warning")
 
 _Action = Callable[[_plan.SoakFault], Awaitable[None]]
@@ -40,6 +45,9 @@
             kinds.DRAIN_UPSTREAM: self._drain_upstream,
             kinds.SLOW_UPSTREAM: self._slow_upstream,
             kinds.FAIL_UPSTREAM: self._fail_upstream,
+            kinds.LIMIT_UPSTREAM: self._limit_upstream,
+            kinds.LEAVE_UPSTREAM: self._leave_upstream,
+            kinds.CRASH_UPSTREAMS: self._crash_upstreams,
             kinds.LOSE_ENDPOINT: self._lose_endpoint,
             kinds.LOSE_ALL: self._lose_all,
             kinds.DELAY_LINK: self._delay_link,
@@ -164,18 +172,40 @@
         self._cluster.restart_upstream(position)
 
     async def _drain_upstream(self, fault: _plan.SoakFault) -> None:
-        """Drain an upstream, stop it and restart it.
+        """Drain an upstream that announces it, stop it and restart it."""
+
+        async def announce(process: "subprocess.Popen[bytes]") -> None:
+            process.send_signal(signal.SIGUSR1)
+
+        await self._empty_upstream(fault, announce)
+
+    async def _leave_upstream(self, fault: _plan.SoakFault) -> None:
+        """Drain an upstream that says in its responses that it leaves."""
+        address = self._cluster.endpoints[fault.position].upstream
+
+        async def say_leaving(process: "subprocess.Popen[bytes]") -> None:
+            del process
+            await self._environment.set_upstream_faults(address, leaving=True)
+
+        await self._empty_upstream(fault, say_leaving)
+
+    async def _empty_upstream(
+        self,
+        fault: _plan.SoakFault,
+        begin: "Callable[[subprocess.Popen[bytes]], Awaitable[None]]",
+    ) -> None:
+        """Let an upstream leave, stop it and restart it.
 
         No call may begin there later than ``DRAIN_GRACE_SECONDS`` after the upstream
-        announces that it drains, and its end may cut no call. This is checked only if
-        no other fault struck the endpoint during that time.
+        says that it leaves, and its end may cut no call. This is checked only if no
+        other fault struck the endpoint during that time.
         """
         position = fault.position
         process = self._environment.get_upstream(position)
         if process.poll() is not None or not self._environment.is_running(position):
             return
         n_faults = self._environment.get_fault_count(position)
-        process.send_signal(signal.SIGUSR1)
+        await begin(process)
         await trio.sleep(DRAIN_GRACE_SECONDS)
         counts_after_grace = self._environment.read_upstream_counts(position)
         await trio.sleep(fault.seconds)
@@ -209,6 +239,41 @@
         await trio.sleep(fault.seconds)
         await self._environment.set_upstream_faults(address, fail=False)
 
+    async def _limit_upstream(self, fault: _plan.SoakFault) -> None:
+        address = self._cluster.endpoints[fault.position].upstream
+        rate = self._environment.rng.choice(RATE_LIMITS)
+        await self._environment.set_upstream_faults(address, rate_limit=rate)
+        await trio.sleep(fault.seconds)
+        await self._environment.set_upstream_faults(address, rate_limit="")
+
+    async def _crash_upstreams(self, fault: _plan.SoakFault) -> None:
+        """Send one request that ends its upstreams, again and again.
+
+        The upstreams that it has ended are restarted after the time of the fault.
+        """
+        pool = caller.CallerPool()
+        rng = self._environment.rng
+        path = f"{CRASH_PATH}/{fault.at_seconds:.3f}"
+        for number in range(N_CRASH_REQUESTS):
+            request = caller.CallerRequest(
+                CRASH_SERVICE,
+                "GET",
+                path,
+                f"crash-{fault.at_seconds:.3f}-{number}",
+                f"crash-{number}",
+                upstream.CRASH_BODY,
+                int(CRASH_INTERVAL_SECONDS * 1000),
+            )
+            entry = rng.choice(self._cluster.endpoints)
+            await pool.call(entry.caller, request, CRASH_INTERVAL_SECONDS)
+            await trio.sleep(CRASH_INTERVAL_SECONDS)
+        pool.close()
+        await trio.sleep(fault.seconds)
+        for endpoint in self._cluster.endpoints:
+            process = self._environment.get_upstream(endpoint.position)
+            if process.poll() == upstream.CRASH_EXIT_CODE:
+                self._restart_upstream(endpoint.position)
+
     async def _lose_endpoint(self, fault: _plan.SoakFault) -> None:
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._kill_daemon, fault)
--- a/umberdrum_bench/soak/_plan.py
+++ b/umberdrum_bench/soak/_plan.py
@@ -22,6 +22,9 @@
     DRAIN_UPSTREAM = "drain-upstream"
     SLOW_UPSTREAM = "slow-upstream"
     FAIL_UPSTREAM = "fail-upstream"
+    LIMIT_UPSTREAM = "limit-upstream"
+    LEAVE_UPSTREAM = "leave-upstream"
+    CRASH_UPSTREAMS = "crash-upstreams"
     LOSE_ENDPOINT = "lose-endpoint"
     LOSE_ALL = "lose-all"
     DELAY_LINK = "delay-link"
@@ -58,6 +61,9 @@
     _FaultProfile(FaultKind.DRAIN_UPSTREAM, 1.0, 0.5, 2.0),
     _FaultProfile(FaultKind.SLOW_UPSTREAM, 1.0, 0.5, 4.0),
     _FaultProfile(FaultKind.FAIL_UPSTREAM, 0.5, 0.5, 3.0),
+    _FaultProfile(FaultKind.LIMIT_UPSTREAM, 1.0, 1.0, 5.0),
+    _FaultProfile(FaultKind.LEAVE_UPSTREAM, 1.0, 0.5, 2.0),
+    _FaultProfile(FaultKind.CRASH_UPSTREAMS, 0.4, 0.2, 3.0),
     _FaultProfile(FaultKind.LOSE_ENDPOINT, 1.0, 0.2, 3.0),
     _FaultProfile(FaultKind.LOSE_ALL, 0.15, 0.2, 1.0),
     _FaultProfile(FaultKind.DELAY_LINK, 0.7, 0.5, 4.0),
--- a/umberdrum_bench/upstream.py
+++ b/umberdrum_bench/upstream.py
@@ -21,6 +21,10 @@
 from umberdrum_bench import http_server
 
 ANNOUNCE_INTERVAL_SECONDS = 0.5
+# A request with this body ends the process that runs it.
+CRASH_BODY = b"a request that ends its upstream"
+CRASH_SECONDS = 0.02
+CRASH_EXIT_CODE = 70
 MAX_CONNECTIONS = 1000
 GC_THRESHOLDS = (50_000, 20, 50)
 
@@ -67,7 +71,9 @@
     The record is a file with one line per begin, end and cut of a request. Lines are
     written unbuffered, so that they survive a SIGKILL. ``POST /standin/slow`` with
     ``{"factor": 10}`` multiplies the service times, ``{"fail": true}`` answers every
-    call with status 500 immediately.
+    call with status 500 immediately. ``{"rate_limit": "10"}`` names a rate limit in all
+    responses, an empty one ends it. ``{"leaving": true}`` says in all responses that
+    the upstream leaves, and ends its announcements.
     """
 
     def __init__(self, options: UpstreamOptions) -> None:
@@ -81,6 +87,8 @@
         self.state = "serving"
         self.slow_factor = 1.0
         self.is_failing = False
+        self.is_leaving = False
+        self.rate_limit = ""
         self.n_running = 0
 
     async def serve(self, connection: sockets.Connection) -> None:
@@ -98,7 +106,8 @@
     async def announce_forever(self) -> None:
         """Announce this upstream to its daemon periodically until cancelled."""
         while True:
-            await self.announce_once()
+            if not self.is_leaving:
+                await self.announce_once()
             await trio.sleep(ANNOUNCE_INTERVAL_SECONDS)
 
     async def announce_once(self) -> None:
@@ -160,7 +169,7 @@
                 break
             hasher.update(event.data)
             n_bytes += len(event.data)
-            if is_control:
+            if is_control or n_bytes <= len(CRASH_BODY):
                 raw += bytes(event.data)
         if not isinstance(event, h11.EndOfMessage):
             self._write_record("cut", request_id, nonce)
@@ -169,7 +178,10 @@
             self._set_faults(json.loads(raw or b"{}"))
             await http_server.send_json(connection, http, {})
             return
-        echo = [("umberdrum-request-id", request_id)]
+        if raw == CRASH_BODY:
+            await trio.sleep(CRASH_SECONDS)
+            os._exit(CRASH_EXIT_CODE)
+        echo = [("umberdrum-request-id", request_id), *self._list_notices()]
         if self.is_failing:
             self._write_record("end", request_id, nonce)
             body = {"error": "failing"}
@@ -193,9 +205,20 @@
             finally:
                 self.n_running -= 1
 
+    def _list_notices(self) -> list[tuple[str, str]]:
+        """Return the header fields in which the upstream speaks of itself."""
+        notices: list[tuple[str, str]] = []
+        if self.rate_limit:
+            notices.append(("umberdrum-rate-limit", self.rate_limit))
+        if self.is_leaving:
+            notices.append(("umberdrum-leaving", "1"))
+        return notices
+
     def _set_faults(self, body: dict[str, object]) -> None:
         self.slow_factor = float(str(body.get("factor", self.slow_factor)))
         self.is_failing = bool(body.get("fail", self.is_failing))
+        self.is_leaving = bool(body.get("leaving", self.is_leaving))
+        self.rate_limit = str(body.get("rate_limit", self.rate_limit))
 
     def _write_record(self, event: str, request_id: str, nonce: str) -> None:
         if self._record_fd >= 0:
