--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -19,10 +19,9 @@
 GROUP_VARIABLE = "UMBERDRUM_TEST_GROUP"
 # Packages whose features run whole daemons, with the index of their group.
 WHOLE_DAEMON_PACKAGES = {"callpath": 1, "daemon": 2}
-# Features of the adapter that take a few seconds each.
-SHORT_FEATURES = frozenset(
-    ("adapter", "store_contract", "upstream_crash", "upstream_notices")
-)
+# Features of the adapter that share one process, since there is a group of ports for
+# each process and all are in use.
+JOINT_FEATURES = frozenset(("adapter", "store_contract", "upstream_crash"))
 # The slowest group takes about 100 s on a busy machine.
 TIMEOUT_SECONDS = 900
 _COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
@@ -45,8 +44,8 @@
     for its virtual clock. The features of single packages share one process, but for
     those of the call path and the daemon, which also run whole daemons. Behave loads
     steps from the directory of the first path. The other groups therefore begin
-    with ``steps.feature``, which lies beside the steps. The adapter's short features
-    share one process.
+    with ``steps.feature``, which lies beside the steps. A few features of the
+    adapter share one process.
     """
     steps = f"{TESTS}/steps.feature"
     groups = [[steps], [steps], [steps]]
@@ -59,15 +58,15 @@
         if relative != steps:
             groups.append([relative])
     others = sorted(ROOT.glob("umberdrum_bench/*/tests/*.feature"))
-    short = [steps]
+    joint = [steps]
     for path in sorted(ROOT.glob("platform/*/tests/*.feature")):
-        if path.stem in SHORT_FEATURES:
-            short.append(str(path.relative_to(ROOT)))
+        if path.stem in JOINT_FEATURES:
+            joint.append(str(path.relative_to(ROOT)))
             continue
         others.append(path)
     for path in others:
         groups.append([steps, str(path.relative_to(ROOT))])
-    groups.append(short)
+    groups.append(joint)
     return groups
 
 
