Soak: end a crash fault only when the upstreams it ended serve again

Change: the fault lasts until those upstreams accept connections; the check and its bound are as before.

--- a/umberdrum_bench/soak/_injector.py
+++ b/umberdrum_bench/soak/_injector.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from umberdrum import settings, sockets
 from umberdrum_bench import caller, processes, upstream
 from umberdrum_bench.soak import _environment, _plan
 
@@ -24,6 +25,7 @@
 CRASH_PATH = "/cards/crash"
 N_CRASH_REQUESTS = 8
 CRASH_INTERVAL_SECONDS = 0.3
+MAX_START_SECONDS = 10.0
 LOG_LEVELS = ("info", "debug", "warning")
 
 _Action = Callable[[_plan.SoakFault], Awaitable[None]]
@@ -249,7 +251,8 @@
     async def _crash_upstreams(self, fault: _plan.SoakFault) -> None:
         """Send one request that ends its upstreams, again and again.
 
-        The upstreams that it has ended are restarted after the time of the fault.
+        The upstreams that it has ended are restarted after the time of the fault, which
+        lasts until they serve again.
         """
         pool = caller.CallerPool()
         rng = self._environment.rng
@@ -269,10 +272,16 @@
             await trio.sleep(CRASH_INTERVAL_SECONDS)
         pool.close()
         await trio.sleep(fault.seconds)
-        for endpoint in self._cluster.endpoints:
-            process = self._environment.get_upstream(endpoint.position)
-            if process.poll() == upstream.CRASH_EXIT_CODE:
-                self._restart_upstream(endpoint.position)
+        ended = [
+            endpoint
+            for endpoint in self._cluster.endpoints
+            if self._environment.get_upstream(endpoint.position).poll()
+            == upstream.CRASH_EXIT_CODE
+        ]
+        for endpoint in ended:
+            self._restart_upstream(endpoint.position)
+        for endpoint in ended:
+            await _wait_until_listening(endpoint.upstream)
 
     async def _lose_endpoint(self, fault: _plan.SoakFault) -> None:
         async with trio.open_nursery() as nursery:
@@ -337,3 +346,16 @@
 
     async def _change_target(self, fault: _plan.SoakFault) -> None:
         await self._environment.change_target()
+
+
+async def _wait_until_listening(address: settings.Address) -> None:
+    """Wait until connections are accepted, at most ``MAX_START_SECONDS``."""
+    with trio.move_on_after(MAX_START_SECONDS):
+        while True:
+            try:
+                connection = await sockets.connect(address, MAX_START_SECONDS)
+            except sockets.ConnectionLostError:
+                await trio.sleep(processes.POLL_INTERVAL_SECONDS)
+                continue
+            connection.close()
+            return
