--- a/umberdrum/callpath/_crash_guard.py
+++ b/umberdrum/callpath/_crash_guard.py
@@ -15,7 +15,6 @@
 TURN_RETRY_MS = 100
 PROCESS_TOKEN_BYTES = 8
 MS_PER_SECOND = 1000.0
-MIN_SERVER_ERROR = 500
 
 MarksListener = Callable[[list[crashes.CrashMark]], None]
 
@@ -48,17 +47,20 @@
         self.n_crashes = 0
         self.n_refused = 0
 
-    def compute_fingerprint(self, call: _call.Call, body: _call.RequestBody) -> bytes:
-        """Return the fingerprint of a call, empty if its body is not complete."""
-        if not body.is_complete:
-            return b""
-        names = (b"host", b"authorization", self._dialect.caller_service)
-        caller = [
-            (name and _headers.get_header(call.headers, name)) or b"" for name in names
-        ]
-        return crashes.compute_fingerprint(
-            [call.method, call.target, *caller, body.initial]
-        )
+    @property
+    def has_suspects(self) -> bool:
+        """Whether any request is remembered that was running as an upstream ended."""
+        return len(self.registry) > 0
+
+    def identify(self, call: _call.Call, body: _call.RequestBody) -> _call.Call:
+        """Return the call with its fingerprint, unless its body is not complete."""
+        if call.fingerprint or not body.is_complete:
+            return call
+        parts = [call.method, call.target]
+        for name in (b"host", b"authorization", self._dialect.caller_service):
+            parts.append(_headers.get_header(call.headers, name) or b"")
+        parts.append(body.initial)
+        return call._replace(fingerprint=crashes.compute_fingerprint(parts))
 
     def find_refusal(self, call: _call.Call) -> errors.Failure | None:
         """Return the failure for a request that is taken for the cause of crashes."""
@@ -105,9 +107,9 @@
         """Give back the turn of a suspect that has run."""
         self._turns.end()
 
-    def record_answer(self, call: _call.Call, status: int) -> None:
+    def record_answer(self, call: _call.Call) -> None:
         """Clear a request that the upstream has answered."""
-        if not call.fingerprint or status >= MIN_SERVER_ERROR:
+        if not call.fingerprint:
             return
         now = trio.current_time()
         self._publish(self.registry.record_answer(call.fingerprint, now))
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -136,8 +136,7 @@
     async def _run_by_idempotency(
         self, call: _call.Call, body: _call.RequestBody, sink: _call.ResponseSink
     ) -> CallResult:
-        fingerprint = self.crash_guard.compute_fingerprint(call, body)
-        call = call._replace(fingerprint=fingerprint)
+        call = self.crash_guard.identify(call, body)
         entered = await self.crash_guard.enter(call)
         if entered.is_error():
             return expression.Error(entered.error)
@@ -355,9 +354,9 @@
         try:
             result = await self.relay.run(call, body, sink, ticket, queue_seconds)
             is_observed = result.is_ok() and result.ok.status < MIN_SERVER_ERROR
-            if result.is_ok():
-                self.crash_guard.record_answer(call, result.ok.status)
-            elif self._may_have_crashed(result.error):
+            if is_observed:
+                self.crash_guard.record_answer(call)
+            elif result.is_error() and self._may_have_crashed(result.error):
                 await self.crash_guard.record_break(call, self.notices.run_id)
             return result
         finally:
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -121,11 +121,12 @@
         class_with_policy = matched.ok
         call = self._build_call(request, request_id, class_with_policy)
         guard = self._endpoint.crash_guard
-        call = call._replace(fingerprint=guard.compute_fingerprint(call, body))
-        refusal = guard.find_refusal(call)
-        if refusal is not None:
-            self._log_refusal(request_id, refusal)
-            return EntryOutcome(expression.Error(refusal), request_id)
+        if guard.has_suspects:
+            call = guard.identify(call, body)
+            refusal = guard.find_refusal(call)
+            if refusal is not None:
+                self._log_refusal(request_id, refusal)
+                return EntryOutcome(expression.Error(refusal), request_id)
         if not self._directory.list_candidates(call.service):
             await self._startup_period.wait_until(
                 lambda: bool(self._directory.list_candidates(call.service)),
--- a/umberdrum/classes/tests/classes_steps.py
+++ b/umberdrum/classes/tests/classes_steps.py
@@ -8,6 +8,7 @@
 from hypothesis import strategies
 
 from umberdrum import callpath, classes
+from umberdrum.tests import harness
 
 VALID = classes.RequestClass(
     "lookup", "cards", ("GET",), "/cards", True, classes.Target(50, 99.0), "c1"
@@ -113,13 +114,7 @@
 def check_merge_properties(context: runner.Context) -> None:
     catalogs = _build_catalog_strategy()
 
-    @hypothesis.settings(
-        max_examples=200,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        suppress_health_check=[hypothesis.HealthCheck.too_slow],
-    )
+    @harness.PROPERTY_SETTINGS
     @hypothesis.given(catalogs, catalogs, catalogs)
     def check(
         first: list[classes.CatalogEntry],
--- a/umberdrum/crashes/_registry.py
+++ b/umberdrum/crashes/_registry.py
@@ -122,7 +122,7 @@
         if by_run is None:
             return 0
         self._drop_expired(fingerprint, by_run, now)
-        return sum(1 for mark in by_run.values() if not mark.is_cleared)
+        return _count_uncleared(by_run)
 
     def is_suspect(self, fingerprint: bytes, now: float) -> bool:
         """Return whether an upstream has ended under the request."""
@@ -183,10 +183,9 @@
 
     def _drop_least(self) -> None:
         # The first of several with the fewest marks is the oldest.
-        least = min(
-            self._marks,
-            key=lambda row: sum(
-                1 for mark in self._marks[row].values() if not mark.is_cleared
-            ),
-        )
+        least = min(self._marks, key=lambda row: _count_uncleared(self._marks[row]))
         del self._marks[least]
+
+
+def _count_uncleared(by_run: dict[str, _Mark]) -> int:
+    return sum(1 for mark in by_run.values() if not mark.is_cleared)
--- a/umberdrum/membership/tests/membership_steps.py
+++ b/umberdrum/membership/tests/membership_steps.py
@@ -10,6 +10,7 @@
 from hypothesis import strategies
 
 from umberdrum import membership, wire
+from umberdrum.tests import harness
 
 RECORD = membership.EndpointRecord(
     "127.0.0.1:7000",
@@ -80,13 +81,7 @@
 def check_merge_laws(context: runner.Context) -> None:
     record_lists = _build_record_lists()
 
-    @hypothesis.settings(
-        max_examples=200,
-        derandomize=True,
-        database=None,
-        deadline=None,
-        suppress_health_check=[hypothesis.HealthCheck.too_slow],
-    )
+    @harness.PROPERTY_SETTINGS
     @hypothesis.given(record_lists, record_lists, record_lists)
     def check(
         first: list[membership.EndpointRecord],
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -17,6 +17,7 @@
 from typing import NamedTuple, TypeVar
 from unittest import mock
 
+import hypothesis
 import trio
 import trio.testing
 
@@ -25,6 +26,15 @@
 from umberdrum.tests import upstreams
 from umberdrum_bench import caller, link, store_server, store_state
 
+# The same examples each time. Hypothesis would also fail a property for the real time
+# that its examples take.
+PROPERTY_SETTINGS = hypothesis.settings(
+    max_examples=200,
+    derandomize=True,
+    database=None,
+    deadline=None,
+    suppress_health_check=[hypothesis.HealthCheck.too_slow],
+)
 AUTOJUMP_SECONDS = 0.002
 # The longest scenario takes about 20 s on a busy machine.
 STALL_TIMEOUT_SECONDS = 300.0
