Log fetches of documents, and how long a newer one has been known

What a daemon wrote did not tell whether it was told of a change late or could not fetch it: class_changed has no source and no age. Now document_fetched and fetch_failed name the peer, how long the newer document had been known and how long the fetch took; umberdrum_catalog_outdated_seconds and umberdrum_fetch_failures say the same at any moment. One line for each fetch, a few for each change. Behaviour is unchanged; gossip.feature passes.

--- a/umberdrum/daemon/_metrics.py
+++ b/umberdrum/daemon/_metrics.py
@@ -345,6 +345,16 @@
             "Version of the route table in force, 0 if there is none",
             lambda: _get_routes_version(sources.routes),
         ),
+        _Gauge(
+            "umberdrum_catalog_outdated_seconds",
+            "Time since a peer told of a newer document that is not here yet, or 0",
+            exchange.get_outdated_seconds,
+        ),
+        _Gauge(
+            "umberdrum_fetch_failures",
+            "Fetches of documents from peers that brought none",
+            lambda: exchange.n_failed_fetches,
+        ),
         _Gauge(
             "umberdrum_gossip_sent_bytes",
             "Gossip bytes sent, with packet overhead",
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -39,6 +39,7 @@
 MAX_MARKS_PER_MESSAGE = 16
 DELIVERY_RETRY_SECONDS = 0.1
 TOLD_SIZE_SECONDS = 10.0
+MS_PER_SECOND = 1000.0
 
 
 class _Probe(NamedTuple):
@@ -132,6 +133,7 @@
         self._wakeup = trio.Event()
         self.n_bytes_sent = 0
         self.n_bytes_received = 0
+        self.n_failed_fetches = 0
         self.last_received_at: float | None = None
         self._n_endpoints_told = 0
         self._n_endpoints_told_at = 0.0
@@ -274,6 +276,12 @@
         """Return whether a peer has newer documents that are not fetched yet."""
         return self._fetch_selector.is_outdated(self._state.catalog.position)
 
+    def get_outdated_seconds(self) -> float:
+        """Return for how long this daemon has known of a document it lacks, else 0."""
+        return self._fetch_selector.get_outdated_seconds(
+            self._state.catalog.position, trio.current_time()
+        )
+
     async def push_updates(self, n_peers: int) -> None:
         """Send updates to a few peers at once, for a change that must not wait.
 
@@ -594,12 +602,32 @@
             now = trio.current_time()
             peer = self._fetch_selector.take_peer(self._state.catalog.position, now)
             if peer is not None:
-                await self._synchronizer.sync_with(peer, now)
+                outdated_seconds = self.get_outdated_seconds()
+                result = await self._synchronizer.sync_with(peer, now)
+                self._log_fetch(peer, result, outdated_seconds, now)
                 continue
             self._fetch_wakeup = trio.Event()
             with trio.move_on_at(self._fetch_selector.get_cross_zone_due_at()):
                 await self._fetch_wakeup.wait()
 
+    def _log_fetch(
+        self,
+        peer: peerlink.PeerAddress,
+        result: _synchronizer.SyncResult,
+        outdated_seconds: float,
+        began_at: float,
+    ) -> None:
+        """Log a fetch; ``outdated_seconds`` is how long it was due when it began."""
+        if not result.is_completed:
+            self.n_failed_fetches += 1
+        self._log.write(
+            "document_fetched" if result.is_completed else "fetch_failed",
+            peer=str(peer.address),
+            revision=self._state.catalog.revision,
+            waited_ms=outdated_seconds * MS_PER_SECOND,
+            ms=(trio.current_time() - began_at) * MS_PER_SECOND,
+        )
+
     async def _remove_expired_forever(self) -> None:
         while True:
             await trio.sleep(EXPIRY_INTERVAL_SECONDS)
--- a/umberdrum/gossip/_fetch_selector.py
+++ b/umberdrum/gossip/_fetch_selector.py
@@ -50,6 +50,12 @@
         """Return whether a peer has advertised a newer position."""
         return own_position < self._highest_position
 
+    def get_outdated_seconds(
+        self, own_position: classes.EntryPosition, now: float
+    ) -> float:
+        """Return for how long a newer position has been known, 0 if there is none."""
+        return now - self._outdated_since if self.is_outdated(own_position) else 0.0
+
     def take_peer(
         self, own_position: classes.EntryPosition, now: float
     ) -> peerlink.PeerAddress | None:
