Fetch a document from another peer, over a new link, while one gives no answer

Callers got 404 for a route that a change acknowledged 2.05 s before had added, from one daemon. Cause: documents were fetched by one task, one peer after the other, each fetch over a kept link if there was one, with 2 s for the reply, 1 s to connect and 2 s for a handshake. One silent link, or one peer that stopped after it had told of the change, took the whole of the 2 s that users allow, and the peer was forgotten until it told of the change again. Class of the fault: one wait in a series is as long as the time that all of them have together.

Now a fetch that is not answered within 0.3 s is doubled over a new link, first from a peer that was not asked yet, up to four at once; peers are kept while they have what is missing and are asked again with growing pauses. What comes first ends the others.

Ruled out: lost datagrams (in the tests all arrive), the watches (the contacts had the change at once).

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -40,6 +40,8 @@
 DELIVERY_RETRY_SECONDS = 0.1
 TOLD_SIZE_SECONDS = 10.0
 MS_PER_SECOND = 1000.0
+# Long enough for a document of 1 MB over a link of 5 Mbit/s.
+FETCH_TIMEOUT_SECONDS = 2.0
 
 
 class _Probe(NamedTuple):
@@ -129,6 +131,8 @@
         self._sync_schedule = _sync_schedule.SyncSchedule(rng)
         self._fetch_selector = _fetch_selector.FetchPeerSelector()
         self._fetch_wakeup = trio.Event()
+        self._fetch_scopes: set[trio.CancelScope] = set()
+        state.add_catalog_listener(self._wake_fetch_task)
         self._token_bucket = _token_bucket.GossipTokenBucket(0.0)
         self._wakeup = trio.Event()
         self.n_bytes_sent = 0
@@ -598,31 +602,62 @@
 
     async def _fetch_forever(self) -> None:
         """Fetch newer documents that peers advertise, and advertise them in turn."""
-        while True:
-            now = trio.current_time()
-            peer = self._fetch_selector.take_peer(self._state.catalog.position, now)
-            if peer is not None:
-                outdated_seconds = self.get_outdated_seconds()
-                result = await self._synchronizer.sync_with(peer, now)
-                self._log_fetch(peer, result, outdated_seconds, now)
-                continue
-            self._fetch_wakeup = trio.Event()
-            with trio.move_on_at(self._fetch_selector.get_cross_zone_due_at()):
-                await self._fetch_wakeup.wait()
+        async with trio.open_nursery() as nursery:
+            while True:
+                own_position = self._state.catalog.position
+                if not self._fetch_selector.is_outdated(own_position):
+                    # The document has come; other fetches of it may never be answered.
+                    self._cancel_fetches()
+                fetch = self._fetch_selector.take_fetch(
+                    own_position, trio.current_time()
+                )
+                if fetch is not None:
+                    nursery.start_soon(self._fetch, fetch)
+                    continue
+                self._fetch_wakeup = trio.Event()
+                with trio.move_on_at(self._fetch_selector.get_due_at(own_position)):
+                    await self._fetch_wakeup.wait()
+
+    async def _fetch(self, fetch: _fetch_selector.Fetch) -> None:
+        """Synchronise with a peer until it is answered, cancelled or too late."""
+        now = trio.current_time()
+        outdated_seconds = self.get_outdated_seconds()
+        is_completed = False
+        scope = trio.CancelScope(deadline=now + FETCH_TIMEOUT_SECONDS)
+        self._fetch_scopes.add(scope)
+        try:
+            with scope:
+                result = await self._synchronizer.sync_with(
+                    fetch.peer, now, fetch.needs_new_link
+                )
+                is_completed = result.is_completed
+        finally:
+            self._fetch_scopes.discard(scope)
+            self._fetch_selector.end_fetch()
+        self._log_fetch(fetch, is_completed, outdated_seconds, now)
+        self._fetch_wakeup.set()
+
+    def _wake_fetch_task(self, _catalog: classes.Catalog) -> None:
+        self._fetch_wakeup.set()
+
+    def _cancel_fetches(self) -> None:
+        for scope in self._fetch_scopes:
+            scope.cancel()
 
     def _log_fetch(
         self,
-        peer: peerlink.PeerAddress,
-        result: _synchronizer.SyncResult,
+        fetch: _fetch_selector.Fetch,
+        is_completed: bool,
         outdated_seconds: float,
         began_at: float,
     ) -> None:
         """Log a fetch; ``outdated_seconds`` is how long it was due when it began."""
-        if not result.is_completed:
+        if not is_completed:
             self.n_failed_fetches += 1
         self._log.write(
-            "document_fetched" if result.is_completed else "fetch_failed",
-            peer=str(peer.address),
+            "document_fetched" if is_completed else "fetch_failed",
+            peer=str(fetch.peer.address),
+            new_link=fetch.needs_new_link,
             revision=self._state.catalog.revision,
             waited_ms=outdated_seconds * MS_PER_SECOND,
             ms=(trio.current_time() - began_at) * MS_PER_SECOND,
--- a/umberdrum/gossip/_fetch_selector.py
+++ b/umberdrum/gossip/_fetch_selector.py
@@ -1,30 +1,68 @@
-"""Selection of the peer from which a newer document is fetched."""
+"""Selection of the peers from which a newer document is fetched, and when."""
 
 import math
+from typing import NamedTuple
 
 from umberdrum import classes, peerlink
 
 # A contact in the same availability zone reads a change from the store within about
 # 0.1 s. Users require a change to be in force everywhere within 2 s.
 CROSS_ZONE_WAIT_SECONDS = 0.3
+# A fetch takes some milliseconds. One that is not answered by then is doubled, so that
+# three peers may fail one after the other before a change is late.
+FETCH_PATIENCE_SECONDS = 0.3
+MAX_FETCHES = 4
+MAX_RETRY_SECONDS = 4.0
+
+
+class Fetch(NamedTuple):
+    """Fetch to begin now.
+
+    ``needs_new_link`` is set after another fetch of the same document has failed or has
+    not been answered yet: kept links may have gone silent while new ones work.
+    """
+
+    peer: peerlink.PeerAddress
+    needs_new_link: bool
+
+
+class _Advertiser(NamedTuple):
+    """Peer with a newer catalog.
+
+    ``n_fetches`` were begun from it, the last one at ``began_at``.
+    """
+
+    position: classes.EntryPosition
+    is_same_zone: bool
+    n_fetches: int = 0
+    began_at: float = -math.inf
 
 
 class FetchPeerSelector:
     """Selects among peers with a newer catalog, preferring the same zone.
 
-    Load pattern: a long configuration document changes often, and traffic between
-    availability zones is expensive. Each zone has a contact, a daemon that reads the
-    document from the store. A peer in the same zone therefore has the document shortly
-    after the first peer that advertises it. A peer in another zone is selected only if
-    no peer in the same zone advertises the document within ``CROSS_ZONE_WAIT_SECONDS``
-    or if this daemon has no document at all.
+    Load patterns: first, a long configuration document changes often, and traffic
+    between availability zones is expensive. Each zone has a contact, a daemon that
+    reads the document from the store. A peer in the same zone therefore has the
+    document shortly after the first peer that advertises it. A peer in another zone is
+    selected only if no peer in the same zone advertises the document within
+    ``CROSS_ZONE_WAIT_SECONDS`` or if this daemon has no document at all.
+
+    Second, the link to a peer is silent, or the peer was stopped after it had
+    advertised the document. If a fetch is not answered within
+    ``FETCH_PATIENCE_SECONDS``, another one begins beside it over a new link, first from
+    a peer that was not asked yet, up to ``MAX_FETCHES`` at once.
+
+    ``take_fetch`` begins a fetch, ``end_fetch`` must follow when it has ended.
     """
 
     def __init__(self) -> None:
         self._highest_position = classes.NO_POSITION
-        self._same_zone_peer: peerlink.PeerAddress | None = None
-        self._other_zone_peer: peerlink.PeerAddress | None = None
+        # In the order of their last advertisements.
+        self._advertisers: dict[peerlink.PeerAddress, _Advertiser] = {}
         self._outdated_since = 0.0
+        self._n_running = 0
+        self._last_began_at = -math.inf
 
     def record_position(
         self,
@@ -37,13 +75,13 @@
         """Record the position that ``peer`` advertises; return whether it is newer."""
         if position <= own_position:
             return False
-        if own_position >= self._highest_position:
+        if not self.is_outdated(own_position):
             self._outdated_since = now
+            self._advertisers.clear()
         self._highest_position = max(self._highest_position, position)
-        if is_same_zone:
-            self._same_zone_peer = peer
-        else:
-            self._other_zone_peer = peer
+        known = self._advertisers.pop(peer, None)
+        advertiser = known or _Advertiser(position, is_same_zone)
+        self._advertisers[peer] = advertiser._replace(position=position)
         return True
 
     def is_outdated(self, own_position: classes.EntryPosition) -> bool:
@@ -56,34 +94,70 @@
         """Return for how long a newer position has been known, 0 if there is none."""
         return now - self._outdated_since if self.is_outdated(own_position) else 0.0
 
-    def take_peer(
+    def take_fetch(
         self, own_position: classes.EntryPosition, now: float
-    ) -> peerlink.PeerAddress | None:
-        """Remove and return the peer to fetch from now, or None."""
-        if own_position >= self._highest_position:
-            self._same_zone_peer = None
-            self._other_zone_peer = None
+    ) -> Fetch | None:
+        """Return the fetch to begin now, or None."""
+        best_peer: peerlink.PeerAddress | None = None
+        best_rank = (False, False)
+        is_first = True
+        for peer, advertiser in self._list_useful(own_position):
+            is_first = is_first and not advertiser.n_fetches
+            if now < self._compute_due_at(advertiser, own_position):
+                continue
+            rank = (not advertiser.n_fetches, advertiser.is_same_zone)
+            # Of equal peers, the one that has advertised last is selected.
+            if best_peer is None or rank >= best_rank:
+                best_peer = peer
+                best_rank = rank
+        if best_peer is None:
             return None
-        peer = self._same_zone_peer
-        if peer is not None:
-            self._same_zone_peer = None
-            return peer
-        if own_position > classes.NO_POSITION and now < self._compute_cross_zone_at():
-            return None
-        peer = self._other_zone_peer
-        self._other_zone_peer = None
-        return peer
+        chosen = self._advertisers[best_peer]
+        self._advertisers[best_peer] = chosen._replace(
+            n_fetches=chosen.n_fetches + 1, began_at=now
+        )
+        self._n_running += 1
+        self._last_began_at = now
+        return Fetch(best_peer, not is_first)
+
+    def end_fetch(self) -> None:
+        """Record that a fetch has ended, whatever its result."""
+        self._n_running -= 1
 
-    def get_cross_zone_due_at(self) -> float:
-        """Return when a peer in another zone is due; infinite if none is known.
+    def get_due_at(self, own_position: classes.EntryPosition) -> float:
+        """Return when the next fetch is due; infinite if none is.
 
-        From exactly this time on, ``take_peer`` returns the peer. The caller waits
+        From exactly this time on, ``take_fetch`` returns a fetch. The caller waits
         until this time instead of computing a duration. A duration is rounded, and a
         wait that ends too early because of rounding would repeat endlessly.
         """
-        if self._other_zone_peer is None:
-            return math.inf
-        return self._compute_cross_zone_at()
+        due_at = math.inf
+        for _, advertiser in self._list_useful(own_position):
+            due_at = min(due_at, self._compute_due_at(advertiser, own_position))
+        return due_at
 
-    def _compute_cross_zone_at(self) -> float:
-        return self._outdated_since + CROSS_ZONE_WAIT_SECONDS
+    def _list_useful(
+        self, own_position: classes.EntryPosition
+    ) -> list[tuple[peerlink.PeerAddress, _Advertiser]]:
+        """Return the peers with newer documents; none while enough fetches run."""
+        if self._n_running >= MAX_FETCHES:
+            return []
+        return [
+            (peer, advertiser)
+            for peer, advertiser in self._advertisers.items()
+            if advertiser.position > own_position
+        ]
+
+    def _compute_due_at(
+        self, advertiser: _Advertiser, own_position: classes.EntryPosition
+    ) -> float:
+        """Return from when on a fetch from the peer may begin."""
+        due_at = -math.inf
+        if self._n_running:
+            due_at = self._last_began_at + FETCH_PATIENCE_SECONDS
+        if advertiser.n_fetches:
+            seconds = FETCH_PATIENCE_SECONDS * 2.0 ** (advertiser.n_fetches - 1)
+            return max(due_at, advertiser.began_at + min(MAX_RETRY_SECONDS, seconds))
+        if not advertiser.is_same_zone and own_position > classes.NO_POSITION:
+            due_at = max(due_at, self._outdated_since + CROSS_ZONE_WAIT_SECONDS)
+        return due_at
--- a/umberdrum/gossip/_synchronizer.py
+++ b/umberdrum/gossip/_synchronizer.py
@@ -32,13 +32,16 @@
         self.n_syncs = 0
         self.n_bytes = 0
 
-    async def sync_with(self, peer: peerlink.PeerAddress, now: float) -> SyncResult:
-        """Synchronise with ``peer``.
+    async def sync_with(
+        self, peer: peerlink.PeerAddress, now: float, needs_new_link: bool = False
+    ) -> SyncResult:
+        """Synchronise with ``peer``, over a kept link unless a new one is needed.
 
         A link failure or timeout is not raised; the result is then not completed.
         """
+        open_link = self._pool.open if needs_new_link else self._pool.acquire
         try:
-            link = await self._pool.acquire(peer)
+            link = await open_link(peer)
         except (sockets.ConnectionLostError, peerlink.PeerNotAuthenticError):
             return SyncResult(False, 0)
         reply: wire.messages.SyncReply | None = None
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -66,6 +66,24 @@
       | 0   | another | its own | the first peer at once              |
       | 9   | another | its own | no peer                             |
 
+  Scenario Outline: Fetches while no peer gives an answer
+    Given a daemon at revision 5
+    When peers of <zones> zone advertise revision 9 and give no answer for 2 s
+    Then fetches go to the peers <peers> after <times> s, the first over a kept link
+
+    Examples:
+      | zones             | peers   | times       |
+      | its own           | 1,1,1   | 0,0.3,0.9   |
+      | its own,its own   | 2,1,2,1 | 0,0.3,0.6,0.9 |
+      | another,its own   | 2,1,2,1 | 0,0.3,0.6,0.9 |
+      | another           | 1,1,1   | 0.3,0.6,1.2 |
+
+  Scenario: Fetches that were not answered keep no later document waiting
+    Given a daemon at revision 5
+    When peers of its own,its own,its own,its own zone advertise revision 9 and give no answer for 2 s
+    And the document comes by another way and another peer advertises revision 10
+    Then the later document is fetched at once
+
   Scenario: The wait for a peer in the same zone ends exactly at its due time
     When a peer in another zone advertises a newer revision at 10000 random times
     Then each time the peer is selected exactly when the wait has ended
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -220,10 +220,10 @@
             context.selector.record_position(
                 peer, NEWER_POSITION, context.own_position, is_same_zone, now
             )
-        selected_peer = context.selector.take_peer(context.own_position, now)
-        if selected_peer is not None:
+        fetch = context.selector.take_fetch(context.own_position, now)
+        if fetch is not None:
             delay = f"after {now:g} s" if now else "at once"
-            context.selected = f"the {peer_names[selected_peer.address]} peer {delay}"
+            context.selected = f"the {peer_names[fetch.peer.address]} peer {delay}"
             return
 
 
@@ -232,6 +232,58 @@
     assert context.selected == selected, context.selected
 
 
+@behave.when("peers of {zones} zone advertise revision 9 and give no answer for 2 s")
+def advertise_without_answer(context: runner.Context, zones: str) -> None:
+    context.fetches = []
+    for index, zone in enumerate(zones.split(",")):
+        peer = peerlink.PeerAddress(settings.Address("10.0.0.1", 1 + index), 1)
+        context.selector.record_position(
+            peer, NEWER_POSITION, context.own_position, zone == "its own", 0.0
+        )
+    now = 0.0
+    while now <= 2.0:
+        fetch = context.selector.take_fetch(context.own_position, now)
+        if fetch is not None:
+            context.fetches.append((fetch, now))
+            continue
+        due_at = context.selector.get_due_at(context.own_position)
+        assert due_at > now, (due_at, now)
+        now = due_at
+
+
+@behave.then(
+    "fetches go to the peers {peers} after {times} s, the first over a kept link"
+)
+def check_fetches(context: runner.Context, peers: str, times: str) -> None:
+    found = ",".join(str(fetch.peer.address.port) for fetch, _ in context.fetches)
+    assert found == peers, found
+    began_at = ",".join(f"{now:g}" for _, now in context.fetches)
+    assert began_at == times, began_at
+    needs_new_link = [fetch.needs_new_link for fetch, _ in context.fetches]
+    assert needs_new_link == [False] + [True] * (len(needs_new_link) - 1)
+
+
+@behave.when(
+    "the document comes by another way and another peer advertises revision 10"
+)
+def advertise_later_document(context: runner.Context) -> None:
+    for _ in context.fetches:
+        context.selector.end_fetch()
+    context.later_peer = peerlink.PeerAddress(settings.Address("10.0.0.2", 1), 1)
+    position = classes.EntryPosition(0, 0, 10)
+    context.selector.record_position(
+        context.later_peer, position, NEWER_POSITION, True, 2.0
+    )
+
+
+@behave.then("the later document is fetched at once")
+def check_later_fetch(context: runner.Context) -> None:
+    fetch = context.selector.take_fetch(NEWER_POSITION, 2.0)
+    assert fetch is not None
+    assert fetch.peer == context.later_peer
+    assert not fetch.needs_new_link
+
+
 @behave.when(
     "a peer in another zone advertises a newer revision at {n_times:d} random times"
 )
@@ -246,10 +298,9 @@
             peer, NEWER_POSITION, OLDER_POSITION, False, advertised_at
         )
         early_at = advertised_at + rng.uniform(0.0, 0.1)
-        assert selector.take_peer(OLDER_POSITION, early_at) is None
-        context.selected_peers.append(
-            selector.take_peer(OLDER_POSITION, selector.get_cross_zone_due_at())
-        )
+        assert selector.take_fetch(OLDER_POSITION, early_at) is None
+        due_at = selector.get_due_at(OLDER_POSITION)
+        context.selected_peers.append(selector.take_fetch(OLDER_POSITION, due_at))
 
 
 @behave.then("each time the peer is selected exactly when the wait has ended")
