Read a document from the store when no peer delivers it

Where every daemon that has a change stops or can't be reached after it has told of it, the others knew of the change and waited for a peer, also if the store was there to be asked. After 1 s, half of the time that users allow, a daemon now reads the documents from the store itself, at a time of its own, and again after growing pauses if that does not help, so that calls to the store stay few: none as long as any peer answers.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -36,11 +36,17 @@
 MIN_LIST_INTERVAL_SECONDS = 1.0
 LIST_INTERVAL_GROWTH = 4.0
 MAX_LIST_INTERVAL_SECONDS = 30.0
+MS_PER_SECOND = 1000.0
 MIN_BACKOFF_SECONDS = 0.5
 MAX_CLAIM_BACKOFF_SECONDS = 30.0
 MAX_LOAD_BACKOFF_SECONDS = 2.0
 # A daemon that knows no other daemon cannot serve; it must serve again within 5 s.
 MAX_JOIN_BACKOFF_SECONDS = 2.0
+# Half of the time within which users require a change to be in force. Fetches from up
+# to four peers have failed by then.
+OVERDUE_SECONDS = 1.0
+OVERDUE_CHECK_INTERVAL_SECONDS = 0.4
+MIN_OVERDUE_BACKOFF_SECONDS = 2.0
 # While no daemon can reach the store, every daemon finds too few contacts and claims.
 MIN_CLAIM_BACKOFF_SECONDS = 2.0
 
@@ -89,7 +95,8 @@
     configuration in the store. It also lists the other contacts periodically, which
     reconnects partitions of the cluster. Two simultaneous holders cost a few extra
     store calls and are harmless, so there is no fencing. Daemons that are not contacts
-    call the store only to join and to claim a free key.
+    call the store only to join, to claim a free key, and to read a document that they
+    know of and that no peer delivers.
 
     A contact that cannot renew its lease clears ``is_contact`` in its membership record
     but keeps its key; another daemon of the zone then claims an additional key.
@@ -153,6 +160,7 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._load_initial_documents)
             nursery.start_soon(self._resign_on_leaving)
+            nursery.start_soon(self._read_overdue_documents)
             await self._join()
             nursery.start_soon(self._repeat_introductions)
             await self._act_as_contact_when_needed()
@@ -174,6 +182,33 @@
             await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
             backoff = min(MAX_LOAD_BACKOFF_SECONDS, backoff * 2)
 
+    async def _read_overdue_documents(self) -> None:
+        """Read the documents from the store when no peer delivers a newer one.
+
+        Load pattern: the daemons that have a change were stopped, or can no longer be
+        reached, after they had told of it. Each daemon that lacks it then reads the
+        store once, at a time of its own, and seldom again while that does not help.
+        """
+        backoff = MIN_OVERDUE_BACKOFF_SECONDS
+        while True:
+            interval = OVERDUE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5)
+            await trio.sleep(interval)
+            outdated_seconds = self._exchange.get_outdated_seconds()
+            if outdated_seconds < OVERDUE_SECONDS:
+                backoff = MIN_OVERDUE_BACKOFF_SECONDS
+                continue
+            listed = await self._watcher.read_documents()
+            if listed is not None:
+                self._state.merge_entries(listed.entries)
+            self._log.write(
+                "overdue_documents_read",
+                waited_ms=outdated_seconds * MS_PER_SECOND,
+                is_current=not self._exchange.expects_documents(),
+            )
+            if self._exchange.expects_documents():
+                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
+                backoff = min(MAX_CLAIM_BACKOFF_SECONDS, backoff * 2)
+
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
 
