Watch: reopen it when a lease renewal shows that connections are silent

Callers saw: a change that the store had acknowledged was not in force, for up to 27 s, when the connections of all contacts to the store went silent without a reset. Cause: the watch is a long poll of 25 s on a connection of its own. Nothing told a silent watch from one that waits; lease renewals use another connection. Ruled out: a shorter poll, which costs the store more calls all the time. An answered renewal is no sign by itself, since its connection may be a newer one. Fix: a renewal without an answer on the kept connection within 0.4 s is sent once more on a new one (renewals are idempotent, and a tenth of a read). If that is answered promptly, the old connections are taken as silent, and the watch continues on a new connection from the revision that it had reached, without a listing. A store that answers slowly is not taken as silent. The interval of renewals is 1.6 to 2.0 s instead of 1.6 to 2.4 s.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -16,8 +16,11 @@
 
 LEASE_TTL_SECONDS = 10
 # A contact detects the loss of the store within this interval plus one call timeout of
-# 2 s, so that another daemon can take over within the 7 s that users require.
-KEEP_ALIVE_INTERVAL_SECONDS = 2.0
+# 2 s, so that another daemon can take over within the 7 s that users require. A renewal
+# also detects silent connections, and users require a change to be in force within 3 s
+# of that.
+MAX_KEEP_ALIVE_INTERVAL_SECONDS = 2.0
+MIN_KEEP_ALIVE_INTERVAL_SHARE = 0.8
 CONTACT_CHECK_INTERVAL_SECONDS = 0.5
 # When daemons start together, the slowest has loaded its program 1 s after the first.
 INTRODUCTION_PERIOD_SECONDS = 3.0
@@ -435,11 +438,13 @@
         While the store does not answer, this daemon keeps trying to renew the lease,
         but its record says that it is not a contact: another daemon may still be able
         to reach the store. Never returns while this daemon leaves.
+
+        A renewal whose connection is silent shows that the watch may be silent, too.
         """
         while True:
             if not self._is_reclaim_due:
-                interval = KEEP_ALIVE_INTERVAL_SECONDS * self._rng.uniform(0.8, 1.2)
-                await self._sleep_until_new_era(interval)
+                share = self._rng.uniform(MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0)
+                await self._sleep_until_new_era(share * MAX_KEEP_ALIVE_INTERVAL_SECONDS)
             if self._leaving.is_set():
                 await trio.sleep_forever()
             if self._is_reclaim_due and not await self._reclaim_key():
@@ -456,6 +461,8 @@
             if renewed.is_error():
                 self._publish_contact_flag(False)
                 continue
+            if renewed.ok.found_silence:
+                self._watcher.reopen("silent connections")
             if renewed.ok.ttl_seconds <= 0:
                 self._lease_id = 0
                 return
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -20,6 +20,13 @@
     entries: list[classes.CatalogEntry]
 
 
+class _Position(NamedTuple):
+    """Revision of an era from which a watch continues."""
+
+    next_revision: int
+    era: int
+
+
 class ConfigurationWatcher:
     """Follows the documents in the store and merges them into the shared state.
 
@@ -27,6 +34,9 @@
     The watcher lists the prefix, then watches from the next revision; after a
     compaction, a lost watch or a restore of the store it lists again. The catalog
     rejects states older than its own, so re-ordered or repeated changes are harmless.
+
+    A waiting watch does not show whether its connection is still alive. ``reopen``
+    continues it on a new connection, from the revision that it had reached.
     """
 
     def __init__(
@@ -43,6 +53,7 @@
         self._rng = rng
         self._log = log
         self._follow_scope = trio.CancelScope()
+        self._watch_scope = trio.CancelScope()
         self.is_following = False
 
     async def run(self) -> None:
@@ -55,7 +66,9 @@
                     if listed is not None:
                         backoff = MIN_BACKOFF_SECONDS
                         self._state.merge_entries(listed.entries)
-                        await self._follow_changes(listed)
+                        await self._follow_changes(
+                            _Position(listed.revision + 1, listed.era)
+                        )
                 self.is_following = False
                 if self._follow_scope.cancelled_caught:
                     continue
@@ -68,6 +81,13 @@
         """List the documents again at once, because the store began a new era."""
         self._follow_scope.cancel()
 
+    def reopen(self, reason: str) -> None:
+        """Replace a waiting watch, whose connection may be silent, at once."""
+        if not self.is_following or self._watch_scope.cancel_called:
+            return
+        self._log.write("store_watch_reopened", reason=reason)
+        self._watch_scope.cancel()
+
     async def read_documents(self) -> ListedDocuments | None:
         """Return all documents of the store, or None if it does not answer.
 
@@ -97,22 +117,30 @@
                 )
         return ListedDocuments(listing.revision, listing.era, entries)
 
-    async def _follow_changes(self, listed: ListedDocuments) -> None:
+    async def _follow_changes(self, position: _Position) -> None:
         """Merge changes until the watch ends or its revisions were compacted."""
-        async with self._store.watch(
-            self._prefix, listed.revision + 1, listed.era
-        ) as watch:
-            self.is_following = True
-            while True:
-                received = await watch.receive()
-                if received.is_error():
-                    self._log.warn("store_watch", reason=received.error.detail)
-                    return
-                batch = received.ok
-                if batch.compacted_revision:
-                    self._log.write("store_compacted", at=batch.compacted_revision)
+        while True:
+            async with self._store.watch(
+                self._prefix, position.next_revision, position.era
+            ) as watch:
+                self.is_following = True
+                with trio.CancelScope() as self._watch_scope:
+                    await self._merge_changes(watch)
+                if not self._watch_scope.cancel_called:
                     return
-                self._apply_batch(batch)
+                position = position._replace(next_revision=watch.next_revision)
+
+    async def _merge_changes(self, watch: store.Watch) -> None:
+        while True:
+            received = await watch.receive()
+            if received.is_error():
+                self._log.warn("store_watch", reason=received.error.detail)
+                return
+            batch = received.ok
+            if batch.compacted_revision:
+                self._log.write("store_compacted", at=batch.compacted_revision)
+                return
+            self._apply_batch(batch)
 
     def _apply_batch(self, batch: store.WatchBatch) -> None:
         entries = [
--- a/umberdrum/jsonclient/__init__.py
+++ b/umberdrum/jsonclient/__init__.py
@@ -7,6 +7,7 @@
     JsonResponse,
     JsonResult,
     JsonStream,
+    RepeatedExchange,
     ResponseResult,
 )
 
@@ -17,5 +18,6 @@
     "JsonResponse",
     "JsonResult",
     "JsonStream",
+    "RepeatedExchange",
     "ResponseResult",
 ]
--- a/umberdrum/jsonclient/_client.py
+++ b/umberdrum/jsonclient/_client.py
@@ -12,6 +12,8 @@
 from umberdrum import errors, settings, sockets
 
 CONNECT_TIMEOUT_SECONDS = 1.0
+# Longer than several round trips between regions.
+REPEAT_AFTER_SECONDS = 0.4
 STREAM_IDLE_TIMEOUT_SECONDS = 900.0
 MAX_RESPONSE_BYTES = 16 << 20
 
@@ -45,6 +47,18 @@
 ResponseResult = expression.Result[JsonResponse, errors.Failure]
 
 
+class RepeatedExchange(NamedTuple):
+    """Result of a request that was sent ``n_sent`` times, once or twice.
+
+    ``found_silence``: the kept connection gave no response in time, while a new one
+    did. The server is well then, and other connections may be silent, too.
+    """
+
+    result: ResponseResult
+    n_sent: int
+    found_silence: bool
+
+
 class _ExchangeError(Exception):
     """Failed exchange; ``is_sent`` if the server may have received the request."""
 
@@ -125,8 +139,8 @@
     """Client that sends JSON objects to the first address that accepts a connection.
 
     An address that refuses a connection moves to the end of the list, so the next
-    connection starts with the address that last accepted one. A request is never
-    repeated.
+    connection starts with the address that last accepted one. Only
+    ``exchange_repeated`` repeats a request.
     """
 
     def __init__(
@@ -194,6 +208,36 @@
                 self._build_failure(detail, is_write and fault.is_sent)
             )
 
+    async def exchange_repeated(
+        self,
+        method: str,
+        path: str,
+        body: Mapping[str, object] | None,
+        statuses: tuple[int, ...],
+    ) -> RepeatedExchange:
+        """Return the result of an idempotent request, which may be sent twice.
+
+        A request that gets no response on the kept connection within
+        ``REPEAT_AFTER_SECONDS`` is sent once more on a new connection.
+        """
+        idle = self._take_idle()
+        if idle is None:
+            result = await self.exchange(method, path, body, False, statuses)
+            return RepeatedExchange(result, 1, False)
+        encoded = b"" if body is None else json.dumps(body).encode()
+        with (
+            trio.move_on_after(REPEAT_AFTER_SECONDS) as scope,
+            contextlib.suppress(_ExchangeError),
+        ):
+            first = await self._exchange(idle, method, path, encoded, False, statuses)
+            return RepeatedExchange(first, 1, False)
+        sent_at = trio.current_time()
+        result = await self.exchange(method, path, body, False, statuses)
+        is_prompt = trio.current_time() - sent_at < REPEAT_AFTER_SECONDS
+        return RepeatedExchange(
+            result, 2, result.is_ok() and is_prompt and scope.cancelled_caught
+        )
+
     @contextlib.asynccontextmanager
     async def open_stream(
         self, path: str, body: JsonObject
@@ -272,13 +316,16 @@
             raise _ExchangeError(str(fault), True) from None
 
     async def _get_connection(self) -> _HttpConnection:
+        return self._take_idle() or await self._connect()
+
+    def _take_idle(self) -> _HttpConnection | None:
+        """Return the idle connection, None if there is none that can be used."""
         idle = self._idle
         self._idle = None
-        if idle is not None:
-            if idle.is_reusable():
-                return idle
-            idle.close()
-        return await self._connect()
+        if idle is None or idle.is_reusable():
+            return idle
+        idle.close()
+        return None
 
     async def _connect(self) -> _HttpConnection:
         details: list[str] = []
--- a/umberdrum/store/_etcd.py
+++ b/umberdrum/store/_etcd.py
@@ -105,11 +105,20 @@
     ) -> expression.Result[_store.Lease, errors.Failure]:
         """Renew a lease; ``ttl_seconds`` of the result is 0 if it has expired."""
         body = {"ID": str(lease_id)}
-        answer = await self._post("lease_keepalive", "/v3/lease/keepalive", body)
-        if answer.is_error():
-            return expression.Error(answer.error)
-        result = answer.ok.get("result", {})
-        return expression.Ok(_store.Lease(lease_id, int(result.get("TTL", 0))))
+        renewed = await self._client.exchange_repeated(
+            "POST", "/v3/lease/keepalive", body, (200,)
+        )
+        for _ in range(renewed.n_sent):
+            self.counter.count("lease_keepalive")
+        if renewed.result.is_error():
+            self.counter.record_failure(renewed.result.error.detail)
+            return expression.Error(renewed.result.error)
+        self.counter.record_answer()
+        result = renewed.result.ok.body.get("result", {})
+        ttl_seconds = int(result.get("TTL", 0))
+        return expression.Ok(
+            _store.Lease(lease_id, ttl_seconds, found_silence=renewed.found_silence)
+        )
 
     async def revoke_lease(
         self, lease_id: int
@@ -138,7 +147,7 @@
             }
         }
         async with self._client.open_stream("/v3/watch", body) as stream:
-            yield _EtcdWatch(stream)
+            yield _EtcdWatch(stream, from_revision)
 
     async def _run_transaction(
         self, key: str, expected_revision: int, operation: JsonObject
@@ -184,8 +193,9 @@
 class _EtcdWatch:
     """Watch that reads one streamed answer of the gateway."""
 
-    def __init__(self, stream: jsonclient.JsonStream) -> None:
+    def __init__(self, stream: jsonclient.JsonStream, from_revision: int) -> None:
         self._stream = stream
+        self.next_revision = from_revision
 
     async def receive(
         self,
@@ -204,6 +214,9 @@
                 )
             revision = int(result.get("header", {}).get("revision", 0))
             events = tuple(_decode_event(event) for event in result.get("events", []))
+            if events:
+                # The revision of the header may be that of a later change.
+                self.next_revision = events[-1].item.mod_revision + 1
             if events or compacted_revision:
                 return expression.Ok(
                     _store.WatchBatch(events, revision, compacted_revision)
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -47,12 +47,15 @@
 class Lease(NamedTuple):
     """Lease and its granted time to live in seconds.
 
-    A lease ends with the era of the store in which it was granted.
+    A lease ends with the era of the store in which it was granted. ``found_silence``:
+    its renewal was answered only on a new connection, so that other connections that
+    were open may be silent, too.
     """
 
     lease_id: int
     ttl_seconds: int
     era: int = 0
+    found_silence: bool = False
 
 
 class WatchEvent(NamedTuple):
@@ -75,7 +78,12 @@
 
 
 class Watch(Protocol):
-    """Open watch of the changes below one prefix."""
+    """Open watch of the changes below one prefix.
+
+    All changes before ``next_revision`` have been received.
+    """
+
+    next_revision: int
 
     async def receive(self) -> expression.Result[WatchBatch, errors.Failure]:
         """Return the next batch, or the failure that ended the watch."""
@@ -137,7 +145,10 @@
     async def keep_alive(
         self, lease_id: int
     ) -> expression.Result[Lease, errors.Failure]:
-        """Renew a lease; ``ttl_seconds`` of the result is 0 if it has expired."""
+        """Renew a lease; ``ttl_seconds`` of the result is 0 if it has expired.
+
+        A renewal without an answer on a kept connection is repeated on a new one.
+        """
 
     async def revoke_lease(
         self, lease_id: int
--- a/umberdrum/store/tests/store_steps.py
+++ b/umberdrum/store/tests/store_steps.py
@@ -1,6 +1,7 @@
 """Steps of the store contract, which every store adapter must satisfy."""
 
-from collections.abc import Awaitable, Callable
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple
 
 import behave
@@ -9,7 +10,10 @@
 
 from umberdrum import settings, store
 from umberdrum.tests import harness
-from umberdrum_bench import store_server
+from umberdrum_bench import link, store_server
+
+LEASE_TTL_SECONDS = 10
+SLOW_ANSWER_SECONDS = 0.5
 
 StoreTest = Callable[[harness.Site, store.Store], Awaitable[None]]
 AdapterBuilder = Callable[
@@ -163,6 +167,67 @@
     assert revisions == sorted(set(revisions)), revisions
 
 
+@behave.when('a lease is renewed after the store\'s connections "{event}"')
+def renew_lease(context: runner.Context, event: str) -> None:
+    async def test(site: harness.Site, _: store.Store) -> None:
+        async with _open_link(context, site) as (store_link, adapter):
+            lease = (await adapter.grant_lease(LEASE_TTL_SECONDS)).ok
+            if event == "go silent":
+                store_link.silence()
+            elif event == "close":
+                store_link.reset()
+            elif event != "stay":
+                site.faults.delay_seconds = SLOW_ANSWER_SECONDS
+            started_at = trio.current_time()
+            context.renewed = (await adapter.keep_alive(lease.lease_id)).ok
+            context.seconds = trio.current_time() - started_at
+
+    _run(context, test)
+
+
+@contextlib.asynccontextmanager
+async def _open_link(
+    context: runner.Context, site: harness.Site
+) -> AsyncIterator[tuple[link.LinkProxy, store.Store]]:
+    """Open a proxy to the store and an adapter that uses it."""
+    async with trio.open_nursery() as nursery:
+        store_link = link.LinkProxy(harness.find_free_address(), site.store_address)
+        await nursery.start(store_link.run)
+        adapter = _get_backend(context).build_adapter(
+            (store_link.address,), site.counter
+        )
+        yield store_link, adapter
+        adapter.close()
+        nursery.cancel_scope.cancel()
+
+
+@behave.then('the renewal succeeds within {seconds:d} s and "{shows}" silence')
+def check_renewal(context: runner.Context, seconds: int, shows: str) -> None:
+    assert context.renewed.ttl_seconds > 0, context.renewed
+    assert context.seconds <= seconds, context.seconds
+    assert context.renewed.found_silence == (shows == "shows"), context.renewed
+
+
+@behave.when('the watch goes silent before a write of "k" and is opened again')
+def reopen_watch(context: runner.Context) -> None:
+    async def test(site: harness.Site, _: store.Store) -> None:
+        context.events = []
+        async with _open_link(context, site) as (store_link, adapter):
+            first = (await adapter.compare_and_swap("k", 0, b"1")).ok
+            async with adapter.watch("k", first.revision) as watch:
+                context.events += (await watch.receive()).ok.events
+                revision = watch.next_revision
+                store_link.silence()
+                site.state.put("k", b"2", 0)
+                with trio.move_on_after(SLOW_ANSWER_SECONDS):
+                    await watch.receive()
+            async with adapter.watch("k", revision) as watch:
+                with trio.move_on_after(SLOW_ANSWER_SECONDS):
+                    context.events += (await watch.receive()).ok.events
+
+    _run(context, test)
+
+
 @behave.when("the store is compacted and watched from revision 1")
 def watch_compacted(context: runner.Context) -> None:
     async def test(site: harness.Site, adapter: store.Store) -> None:
