Store connections: let the kernel end them after 2 s of silence

Cause: connections to the store had neither keep-alive probes nor a limit for data that is not acknowledged. Evidence: the store contract, "The kernel ends a connection to a silent store in time", for both adapters; without the call to `enable_keep_alive` it fails with [inf, inf]. Ruled out: relying on probes alone. They need a kernel that sends them, and a peer whose kernel answers while its process has lost the response passes them. Fix: probes after 1 s of idleness, the connection ends 1 s later; the same limit of 2 s for data that is not acknowledged, during which no probes are sent. That the kernel ends a connection was not run: loopback has no silent peer without root rights. On the users' platform it was not run either.

--- a/umberdrum/jsonclient/_client.py
+++ b/umberdrum/jsonclient/_client.py
@@ -140,7 +140,8 @@
 
     An address that refuses a connection moves to the end of the list, so the next
     connection starts with the address that last accepted one. Only
-    ``exchange_repeated`` repeats a request.
+    ``exchange_repeated`` repeats a request. The kernel ends connections that have gone
+    silent, so that a waiting stream or a response that takes long fails.
     """
 
     def __init__(
@@ -337,6 +338,7 @@
                 self._addresses.remove(address)
                 self._addresses.append(address)
                 continue
+            connection.enable_keep_alive()
             return _HttpConnection(connection, address)
         raise _ExchangeError("; ".join(details), False)
 
--- a/umberdrum/sockets/_connection.py
+++ b/umberdrum/sockets/_connection.py
@@ -13,6 +13,19 @@
 MAX_RECEIVE_BYTES = 1 << 16
 MAX_RECEIVES_PER_TURN = 8
 MS_PER_SECOND = 1000.0
+# With these the kernel ends a connection whose peer has been silent for 2 s.
+KEEP_ALIVE_IDLE_SECONDS = 1
+KEEP_ALIVE_INTERVAL_SECONDS = 1
+N_KEEP_ALIVE_PROBES = 1
+UNACKNOWLEDGED_TIMEOUT_MS = 2000
+_KEEP_ALIVE_OPTIONS = (
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_SECONDS),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, N_KEEP_ALIVE_PROBES),
+    # The kernel sends no probes while sent data is not acknowledged.
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS),
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+)
 # Size of the prefix of Linux's ``struct tcp_info`` that ends with the field
 # ``tcpi_last_data_recv``, and the offset and format of that field.
 _TCP_INFO_BYTES = 56
@@ -48,6 +61,16 @@
         self._turn_limit = _turns.TurnLimit(MAX_RECEIVES_PER_TURN)
         self.is_closed = False
 
+    def enable_keep_alive(self) -> None:
+        """Let the kernel end the connection when its peer no longer responds.
+
+        The kernel then probes it while it is idle, so that a task that waits for data
+        gets ``ConnectionLostError``.
+        """
+        for level, option, value in _KEEP_ALIVE_OPTIONS:
+            with contextlib.suppress(OSError):
+                self._socket.setsockopt(level, option, value)
+
     @property
     def peer_name(self) -> str:
         """Address of the peer as ``IP:PORT``, or ``-`` when it is not available."""
--- a/umberdrum/store/tests/store_steps.py
+++ b/umberdrum/store/tests/store_steps.py
@@ -1,6 +1,9 @@
 """Steps of the store contract, which every store adapter must satisfy."""
 
 import contextlib
+import gc
+import math
+import socket
 from collections.abc import AsyncIterator, Awaitable, Callable
 from typing import NamedTuple
 
@@ -12,6 +15,12 @@
 from umberdrum.tests import harness
 from umberdrum_bench import link, store_server
 
+KEEP_ALIVE_OPTIONS = (
+    socket.TCP_KEEPIDLE,
+    socket.TCP_KEEPINTVL,
+    socket.TCP_KEEPCNT,
+    socket.TCP_USER_TIMEOUT,
+)
 LEASE_TTL_SECONDS = 10
 SLOW_ANSWER_SECONDS = 0.5
 
@@ -208,6 +217,51 @@
     assert context.renewed.found_silence == (shows == "shows"), context.renewed
 
 
+@behave.when("a call and a waiting watch have opened a connection each")
+def open_connections(context: runner.Context) -> None:
+    async def test(site: harness.Site, adapter: store.Store) -> None:
+        await adapter.get("k")
+        async with adapter.watch("k", 1) as watch:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(watch.receive)
+                await trio.sleep(SLOW_ANSWER_SECONDS)
+                context.silence_limits = _list_silence_limits(site.store_address)
+                nursery.cancel_scope.cancel()
+
+    _run(context, test)
+
+
+def _list_silence_limits(address: settings.Address) -> list[float]:
+    """Return the seconds until the kernel ends each open connection to ``address``.
+
+    It is infinite for a connection without keep-alive probes or a limit for data that
+    is not acknowledged.
+    """
+    limits: list[float] = []
+    for found in gc.get_objects():
+        if not isinstance(found, socket.socket) or found.fileno() < 0:
+            continue
+        try:
+            if found.getpeername() != (address.host, address.port):
+                continue
+        except OSError:
+            continue
+        idle, interval, n_probes, unacknowledged_ms = (
+            found.getsockopt(socket.IPPROTO_TCP, option)
+            for option in KEEP_ALIVE_OPTIONS
+        )
+        limit = max(idle + interval * n_probes, unacknowledged_ms / 1000)
+        is_probed = found.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        limits.append(limit if is_probed and unacknowledged_ms else math.inf)
+    return limits
+
+
+@behave.then("the kernel is told to end both after at most {seconds:d} s of silence")
+def check_silence_limits(context: runner.Context, seconds: int) -> None:
+    assert len(context.silence_limits) == 2, context.silence_limits
+    assert max(context.silence_limits) <= seconds, context.silence_limits
+
+
 @behave.when('the watch goes silent before a write of "k" and is opened again')
 def reopen_watch(context: runner.Context) -> None:
     async def test(site: harness.Site, _: store.Store) -> None:
