Headers: a deadline of 0 ms is a passed deadline, not a malformed request

Callers saw: 400 for a request with no time left, for one whose deadline has a fraction of a millisecond, and for one above 900,000 ms. Callers don't repeat after 400, and it tells them that their request was wrong.

Cause: read_call_fields took the header for a setting with a range. It is a measured value: whoever makes a call within a call sends what is left of its own deadline, which may be 0 or less when the call is sent.

Ruled out: a passed deadline noticed later; from 1 ms on the entry service already answered deadline-exceeded/not-run (deadlines.feature).

Why it works: every decimal number is read; below 1 ms it is a passed deadline, which the entry service refuses before any endpoint is chosen, as not run (503). Longer ones are reduced to the maximum, as the entry service did before. What is no number stays malformed.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -393,7 +393,7 @@
         fields = request.fields
         request_class, policy = class_with_policy
         deadline_ms = policy.deadline_ms
-        if fields.deadline_ms > 0:
+        if fields.deadline_ms >= 0:
             deadline_ms = min(fields.deadline_ms, classes.MAX_DEADLINE_MS)
         if policy.timeout_ms:
             deadline_ms = min(deadline_ms, policy.timeout_ms)
@@ -485,7 +485,7 @@
 
 def _get_timeout_seconds(fields: _headers.CallFields) -> float:
     """Return the deadline that the caller sent, else the longest allowed."""
-    if fields.deadline_ms <= 0:
+    if fields.deadline_ms < 0:
         return classes.MAX_DEADLINE_MS / MS_PER_SECOND
     return fields.deadline_ms / MS_PER_SECOND
 
--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -12,6 +12,7 @@
 
 MAX_DEADLINE_MS = 900_000
 _REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
+_DEADLINE_PATTERN = re.compile(rb"-?[0-9]+(\.[0-9]+)?")
 _HOP_BY_HOP = frozenset(
     (
         b"connection",
@@ -32,7 +33,8 @@
     """Fields in the head of a caller's request that the daemons use.
 
     ``service`` is taken from the service field, else from the host. If the caller sent
-    none, ``deadline_ms`` and ``n_extra_attempts`` are -1 and ``request_id`` is empty.
+    none, ``deadline_ms`` and ``n_extra_attempts`` are -1 and ``request_id`` is empty. A
+    ``deadline_ms`` of 0 means that the deadline has passed.
     """
 
     service: str
@@ -68,9 +70,9 @@
                 return _reject_field(name, "1 to 128 visible characters", value)
             request_id = value
         elif name == dialect.deadline_ms:
-            deadline_ms = _parse_number(value, MAX_DEADLINE_MS)
-            if deadline_ms < 1:
-                return _reject_field(name, f"1 to {MAX_DEADLINE_MS} ms", value)
+            deadline_ms = _parse_deadline_ms(value)
+            if deadline_ms < 0:
+                return _reject_field(name, "a number of milliseconds", value)
         elif name == dialect.extra_attempts:
             n_extra_attempts = _parse_number(value, 1000)
             if n_extra_attempts < 0:
@@ -189,6 +191,17 @@
     return host
 
 
+def _parse_deadline_ms(value: bytes) -> int:
+    """Return the whole milliseconds in ``value``, or -1 if it is not a number.
+
+    A caller computes the value from the time that it has left, which may be negative. A
+    deadline beyond ``MAX_DEADLINE_MS`` is reduced to it.
+    """
+    if not _DEADLINE_PATTERN.fullmatch(value):
+        return -1
+    return int(min(max(0.0, float(value)), MAX_DEADLINE_MS))
+
+
 def _parse_number(value: bytes, maximum: int) -> int:
     """Return the number in ``value``, or -1 if malformed or above ``maximum``."""
     if not value.isdigit() or len(value) > 9:
