Caller: keep the bytes that follow a relayed body

Callers saw: 400 for a proper request that followed a body above 64 KiB on the same connection, if its first bytes came with the last ones of the body; or no answer at all, if the whole request did. A stopping daemon closed the connection on such a request, which it had received.

Cause: the bytes behind a request were taken from its parser when its first 64 KiB had been read. The rest of a longer body is read while the call runs, and what came behind it was dropped with the parser. The next parser began in the middle of the next request.

Why it works: the bytes are taken when the response has been sent, and the decision whether a close is announced looks at them too. A parser whose request is not complete gives none, and its connection is closed as before.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -158,9 +158,11 @@
                 # The caller closed while this daemon was starting.
                 return
             is_first = False
+            pipeline.has_unparsed = bool(exchange.get_unparsed())
+            await self._start(pipeline, exchange, request, body)
+            # The end of a relayed body may have brought bytes of the next request.
             unparsed = exchange.get_unparsed()
             pipeline.has_unparsed = bool(unparsed)
-            await self._start(pipeline, exchange, request, body)
 
     def _must_stop_reading(self, pipeline: _request_pipeline.RequestPipeline) -> bool:
         """Return whether this server closes and takes no more from the connection."""
@@ -254,7 +256,7 @@
     ) -> bool:
         """Run the request and respond; False if the connection must be closed."""
         sink = _caller_exchange.CallerSink(
-            exchange, position, lambda: self._must_close(pipeline, position)
+            exchange, position, lambda: self._must_close(pipeline, position, exchange)
         )
         connection = pipeline.connection
         with trio.CancelScope() as scope, self._watch.watch(connection, scope):
@@ -272,7 +274,7 @@
             if sink.has_sent:
                 # The response is incomplete, which only a close can signal.
                 return False
-            if self._must_close(pipeline, position):
+            if self._must_close(pipeline, position, exchange):
                 exchange.announce_close()
             await exchange.refuse(outcome.result.error, outcome.request_id)
         else:
@@ -308,11 +310,14 @@
         self,
         pipeline: _request_pipeline.RequestPipeline,
         position: _request_pipeline.PipelinePosition,
+        exchange: _caller_exchange.CallerExchange,
     ) -> bool:
         """Return whether the connection closes after the response at ``position``.
 
         A stopping server closes it after the last request that has arrived.
         """
+        if pipeline.is_newest(position):
+            pipeline.has_unparsed = bool(exchange.get_unparsed())
         if self._may_close(pipeline) and pipeline.is_newest(position):
             is_over = trio.current_time() >= self._read_until
             if not pipeline.has_next_request() or (
--- /dev/null
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -0,0 +1,94 @@
+"""Steps for proper requests whose form or timing is unusual."""
+
+import behave
+import trio
+from behave import runner
+
+from umberdrum import settings, sockets
+from umberdrum.callpath.tests import callpath_steps
+from umberdrum.tests import harness
+
+PART_INTERVAL_SECONDS = 0.1
+RESPONSES_SECONDS = 5.0
+STOP_AFTER_SECONDS = 0.5
+LAST_PART_BYTES = 10_000
+REQUEST = b"GET /look HTTP/1.1\r\nHost: pay\r\nx-nonce: second\r\n\r\n"
+HALF_BYTES = len(REQUEST) // 2
+MARKERS = (b'"nonce": "first"', b'"nonce": "second"')
+
+
+def _build_upload(n_bytes: int, n_next: int) -> list[bytes]:
+    """Return an upload in parts; the first ``n_next`` bytes of a look-up follow it."""
+    head = (
+        b"POST /pay HTTP/1.1\r\nHost: pay\r\nx-nonce: first\r\n"
+        b"Content-Length: %d\r\n\r\n" % n_bytes
+    )
+    return [
+        head + bytes(n_bytes - LAST_PART_BYTES),
+        bytes(LAST_PART_BYTES) + REQUEST[:n_next],
+        REQUEST[n_next:],
+    ]
+
+
+async def _exchange(address: settings.Address, parts: list[bytes]) -> bytes:
+    """Send the parts on one connection, with pauses; return what is received."""
+    received = b""
+    connection = await sockets.connect(address, 1.0)
+    try:
+        for part in parts:
+            await connection.send(part)
+            await trio.sleep(PART_INTERVAL_SECONDS)
+        with trio.move_on_after(RESPONSES_SECONDS):
+            while any(marker not in received for marker in MARKERS):
+                data = await connection.receive()
+                if not data:
+                    break
+                received += data
+    finally:
+        connection.close()
+    return received
+
+
+@behave.when(
+    "a caller sends {n_bytes:d} body bytes to the {place} daemon, whose last part "
+    "brings {share} of the next request"
+)
+def send_behind_body(
+    context: runner.Context, n_bytes: int, place: str, share: str
+) -> None:
+    parts = _build_upload(n_bytes, len(REQUEST) if share == "all" else HALF_BYTES)
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        at = node if place == "endpoint" else entry
+        context.raw = await _exchange(at.settings.caller_listen, parts)
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.when(
+    "a caller sends {n_bytes:d} body bytes and all of the next request, and the daemon "
+    "is stopped during the first"
+)
+def stop_during_upload(context: runner.Context, n_bytes: int) -> None:
+    parts = _build_upload(n_bytes, len(REQUEST))
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        node.upstream.service_seconds = STOP_AFTER_SECONDS * 2
+
+        async def stop() -> None:
+            await trio.sleep(STOP_AFTER_SECONDS)
+            assert node.upstream.n_running == 1
+            entry.daemon.stop()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop)
+            context.raw = await _exchange(entry.settings.caller_listen, parts)
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("it gets both responses of the upstream")
+def check_both(context: runner.Context) -> None:
+    positions = [context.raw.find(marker) for marker in MARKERS]
+    assert -1 < positions[0] < positions[1], context.raw
+    assert context.raw.count(b"HTTP/1.1 200") == len(MARKERS), context.raw
