Caller: hold each request to the limits in force when it begins

Callers saw: 431 for a head that the route table in force allows, on a kept connection that was idle when the limit was raised, or that was opened before the daemon knew its first table (then the limit of the settings counts).

Cause: the parser of the next request was built when the connection became idle, and took max_head_bytes at that moment. The check of the complete head used the limit in force. Which of the two counted depended on whether the head came in one piece.

Evidence: proper_requests.feature on the code as it was: A request on a kept connection was refused by a limit no longer in force -- @1.2 ASSERT FAILED: ... {"nonce": "first", ...}HTTP/1.1 431 ... Row 1.1, the same head in one piece, passed. Ruled out: body limits and timeouts, which were already read when the request began; lowered limits, which the check of the complete head applied (three rows, passed before and after).

Why it works: the exchange keeps the first bytes and builds the parser from the limits that it reads when the request begins.

Measured: proper_requests, hostile and closing features, 83 scenarios passed.

--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -51,13 +51,10 @@
         self._dialect = dialect
         self._is_head_request = False
         self._n_body_bytes = 0
-        self.http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=self._limits.max_head_bytes
-        )
+        self._unparsed = unparsed
+        self.http = _build_parser(self._limits)
         self._is_close_announced = False
         self._turn_limit = sockets.TurnLimit(MAX_EVENTS_PER_TURN)
-        if unparsed:
-            self.http.receive_data(unparsed)
 
     async def wait_for_first_byte(
         self, pipeline: _request_pipeline.RequestPipeline
@@ -82,7 +79,7 @@
                 close_at = math.inf
             with pipeline.start_idle_wait(close_at):
                 data = await self.connection.receive()
-                self.http.receive_data(data)
+                self._unparsed += data
                 return bool(data)
 
     def get_unparsed(self) -> bytes:
@@ -98,7 +95,12 @@
         Raises ``BodyLostError`` for a head that is malformed, too large or too slow.
         """
         received_at = trio.current_time() - waited_seconds
+        # The limits may have changed while the connection was idle.
         self._limits = self._get_limits()
+        self.http = _build_parser(self._limits)
+        if self._unparsed:
+            self.http.receive_data(self._unparsed)
+            self._unparsed = b""
         self._n_body_bytes = 0
         event: object = self._next_event()
         if event is h11.NEED_DATA:
@@ -377,5 +379,9 @@
             n_bytes += len(data)
 
 
+def _build_parser(limits: CallerLimits) -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+
+
 def _build_body_error(kind: errors.ErrorKind, detail: str) -> _call.BodyLostError:
     return _call.BodyLostError(errors.fail(kind, detail))
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -22,3 +22,24 @@
       | n_bytes |
       | 50000   |
       | 100000  |
+
+  # The parser of the next request took its limit when the connection became idle.
+  Scenario Outline: A request on a kept connection was refused by a limit no longer in force
+    When a head of <n_bytes> bytes is sent in <n_parts> parts on a connection that was opened under a limit of <old> bytes, now <new>
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_bytes | n_parts | old   | new   |
+      | 9000    | 1       | 2000  | 20000 |
+      | 9000    | 2       | 2000  | 20000 |
+      | 9000    | 2       | 20000 | 9100  |
+
+  Scenario Outline: A head above the limit in force is refused on a kept connection
+    When a head of <n_bytes> bytes is sent in <n_parts> parts on a connection that was opened under a limit of <old> bytes, now <new>
+    Then its second response has the status 431
+
+    Examples:
+      | n_bytes | n_parts | old   | new   |
+      | 9001    | 1       | 20000 | 9000  |
+      | 9001    | 2       | 20000 | 9000  |
+      | 30000   | 2       | 20000 | 9000  |
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -4,7 +4,7 @@
 import trio
 from behave import runner
 
-from umberdrum import settings, sockets
+from umberdrum import callpath, settings, sockets
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.tests import harness
 
@@ -87,6 +87,54 @@
     callpath_steps.run_with_upstream(test)
 
 
+def _build_limits(max_head_bytes: int) -> callpath.CallerLimits:
+    return callpath.CallerLimits(max_head_bytes, 3.0, 3.0, 15.0)
+
+
+def _build_long_request(n_head_bytes: int) -> bytes:
+    """Return a look-up whose target and fields have ``n_head_bytes``.
+
+    Each field counts with the four bytes that separate its name and value and end it.
+    """
+    n_others = len("/look") + len("host: pay\r\n") + len("x-nonce: second\r\n")
+    n_long = n_head_bytes - n_others - len("x-long: \r\n")
+    return REQUEST.removesuffix(b"\r\n") + b"x-long: " + b"x" * n_long + b"\r\n\r\n"
+
+
+@behave.when(
+    "a head of {n_bytes:d} bytes is sent in {n_parts:d} parts on a connection that was "
+    "opened under a limit of {old:d} bytes, now {new:d}"
+)
+def send_head_under_limit(
+    context: runner.Context, n_bytes: int, n_parts: int, old: int, new: int
+) -> None:
+    request = _build_long_request(n_bytes)
+    parts = [REQUEST.replace(b"second", b"first"), request]
+    if n_parts == 2:
+        # Nearly all of the head is received before it is complete.
+        parts[1:] = [request[:-1], request[-1:]]
+    limits = [_build_limits(old)]
+
+    async def change_limits() -> None:
+        await trio.sleep(PART_INTERVAL_SECONDS / 2)
+        limits[0] = _build_limits(new)
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        assert entry.daemon.parts is not None
+        entry.daemon.parts.caller_server._get_limits = lambda: limits[0]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(change_limits)
+            context.raw = await _exchange(entry.settings.caller_listen, parts)
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("its second response has the status {status:d}")
+def check_second_status(context: runner.Context, status: int) -> None:
+    _, _, second = context.raw.partition(MARKERS[0])
+    assert b"HTTP/1.1 %d" % status in second, context.raw
+
+
 @behave.then("it gets both responses of the upstream")
 def check_both(context: runner.Context) -> None:
     positions = [context.raw.find(marker) for marker in MARKERS]
