Caller: apply the same limit to a head that arrives in parts

Callers saw: 431 for a head within the limit, if all but its last bytes had been received when the daemon read it.

Cause: two counts. A complete head is judged by its target and fields. While it is incomplete the parser compares all bytes received, with method, version and line ends, some 20 bytes more, with the same limit.

Why it works: the parser's bound is the limit with room for what it does not count, so that only the check of the complete head refuses. Rows with 9,001 bytes under a limit of 9,000 still get 431, in one part and in two; a head without end still gets 431 (hostile.feature).

--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -15,6 +15,9 @@
 MAX_BODY_BYTES = 1 << 40
 OUTPUT_BUFFER_BYTES = 65_536
 FIELD_OVERHEAD_BYTES = 4
+# Method, version, optional white space and the line ends, which the limit on the head
+# does not count.
+MAX_UNCOUNTED_HEAD_BYTES = 256
 LINGER_SECONDS = 1.0
 MAX_LINGER_BYTES = 1 << 20
 MAX_EVENTS_PER_TURN = 64
@@ -380,7 +383,9 @@
 
 
 def _build_parser(limits: CallerLimits) -> h11.Connection:
-    return h11.Connection(h11.SERVER, max_incomplete_event_size=limits.max_head_bytes)
+    """Return a parser that holds an incomplete head of the largest allowed size."""
+    n_bytes = limits.max_head_bytes + MAX_UNCOUNTED_HEAD_BYTES
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=n_bytes)
 
 
 def _build_body_error(kind: errors.ErrorKind, detail: str) -> _call.BodyLostError:
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -43,3 +43,12 @@
       | 9001    | 1       | 20000 | 9000  |
       | 9001    | 2       | 20000 | 9000  |
       | 30000   | 2       | 20000 | 9000  |
+
+  Scenario Outline: A head within its limit was refused because it arrived in parts
+    When a head of 9000 bytes is sent in <n_parts> parts on a connection that was opened under a limit of 9000 bytes, now 9000
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_parts |
+      | 1       |
+      | 2       |
