--- /dev/null
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -0,0 +1,54 @@
+Feature: Proper requests are not refused as the caller's fault
+
+  # The bytes behind a body that was relayed while it arrived were dropped.
+  Scenario Outline: A request behind a long body was refused as malformed
+    When a caller sends <n_bytes> body bytes to the <place> daemon, whose last part brings <share> of the next request
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_bytes | place    | share |
+      | 50000   | entry    | half  |
+      | 100000  | entry    | half  |
+      | 100000  | entry    | all   |
+      | 100000  | endpoint | half  |
+      | 400000  | entry    | half  |
+      | 400000  | endpoint | all   |
+
+  Scenario Outline: A planned stop lost a request behind a long body
+    When a caller sends <n_bytes> body bytes and all of the next request, and the daemon is stopped during the first
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_bytes |
+      | 50000   |
+      | 100000  |
+
+  # The parser of the next request took its limit when the connection became idle.
+  Scenario Outline: A request on a kept connection was refused by a limit no longer in force
+    When a head of <n_bytes> bytes is sent in <n_parts> parts on a connection that was opened under a limit of <old> bytes, now <new>
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_bytes | n_parts | old   | new   |
+      | 9000    | 1       | 2000  | 20000 |
+      | 9000    | 2       | 2000  | 20000 |
+      | 9000    | 2       | 20000 | 9100  |
+
+  Scenario Outline: A head above the limit in force is refused on a kept connection
+    When a head of <n_bytes> bytes is sent in <n_parts> parts on a connection that was opened under a limit of <old> bytes, now <new>
+    Then its second response has the status 431
+
+    Examples:
+      | n_bytes | n_parts | old   | new   |
+      | 9001    | 1       | 20000 | 9000  |
+      | 9001    | 2       | 20000 | 9000  |
+      | 30000   | 2       | 20000 | 9000  |
+
+  Scenario Outline: A head within its limit was refused because it arrived in parts
+    When a head of 9000 bytes is sent in <n_parts> parts on a connection that was opened under a limit of 9000 bytes, now 9000
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_parts |
+      | 1       |
+      | 2       |
