Upstream connections: don't send a refused request id again on its connection

Callers got 503 with the execution "not-run" for a payment that the upstream was running, and could have had it run a second time elsewhere. It happened when an upstream refused a request, the caller sent the request again under the same id, and the upstream wrote its refusal once more on the kept connection after that.

Cause: a late copy of a response is recognised by the id that it carries. A request that is known not to have run may be admitted again under its id (outcomes/_record.py), and the pool gave it the connection on which it had been refused. The copy then carried the id of the request in progress.

Evidence, on the code before this change: 5 of the 7 rows of "A refused request is sent again to an upstream that repeats refusals" failed: the copy after or inside the second request, with statuses 503, 429, 421 and 400. Each got `HTTP/1.1 503`, `"kind": "upstream-shed"` (421: "stale-incarnation"), `"execution": "not-run"`, `"request_id": "id-refused"`.

Ruled out by rows that passed before and still pass: copies with the id of another request or none, at once, on the idle connection, after the next request and inside its body, with 503, 429, 421 and 400; upstreams that have echoed no id yet, whose connections are not reused; a refusal frame that a peer repeats on a kept link (at once, or before the next call is served); a refusal between two pipelined responses.

A connection now remembers the ids that were refused on it, and the pool closes it instead of giving it such an id. After 256 refusals it is no longer reused, so that the memory is bounded and no id is forgotten. A copy can therefore only carry an id that differs from that of the request in progress.

Measured: the 25 scenarios of repeated_refusal.feature pass with this change.

--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -14,6 +14,7 @@
 MAX_HEAD_BYTES = 65_536
 MAX_STRAY_RESPONSES = 4
 MAX_INTERIM_RESPONSES = 16
+MAX_REFUSED_IDS = 256
 MAX_EVENTS_PER_TURN = 64
 IDLE_MARGIN_SECONDS = 0.5
 _TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d{1,6})")
@@ -46,6 +47,10 @@
     ``has_sent`` is set just before the first byte of a request is sent. A request that
     fails before that has not run. ``idle_seconds`` is how long the connection had been
     idle when it was taken from the pool.
+
+    A request that the upstream refused may come again under the same id. It is not sent
+    on the same connection, where a late second copy of the refusal could not be told
+    from the response to it.
     """
 
     def __init__(
@@ -60,6 +65,7 @@
         self._http = _build_parser()
         self._request: h11.Request | None = None
         self._is_request_complete = False
+        self._refused_ids: set[str] = set()
         self._is_eof = False
         self._turn_limit = sockets.TurnLimit(MAX_EVENTS_PER_TURN)
         self.has_sent = False
@@ -76,6 +82,14 @@
         """Return whether the upstream has closed or sent bytes without a request."""
         return self._connection.has_data()
 
+    def record_refusal(self, request_id: str) -> None:
+        """Remember that the upstream has refused ``request_id`` on this connection."""
+        self._refused_ids.add(request_id)
+
+    def may_carry(self, request_id: str) -> bool:
+        """Return whether a request with this id may be sent on the connection."""
+        return request_id not in self._refused_ids
+
     def start_next_exchange(self) -> bool:
         """Prepare for another request; False if the connection can't be reused."""
         if (
@@ -88,6 +102,8 @@
             return False
         if not self._traits.echoes_request_id:
             return False
+        if len(self._refused_ids) >= MAX_REFUSED_IDS:
+            return False
         self._http.start_next_cycle()
         self.has_sent = False
         self.has_received = False
@@ -312,11 +328,14 @@
         while self._idle:
             self._discard(self._idle.pop())
 
-    async def acquire(self, is_idempotent: bool = True) -> UpstreamConnection:
+    async def acquire(
+        self, is_idempotent: bool = True, request_id: str = ""
+    ) -> UpstreamConnection:
         """Return an idle connection or a new one; raises ``UpstreamFailureError``.
 
         A non-idempotent call gets only a new connection or one that was idle briefly,
-        as it could not be repeated after the upstream had dropped the connection.
+        as it could not be repeated after the upstream had dropped the connection. A
+        request gets no connection on which the upstream has refused its id before.
         """
         now = trio.current_time()
         limit_seconds = self._idle_limit.get_limit_seconds(now, is_idempotent)
@@ -332,7 +351,8 @@
             is_within_limit = unused_seconds <= min(
                 limit_seconds, upstream.max_idle_seconds
             )
-            if is_within_limit and not upstream.is_stale():
+            can_carry = is_within_limit and upstream.may_carry(request_id)
+            if can_carry and not upstream.is_stale():
                 upstream.idle_seconds = unused_seconds
                 return upstream
             self._discard(upstream)
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -68,7 +68,7 @@
     ) -> CallResult:
         """Send one request and write the response to ``sink``."""
         try:
-            upstream = await self._pool.acquire(call.is_idempotent)
+            upstream = await self._pool.acquire(call.is_idempotent, call.request_id)
         except _upstream.UpstreamFailureError as fault:
             return expression.Error(fault.failure)
         is_clean = False
@@ -130,6 +130,7 @@
         if head.status != MISDIRECTED_STATUS:
             self._notices.read_response(head, has_run=refusal is None)
         if refusal is not None:
+            upstream.record_refusal(call.request_id)
             await upstream.relay_body(_sinks.DiscardingSink())
             return expression.Error(refusal)
         now = trio.current_time()
