Upstream probes: reject a second copy of the response to an earlier request

A probe took a late copy of an earlier response for its own. Its connection then went back to the pool, one response behind.

Cause: responses to calls are matched by their id, those to probes were not.

Calls were never reported as not run by this; the pace and the load that the copy carried were taken for new.

A response to a probe that carries the id of the last request on the connection, or of one refused on it, now ends the probe as failed and closes the connection. Other ids are let through: an upstream may generate one for a request that has none.

--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -65,6 +65,7 @@
         self._http = _build_parser()
         self._request: h11.Request | None = None
         self._is_request_complete = False
+        self._request_id = ""
         self._refused_ids: set[str] = set()
         self._is_eof = False
         self._turn_limit = sockets.TurnLimit(MAX_EVENTS_PER_TURN)
@@ -140,6 +141,7 @@
         except h11.LocalProtocolError as fault:
             raise _build_request_error(str(fault), errors.Execution.NOT_RUN) from None
         self._request = request
+        self._request_id = call.request_id
         self._is_request_complete = body.is_complete
         self.has_sent = True
         await self._connection.send(data)
@@ -184,7 +186,8 @@
     async def fetch_head(self, path: str) -> _call.HttpResponseHead:
         """Send a GET of ``path``, return the head of the response, discard its body.
 
-        Raises ``UpstreamFailureError`` also for a path that can't be requested.
+        Raises ``UpstreamFailureError`` also for a path that can't be requested, and for
+        a second copy of the response to an earlier request.
         """
         try:
             request = h11.Request(
@@ -196,9 +199,18 @@
         data += self._http.send(h11.EndOfMessage()) or b""
         await self._connection.send(data)
         head = await self._receive_any_head()
+        if self._belongs_to_earlier_request(head):
+            raise _build_response_error(f"expected the response to {path}")
         await self.relay_body(_sinks.DiscardingSink())
         return head
 
+    def _belongs_to_earlier_request(self, head: _call.HttpResponseHead) -> bool:
+        found = _headers.get_header(head.headers, self._dialect.request_id)
+        if found is None:
+            return False
+        request_id = found.decode("latin-1")
+        return request_id == self._request_id or request_id in self._refused_ids
+
     async def _skip_stray_response(self) -> None:
         """Discard a response to another request and prepare to parse the next one."""
         while not isinstance(await self._receive_event(), h11.EndOfMessage):
--- a/umberdrum/callpath/tests/repeated_refusal.feature
+++ b/umberdrum/callpath/tests/repeated_refusal.feature
@@ -48,6 +48,11 @@
       | no id  | after the next request |
       | no id  | while idle             |
 
+  Scenario: A probe on a connection with a repeated refusal
+    Given an upstream that repeats its refusal with status 503 and its id, after the next request
+    When a probe follows the refused payment
+    Then the probe reports no response
+
   Scenario Outline: A peer sends its refusal once more on a kept link, <moment>
     When an endpoint daemon repeats the refusal of a <class> call <moment>, and another call follows
     Then the call got the response to its only run, or may have run
--- a/umberdrum/callpath/tests/repeated_refusal_steps.py
+++ b/umberdrum/callpath/tests/repeated_refusal_steps.py
@@ -17,6 +17,7 @@
     _frames,
     _peer_server,
     _sinks,
+    _upstream,
 )
 from umberdrum.callpath.tests import callpath_steps, peer_stop_steps
 from umberdrum.tests import harness
@@ -182,6 +183,27 @@
     assert json.loads(body)["execution"] == "may-have-run", context.raw
 
 
+@behave.when("a probe follows the refused payment")
+def probe_after_refusal(context: runner.Context) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        _use_upstream(node, context.upstream)
+        await site.call(entry, "pay", "refused", "/pay", body=b"x")
+        pool = peer_stop_steps.get_parts(node).endpoint.pool
+        upstream = await pool.acquire()
+        context.head = None
+        with contextlib.suppress(_upstream.UpstreamFailureError):
+            context.head = await upstream.fetch_head("/health")
+        pool.release(upstream, False)
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the probe reports no response")
+def check_probe(context: runner.Context) -> None:
+    assert context.upstream.n_repeated == 1
+    assert context.head is None, context.head
+
+
 @behave.when(
     "an endpoint daemon repeats the refusal of a {cls} call {moment}, and another call "
     "follows"
