--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -22,7 +22,14 @@
 # Features of the adapter that share one process, since there is a group of ports for
 # each process and all are in use.
 JOINT_FEATURES = frozenset(
-    ("accounts", "adapter", "store_contract", "upstream_crash", "zone_drain")
+    (
+        "accounts",
+        "adapter",
+        "configuration_spread",
+        "store_contract",
+        "upstream_crash",
+        "zone_drain",
+    )
 )
 # The slowest group takes about 100 s on a busy machine.
 TIMEOUT_SECONDS = 900
