Contacts: try the store again in time after an outage

Callers saw: after the store had been away, a change was in force later than 3 s after its return. Cause: three parts. The watcher paused for up to 3 s after each failed listing, also after a call that had itself waited 2 s for an answer, so that up to 5 s passed. A renewal likewise began up to 4 s after one that got no answer. And a watch that went silent in an outage that its renewals noticed was not opened again once they were answered. Ruled out: stores that are down or refuse connections; with several contacts the change was in force within 1.32 s before as well. Fix: `RetryPause` counts periods from the beginning of an attempt, up to 1.25 s for the watcher (1.75 s for daemons that start), times 0.6 to 1.4. A call that timed out and a watch that was lost are retried within 0.1 s; attempts that fail at once keep a growing pause. The same for joining and for the first documents. Renewals are timed from their beginning, and the first one that is answered again reopens the watch or ends the watcher's pause.

--- a/umberdrum/configuration/__init__.py
+++ b/umberdrum/configuration/__init__.py
@@ -10,6 +10,7 @@
     ClassRepository,
     StoredClass,
 )
+from umberdrum.configuration._retry_pause import RetryPause
 from umberdrum.configuration._snapshot import (
     Difference,
     DifferenceKind,
@@ -32,6 +33,7 @@
     "Difference",
     "DifferenceKind",
     "RestoreReport",
+    "RetryPause",
     "Snapshot",
     "SnapshotManager",
     "StoredClass",
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -11,6 +11,7 @@
     _claim_delay,
     _introduction,
     _member_list,
+    _retry_pause,
     _watcher,
 )
 
@@ -21,6 +22,7 @@
 # of that.
 MAX_KEEP_ALIVE_INTERVAL_SECONDS = 2.0
 MIN_KEEP_ALIVE_INTERVAL_SHARE = 0.8
+MIN_RENEWAL_PAUSE_SECONDS = 0.05
 CONTACT_CHECK_INTERVAL_SECONDS = 0.5
 # When daemons start together, the slowest has loaded its program 1 s after the first.
 INTRODUCTION_PERIOD_SECONDS = 3.0
@@ -39,11 +41,10 @@
 MIN_LIST_INTERVAL_SECONDS = 1.0
 LIST_INTERVAL_GROWTH = 4.0
 MAX_LIST_INTERVAL_SECONDS = 30.0
-MIN_BACKOFF_SECONDS = 0.5
 MAX_CLAIM_BACKOFF_SECONDS = 30.0
-MAX_LOAD_BACKOFF_SECONDS = 2.0
-# A daemon that knows no other daemon cannot serve; it must serve again within 5 s.
-MAX_JOIN_BACKOFF_SECONDS = 2.0
+# Users require a daemon to follow the store again 3 s after the store recovers. Every
+# daemon that starts meanwhile reads the store.
+MAX_START_RETRY_PERIOD_SECONDS = 1.75
 # While no daemon can reach the store, every daemon finds too few contacts and claims.
 MIN_CLAIM_BACKOFF_SECONDS = 2.0
 
@@ -166,16 +167,20 @@
         After a restart of all daemons no daemon has the documents, and the contact keys
         still belong to processes that have ended.
         """
-        backoff = MIN_BACKOFF_SECONDS
+        retry_pause = self._build_start_pause()
         while not self._state.catalog.revision:
+            began_at = trio.current_time()
             listed = await self._watcher.read_documents()
             if listed is not None:
                 if listed.era:
                     await self._wait_for_peer_documents()
                 self._state.merge_entries(listed.entries)
                 return
-            await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-            backoff = min(MAX_LOAD_BACKOFF_SECONDS, backoff * 2)
+            seconds = trio.current_time() - began_at
+            await trio.sleep(retry_pause.draw_seconds(seconds))
+
+    def _build_start_pause(self) -> _retry_pause.RetryPause:
+        return _retry_pause.RetryPause(self._rng, MAX_START_RETRY_PERIOD_SECONDS)
 
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
@@ -254,16 +259,17 @@
 
         It also ends when another daemon has found this one.
         """
-        backoff = MIN_BACKOFF_SECONDS
+        retry_pause = self._build_start_pause()
         while not self.has_joined:
+            began_at = trio.current_time()
             await _introduction.introduce_to_unknown(
                 map(str, self._seeds), self._state, self._exchange
             )
             if await self._introduce_to_contacts(may_be_stale=True):
                 self.has_joined = True
                 return
-            await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-            backoff = min(MAX_JOIN_BACKOFF_SECONDS, backoff * 2)
+            seconds = trio.current_time() - began_at
+            await trio.sleep(retry_pause.draw_seconds(seconds))
             # Another daemon may have found this one in the meantime.
             self.has_joined = self._count_members() > 1
 
@@ -439,12 +445,15 @@
         but its record says that it is not a contact: another daemon may still be able
         to reach the store. Never returns while this daemon leaves.
 
-        A renewal whose connection is silent shows that the watch may be silent, too.
+        A renewal also shows that the watch may be silent: its own connection is, or it
+        is the first one to be answered again.
         """
+        is_answered = True
+        began_at = trio.current_time()
         while True:
             if not self._is_reclaim_due:
-                share = self._rng.uniform(MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0)
-                await self._sleep_until_new_era(share * MAX_KEEP_ALIVE_INTERVAL_SECONDS)
+                await self._sleep_until_new_era(self._draw_renewal_pause(began_at))
+            began_at = trio.current_time()
             if self._leaving.is_set():
                 await trio.sleep_forever()
             if self._is_reclaim_due and not await self._reclaim_key():
@@ -458,16 +467,27 @@
             renewed = await self._store.keep_alive(self._lease_id)
             if self._is_reclaim_due or self._leaving.is_set():
                 continue
+            was_answered, is_answered = is_answered, renewed.is_ok()
             if renewed.is_error():
                 self._publish_contact_flag(False)
                 continue
             if renewed.ok.found_silence:
                 self._watcher.reopen("silent connections")
+            elif not was_answered:
+                self._watcher.reopen("answered again")
             if renewed.ok.ttl_seconds <= 0:
                 self._lease_id = 0
                 return
             self._publish_contact_flag(True)
 
+    def _draw_renewal_pause(self, began_at: float) -> float:
+        """Return the seconds until the renewal after the one that began then."""
+        interval = MAX_KEEP_ALIVE_INTERVAL_SECONDS * self._rng.uniform(
+            MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0
+        )
+        seconds = trio.current_time() - began_at
+        return max(interval - seconds, MIN_RENEWAL_PAUSE_SECONDS)
+
     async def _reclaim_key(self) -> bool:
         """Claim a key again after a restore; return False if there is none to claim."""
         is_claimed = False
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -6,10 +6,11 @@
 import trio
 
 from umberdrum import classes, gossip, logs, store
+from umberdrum.configuration import _retry_pause
 
-MIN_BACKOFF_SECONDS = 0.5
 # Users require a change to be in force within 2 s, or 3 s after the store recovers.
-MAX_BACKOFF_SECONDS = 2.0
+# Neither the longest pause nor a call's timeout of 2 s uses that up.
+MAX_RETRY_PERIOD_SECONDS = 1.25
 
 
 class ListedDocuments(NamedTuple):
@@ -54,35 +55,46 @@
         self._log = log
         self._follow_scope = trio.CancelScope()
         self._watch_scope = trio.CancelScope()
+        self._is_pausing = False
         self.is_following = False
 
     async def run(self) -> None:
-        """Follow the store until cancelled, with backoff while it does not answer."""
-        backoff = MIN_BACKOFF_SECONDS
+        """Follow the store until cancelled, with pauses while it does not answer."""
+        retry_pause = _retry_pause.RetryPause(self._rng, MAX_RETRY_PERIOD_SECONDS)
         try:
             while True:
+                began_at = trio.current_time()
                 with trio.CancelScope() as self._follow_scope:
-                    listed = await self.read_documents()
-                    if listed is not None:
-                        backoff = MIN_BACKOFF_SECONDS
-                        self._state.merge_entries(listed.entries)
-                        await self._follow_changes(
-                            _Position(listed.revision + 1, listed.era)
-                        )
+                    await self._list_and_follow()
+                    self.is_following = False
+                    self._is_pausing = True
+                    seconds = trio.current_time() - began_at
+                    await trio.sleep(retry_pause.draw_seconds(seconds))
                 self.is_following = False
-                if self._follow_scope.cancelled_caught:
-                    continue
-                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-                backoff = min(MAX_BACKOFF_SECONDS, backoff * 2)
+                self._is_pausing = False
         finally:
             self.is_following = False
+            self._is_pausing = False
+
+    async def _list_and_follow(self) -> None:
+        listed = await self.read_documents()
+        if listed is None:
+            return
+        self._state.merge_entries(listed.entries)
+        await self._follow_changes(_Position(listed.revision + 1, listed.era))
 
     def restart(self) -> None:
         """List the documents again at once, because the store began a new era."""
         self._follow_scope.cancel()
 
     def reopen(self, reason: str) -> None:
-        """Replace a waiting watch, whose connection may be silent, at once."""
+        """Replace a waiting watch, whose connection may be silent, at once.
+
+        A pause before the next attempt ends.
+        """
+        if self._is_pausing:
+            self._follow_scope.cancel()
+            return
         if not self.is_following or self._watch_scope.cancel_called:
             return
         self._log.write("store_watch_reopened", reason=reason)
--- a/umberdrum/configuration/tests/configuration.feature
+++ b/umberdrum/configuration/tests/configuration.feature
@@ -26,6 +26,19 @@
       | nothing happens    | accepted |
       | the answer is lost | accepted |
 
+  Scenario Outline: Pause before the store is tried again
+    Given a task that tries again after at most 1.25 s on average
+    When <n> attempts have failed after <seconds> s each
+    Then its pause is from <least> to <most> s
+
+    Examples:
+      | n | seconds | least | most |
+      | 1 | 0.0     | 0.3   | 0.7  |
+      | 2 | 0.0     | 0.6   | 1.4  |
+      | 9 | 0.0     | 0.75  | 1.75 |
+      | 9 | 0.5     | 0.25  | 1.25 |
+      | 9 | 2.0     | 0.0   | 0.1  |
+
   Scenario Outline: The catalog follows the store and no revision decreases
     Given a watcher that follows a store with classes "a" and "b"
     When "<event>" happens
@@ -41,3 +54,13 @@
       | b is deleted and created again               | a, b    |
       | an old copy of b arrives from another daemon | a, b    |
       | a copy of deleted b arrives late             | a       |
+
+  Scenario Outline: A change is read late after the store was <fault>
+    Given a watcher that follows a store with classes "a" and "b"
+    When c is created while the store is <fault> for 4 to 9 s, with each of 20 seeds
+    Then each watcher holds c within 3.0 s of the store's return
+
+    Examples:
+      | fault  |
+      | down   |
+      | silent |
--- a/umberdrum/configuration/tests/configuration_steps.py
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -1,5 +1,6 @@
 """Steps on the operators' configuration and on the watcher."""
 
+import functools
 import logging
 import random
 
@@ -11,6 +12,13 @@
 from umberdrum.membership.tests import membership_steps
 from umberdrum.tests import harness
 
+N_SEEDS = 100
+N_OUTAGES = 20
+MIN_OUTAGE_SECONDS = 4.0
+OUTAGE_STEP_SECONDS = 0.26
+POLL_SECONDS = 0.02
+LIMIT_SECONDS = 10.0
+
 
 def build_class(name: str, ms: int) -> classes.RequestClass:
     target = classes.Target(ms, 99.0)
@@ -118,15 +126,40 @@
     assert found == stored, context.stored
 
 
+@behave.given("a task that tries again after at most {seconds:f} s on average")
+def set_max_period(context: runner.Context, seconds: float) -> None:
+    context.max_period = seconds
+
+
+@behave.when("{n:d} attempts have failed after {seconds:f} s each")
+def fail_attempts(context: runner.Context, n: int, seconds: float) -> None:
+    context.pauses = []
+    for seed in range(N_SEEDS):
+        pause = configuration.RetryPause(random.Random(seed), context.max_period)
+        drawn = [pause.draw_seconds(seconds) for _ in range(n)]
+        context.pauses.append(drawn[-1])
+
+
+@behave.then("its pause is from {least:f} to {most:f} s")
+def check_pauses(context: runner.Context, least: float, most: float) -> None:
+    assert min(context.pauses) >= least, min(context.pauses)
+    assert max(context.pauses) <= most, max(context.pauses)
+    assert len(set(context.pauses)) > N_SEEDS / 2
+
+
 class WatcherRun:
     """Watcher with its own shared state; counts revisions that decrease."""
 
-    def __init__(self, site: harness.Site) -> None:
+    def __init__(self, site: harness.Site, seed: int = 1) -> None:
         log = logs.EventLog(logging.Logger("watcher"), "d")
         table = membership.MembershipTable(membership_steps.OWN_RECORD)
         self.state = gossip.SharedState(table, log)
         self.watcher = configuration.ConfigurationWatcher(
-            site.build_store(), "umberdrum/classes/", self.state, random.Random(1), log
+            site.build_store(),
+            "umberdrum/classes/",
+            self.state,
+            random.Random(seed),
+            log,
         )
         self.n_revision_decreases = 0
         self._revisions: dict[str, int] = {}
@@ -199,6 +232,49 @@
         watcher_run.state.merge_entries([old])
 
 
+@behave.when(
+    "c is created while the store is {fault} for 4 to 9 s, with each of 20 seeds"
+)
+def create_during_outage(context: runner.Context, fault: str) -> None:
+    context.seconds = []
+    for seed in range(N_OUTAGES):
+        outage_seconds = MIN_OUTAGE_SECONDS + seed * OUTAGE_STEP_SECONDS
+        harness.run_on_virtual_clock(
+            functools.partial(_run_outage, context, fault, outage_seconds, seed)
+        )
+
+
+async def _run_outage(
+    context: runner.Context, fault: str, outage_seconds: float, seed: int
+) -> None:
+    async with harness.open_site() as site, trio.open_nursery() as nursery:
+        repository = site.build_repository()
+        for name in context.names:
+            await repository.write_class(build_class(name, 50), 0)
+        watcher_run = WatcherRun(site, seed)
+        nursery.start_soon(watcher_run.watcher.run)
+        await site.wait_until(lambda: watcher_run.list_names() == "a, b")
+        faults = {"down": True} if fault == "down" else {"delay_ms": 60_000}
+        site.server.switch_faults({"down": True})
+        site.server.switch_faults({"down": False, **faults})
+        old = site.state.get_range("umberdrum/classes/a", "")[0]
+        site.state.put("umberdrum/classes/c", old.value.replace(b'"a"', b'"c"'), 0)
+        await trio.sleep(outage_seconds)
+        site.server.switch_faults({"down": False, "delay_ms": 0})
+        began_at = trio.current_time()
+        with trio.move_on_after(LIMIT_SECONDS):
+            while watcher_run.list_names() != "a, b, c":
+                await trio.sleep(POLL_SECONDS)
+        context.seconds.append(trio.current_time() - began_at)
+        nursery.cancel_scope.cancel()
+
+
+@behave.then("each watcher holds c within {limit:f} s of the store's return")
+def check_outages(context: runner.Context, limit: float) -> None:
+    assert len(context.seconds) == N_OUTAGES
+    assert max(context.seconds) <= limit, context.seconds
+
+
 @behave.then('the catalog finally holds "{names}"')
 def check_catalog(context: runner.Context, names: str) -> None:
     assert context.watcher_run.list_names() == names, context.watcher_run.list_names()
