Caller: skip an empty line before a request

Callers saw: 400 for a request that follows an empty line, and after a pause 408 and a closed connection instead of its response.

Cause: the parser takes an empty line for a request line. RFC 9112, section 2.2, asks servers to ignore at least one, as some clients end a body with a line end of their own.

Why it works: an empty line at the beginning of a request is dropped before the parser gets it, also if it arrives in two parts. The connection stays idle meanwhile: the timeout for heads doesn't begin. Only one line is dropped, so endless empty lines are still refused (hostile.feature).

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -138,11 +138,12 @@
                 self._dialect,
                 unparsed,
             )
-            if not unparsed and not await self._wait_for_bytes(exchange, pipeline):
+            has_begun = exchange.has_request_begun()
+            if not has_begun and not await self._wait_for_bytes(exchange, pipeline):
                 return
             pipeline.start_receiving()
             try:
-                waited_seconds = 0.0 if unparsed else self._get_wait_seconds(pipeline)
+                waited_seconds = 0.0 if has_begun else self._get_wait_seconds(pipeline)
                 request = await exchange.receive_request(waited_seconds)
                 if request is None:
                     return
--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -21,6 +21,7 @@
 LINGER_SECONDS = 1.0
 MAX_LINGER_BYTES = 1 << 20
 MAX_EVENTS_PER_TURN = 64
+EMPTY_LINE = b"\r\n"
 
 
 class CallerLimits(NamedTuple):
@@ -55,6 +56,7 @@
         self._is_head_request = False
         self._n_body_bytes = 0
         self._unparsed = unparsed
+        self._has_skipped_line = False
         self.http = _build_parser(self._limits)
         self._is_close_announced = False
         self._turn_limit = sockets.TurnLimit(MAX_EVENTS_PER_TURN)
@@ -83,11 +85,27 @@
             with pipeline.start_idle_wait(close_at):
                 data = await self.connection.receive()
                 self._unparsed += data
-                return bool(data)
+                if not data or self.has_request_begun():
+                    return bool(data)
+
+    def has_request_begun(self) -> bool:
+        """Return whether bytes of the request were received; skip an empty line.
+
+        A server should ignore one empty line before a request (RFC 9112, section 2.2).
+        """
+        if not self._has_skipped_line and self._unparsed.startswith(EMPTY_LINE):
+            self._unparsed = self._unparsed.removeprefix(EMPTY_LINE)
+            self._has_skipped_line = True
+        return self._unparsed not in (b"", b"\r")
 
     def get_unparsed(self) -> bytes:
-        """Return the bytes received after the current request, if that is complete."""
-        return bytes(self.http.trailing_data[0]) if self.has_read_request else b""
+        """Return the bytes received after the current request, if that is complete.
+
+        An empty line at their beginning is left out.
+        """
+        if not self.has_read_request:
+            return b""
+        return bytes(self.http.trailing_data[0]).removeprefix(EMPTY_LINE)
 
     async def receive_request(
         self, waited_seconds: float = 0.0
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -72,6 +72,16 @@
       | GET /look HTTP/1.1~Host: pay~Connection: close~umberdrum-deadline-ms: 900001~~     |
       | GET /look HTTP/1.1~Host: pay~Connection: close~umberdrum-deadline-ms: 3600000000~~ |
 
+  # Some clients send an empty line after a body.
+  Scenario Outline: A request behind an empty line was refused as malformed
+    When a caller sends "<request>"
+    Then it gets the upstream's response to a body of 0 bytes
+
+    Examples:
+      | request                                                                     |
+      | ~GET /look HTTP/1.1~Host: pay~Connection: close~~                           |
+      | POST /pay HTTP/1.1~Host: pay~Content-Length: 1~~x~GET /look HTTP/1.1~Host: pay~Connection: close~~ |
+
   Scenario Outline: Requests of every form get a complete response
     When a caller sends "<request>"
     Then it gets the upstream's response to a body of <n_bytes> bytes
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -52,3 +52,13 @@
       | n_parts |
       | 1       |
       | 2       |
+
+  Scenario Outline: An empty line was refused as a malformed request
+    When a caller sends a request after <bytes>
+    Then it gets both responses of the upstream
+
+    Examples:
+      | bytes                            |
+      | an empty line                    |
+      | an empty line in two parts       |
+      | an empty line and a long pause   |
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -10,6 +10,8 @@
 
 PART_INTERVAL_SECONDS = 0.1
 RESPONSES_SECONDS = 5.0
+HEAD_TIMEOUT_SECONDS = 3.0
+MAX_HEAD_BYTES = 9000
 STOP_AFTER_SECONDS = 0.5
 LAST_PART_BYTES = 10_000
 REQUEST = b"GET /look HTTP/1.1\r\nHost: pay\r\nx-nonce: second\r\n\r\n"
@@ -88,7 +90,7 @@
 
 
 def _build_limits(max_head_bytes: int) -> callpath.CallerLimits:
-    return callpath.CallerLimits(max_head_bytes, 3.0, 3.0, 15.0)
+    return callpath.CallerLimits(max_head_bytes, HEAD_TIMEOUT_SECONDS, 3.0, 15.0)
 
 
 def _build_long_request(n_head_bytes: int) -> bytes:
@@ -135,6 +137,25 @@
     assert b"HTTP/1.1 %d" % status in second, context.raw
 
 
+@behave.when("a caller sends a request after {kind}")
+def send_after_empty_line(context: runner.Context, kind: str) -> None:
+    first = REQUEST.replace(b"second", b"first")
+    parts = [first + b"\r\n", REQUEST]
+    if kind.endswith("parts"):
+        parts = [first + b"\r", b"\n", REQUEST]
+    if kind.endswith("pause"):
+        n_pauses = round(2 * HEAD_TIMEOUT_SECONDS / PART_INTERVAL_SECONDS)
+        parts = [first + b"\r\n", *(b"" for _ in range(n_pauses)), REQUEST]
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        assert entry.daemon.parts is not None
+        limits = _build_limits(MAX_HEAD_BYTES)
+        entry.daemon.parts.caller_server._get_limits = lambda: limits
+        context.raw = await _exchange(entry.settings.caller_listen, parts)
+
+    callpath_steps.run_with_upstream(test)
+
+
 @behave.then("it gets both responses of the upstream")
 def check_both(context: runner.Context) -> None:
     positions = [context.raw.find(marker) for marker in MARKERS]
