Caller: route a target in absolute form by its host and path

Callers saw: 404 for "GET http://api.example/look/1", where routes come from a route table. It is a form that every server has to accept (RFC 9112, section 3.2.2), and that some clients use towards a proxy.

Cause: the route table was asked for a path that begins with "http://". Only the matching by classes removed the authority.

Ruled out: capitals and a port in Host, which were matched before.

Why it works: the request is brought into origin form when it is read, with the target's authority as its host, as a proxy sends it on. Both matchers and the upstream then see the same path. A "://" within a path or query is none.

--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -8,7 +8,14 @@
 import trio
 
 from umberdrum import errors, sockets
-from umberdrum.callpath import _call, _dialect, _entry, _headers, _request_pipeline
+from umberdrum.callpath import (
+    _call,
+    _dialect,
+    _entry,
+    _headers,
+    _paths,
+    _request_pipeline,
+)
 
 MAX_BUFFERED_BODY_BYTES = 65_536
 MAX_PENDING_RESPONSE_BYTES = 1 << 20
@@ -137,6 +144,9 @@
         self._is_head_request = event.method == b"HEAD"
         headers = list(event.headers)
         self._check_head_size(event, headers)
+        authority, target = _paths.split_target(bytes(event.target))
+        if authority:
+            headers = _headers.replace_host(headers, authority)
         fields = _headers.read_call_fields(headers, self._dialect)
         if fields.is_error():
             raise _call.BodyLostError(fields.error)
@@ -145,7 +155,7 @@
                 errors.ErrorKind.MALFORMED_REQUEST, "CONNECT requests are not supported"
             )
         return _entry.IncomingRequest(
-            bytes(event.method), bytes(event.target), headers, fields.ok, received_at
+            bytes(event.method), target, headers, fields.ok, received_at
         )
 
     def _check_head_size(
--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -155,6 +155,15 @@
     return fields
 
 
+def replace_host(headers: HeaderFields, authority: bytes) -> HeaderFields:
+    """Return the fields with the authority of an absolute-form target as the host.
+
+    It takes precedence over the host that was sent (RFC 9112, section 3.2.2).
+    """
+    others = [(name, value) for name, value in headers if name != b"host"]
+    return [(b"host", authority), *others]
+
+
 def get_header(headers: HeaderFields, name: bytes) -> bytes | None:
     """Return the value of the first field ``name``, or None if there is none."""
     for field_name, value in headers:
--- a/umberdrum/callpath/_paths.py
+++ b/umberdrum/callpath/_paths.py
@@ -1,7 +1,10 @@
-"""Normalisation of request targets, so that equivalent paths match the same class."""
+"""Forms of request targets, and their normalisation for the matching of classes."""
 
+import re
 import urllib.parse
 
+_PATH_OR_QUERY = re.compile(rb"[/?]")
+
 
 def normalize_path(target: bytes) -> str:
     """Return the normalised path of ``target``, which classes are matched with.
@@ -12,9 +15,7 @@
 
     Example: ``normalize_path(b"/cards/../payments?x=1")`` gives ``/payments``.
     """
-    path = target.split(b"?", 1)[0]
-    if not path.startswith(b"/"):
-        path = _strip_authority(path)
+    path = split_target(target)[1].split(b"?", 1)[0]
     if b"%" not in path and b"//" not in path and b"/." not in path:
         return path.decode("latin-1")
     decoded = urllib.parse.unquote_to_bytes(path).decode("latin-1")
@@ -32,10 +33,21 @@
     return "/" + "/".join(segments) + ("/" if ends_with_slash else "")
 
 
-def _strip_authority(target: bytes) -> bytes:
-    """Return the path of an absolute-form target; other forms are returned as is."""
-    _, separator, rest = target.partition(b"://")
-    if not separator:
-        return target
-    _, slash, path = rest.partition(b"/")
-    return slash + path if slash else b"/"
+def split_target(target: bytes) -> tuple[bytes, bytes]:
+    """Return the authority of an absolute-form target, and the origin-form target.
+
+    A target in another form is returned unchanged, with an empty authority.
+
+    Example: ``split_target(b"http://pay:80/look?x=1")`` gives ``b"pay:80"`` and
+    ``b"/look?x=1"``.
+    """
+    scheme, separator, rest = target.partition(b"://")
+    if not separator or _PATH_OR_QUERY.search(scheme):
+        return b"", target
+    found = _PATH_OR_QUERY.search(rest)
+    if found is None:
+        return rest, b"/"
+    authority, origin_target = rest[: found.start()], rest[found.start() :]
+    if origin_target.startswith(b"?"):
+        origin_target = b"/" + origin_target
+    return authority, origin_target
