Upstream: a request that can't be sent is the daemon's fault

Callers would see: 400 for a request that their daemon had accepted as valid, even if it may have run, whenever a daemon fails to write it to the upstream: on a connection in the wrong state, or with a body of another length.

Cause: every LocalProtocolError of the client's parser became malformed-request.

Heads are checked by the same rules when they are read, and bodies end only where the caller's parser ended them; pooled connections are released only when both sides are done.

Why it works: such a failure is internal (500) with what is known of the execution, so that a caller doesn't look for the fault in its request.

--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -393,8 +393,12 @@
 def _build_request_error(
     detail: str, execution: errors.Execution
 ) -> UpstreamFailureError:
+    """Return the error for a request that can't be sent as it is.
+
+    The caller's request was valid, so the fault is this daemon's.
+    """
     return UpstreamFailureError(
-        errors.fail(errors.ErrorKind.MALFORMED_REQUEST, detail, execution)
+        errors.fail(errors.ErrorKind.INTERNAL, f"request: {detail}", execution)
     )
 
 
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -62,3 +62,14 @@
       | an empty line                    |
       | an empty line in two parts       |
       | an empty line and a long pause   |
+
+  # An upstream that got a body of another length was reported as the caller's fault.
+  Scenario Outline: A fault of the daemon was reported as a malformed request
+    When a request is sent to an upstream <circumstance>
+    Then it fails as "<result>"
+
+    Examples:
+      | circumstance                                 | result                |
+      | on a connection that is in use               | internal/not-run      |
+      | and its body ends before its declared length | internal/may-have-run |
+      | and its body exceeds its declared length     | internal/may-have-run |
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -1,10 +1,13 @@
 """Steps for proper requests whose form or timing is unusual."""
 
+import socket
+
 import behave
 import trio
 from behave import runner
 
-from umberdrum import callpath, settings, sockets
+from umberdrum import callpath, peerlink, settings, sockets
+from umberdrum.callpath import _dialect, _peer_server, _upstream
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.tests import harness
 
@@ -161,3 +164,102 @@
     positions = [context.raw.find(marker) for marker in MARKERS]
     assert -1 < positions[0] < positions[1], context.raw
     assert context.raw.count(b"HTTP/1.1 200") == len(MARKERS), context.raw
+
+
+def _open_pair() -> tuple[sockets.Connection, sockets.Connection]:
+    listener = socket.create_server((harness.HOST, 0))
+    near = socket.create_connection(listener.getsockname())
+    far, _ = listener.accept()
+    listener.close()
+    return sockets.Connection(near), sockets.Connection(far)
+
+
+class _PartedBody:
+    """Request body that arrives in the given parts."""
+
+    initial = b""
+    is_complete = False
+    can_be_sent_again = False
+
+    def __init__(self, parts: list[bytes]) -> None:
+        self._parts = parts
+
+    async def receive(self) -> bytes:
+        """Return the next part, empty after the last."""
+        return self._parts.pop(0) if self._parts else b""
+
+
+def _build_call(n_bytes: int) -> callpath.Call:
+    return callpath.Call(
+        request_id="r1",
+        class_name="pay",
+        method=b"POST",
+        target=b"/pay",
+        headers=[(b"host", b"pay"), (b"content-length", b"%d" % n_bytes)],
+        deadline=trio.current_time() + RESPONSES_SECONDS,
+        n_extra_attempts=0,
+        is_idempotent=False,
+        target_latency_ms=200,
+        max_queue_ms=100,
+        content_length=n_bytes,
+    )
+
+
+@behave.when("a request is sent to an upstream {circumstance}")
+def send_to_upstream(context: runner.Context, circumstance: str) -> None:
+    parts = [b"12345678", b"90"]
+    if "ends before" in circumstance:
+        parts = [b"1234"]
+    if "exceeds" in circumstance:
+        parts.append(b"1")
+
+    async def run() -> None:
+        near, far = _open_pair()
+        upstream = _upstream.UpstreamConnection(near, _dialect.OWN_DIALECT)
+        call, body = _build_call(10), _PartedBody(parts)
+        try:
+            await upstream.send_request(call, body, 1000)
+            if "in use" in circumstance:
+                await upstream.send_request(call, body, 1000)
+            await upstream.send_rest_of_body(body)
+        except _upstream.UpstreamFailureError as fault:
+            failure = fault.failure
+            context.result = f"{failure.kind.token}/{failure.execution.token}"
+        near.close()
+        far.close()
+
+    trio.run(run)
+
+
+@behave.then('it fails as "{result}"')
+def check_failure(context: runner.Context, result: str) -> None:
+    assert context.result == result, context.result
+
+
+@behave.when(
+    "a body of two parts arrives over a peer link with a {kind} frame between them"
+)
+def receive_frames(context: runner.Context, kind: str) -> None:
+    async def run() -> None:
+        near, far = _open_pair()
+        sender, receiver = peerlink.FrameChannel(near), peerlink.FrameChannel(far)
+        await sender.send(peerlink.FrameKind.BODY, b"", b"part")
+        await sender.send(peerlink.FrameKind[kind])
+        await sender.send(peerlink.FrameKind.BODY_END)
+        body = _peer_server._FrameBody(receiver, b"")
+        context.parts = []
+        context.kind = ""
+        try:
+            while data := await body.receive():
+                context.parts.append(data)
+        except callpath.BodyLostError as fault:
+            context.kind = fault.failure.kind.token
+        near.close()
+        far.close()
+
+    trio.run(run)
+
+
+@behave.then('receiving it fails as "{kind}"')
+def check_lost(context: runner.Context, kind: str) -> None:
+    assert (context.parts, context.kind) == ([b"part"], kind), context.kind
