Peer server: no frame but the end frame ends a request body

Callers would see: 400 for an upload during which a frame without body bytes arrives from the entry daemon; a body of unknown length would be run cut short and look complete.

Cause: _FrameBody returned the bytes of any frame. An empty one, as of a keepalive, was taken for the end of the body.

Why it works: any other frame is a broken link, as in the other direction (PeerClient._relay_body). The body is then not complete.

--- a/umberdrum/callpath/_peer_server.py
+++ b/umberdrum/callpath/_peer_server.py
@@ -426,4 +426,7 @@
             )
         if frame.kind is peerlink.FrameKind.BODY_END:
             self.is_ended = True
+        elif frame.kind is not peerlink.FrameKind.BODY:
+            detail = f"expected a body frame, found {frame.kind.name}"
+            raise _call.BodyLostError(errors.fail(errors.ErrorKind.LINK_BROKE, detail))
         return frame.body
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -73,3 +73,13 @@
       | on a connection that is in use               | internal/not-run      |
       | and its body ends before its declared length | internal/may-have-run |
       | and its body exceeds its declared length     | internal/may-have-run |
+
+  Scenario Outline: A frame within a body was taken for its end
+    When a body of two parts arrives over a peer link with a <kind> frame between them
+    Then receiving it fails as "link-broke"
+
+    Examples:
+      | kind      |
+      | KEEPALIVE |
+      | ADMITTED  |
+      | CLOSING   |
