--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -52,3 +52,34 @@
       | n_parts |
       | 1       |
       | 2       |
+
+  Scenario Outline: An empty line was refused as a malformed request
+    When a caller sends a request after <bytes>
+    Then it gets both responses of the upstream
+
+    Examples:
+      | bytes                            |
+      | an empty line                    |
+      | an empty line in two parts       |
+      | an empty line and a long pause   |
+
+  # An upstream that got a body of another length was reported as the caller's fault.
+  Scenario Outline: A fault of the daemon was reported as a malformed request
+    When a request is sent to an upstream <circumstance>
+    Then it fails as "<result>"
+
+    Examples:
+      | circumstance                                 | result                |
+      | on a connection that is in use               | internal/not-run      |
+      | and its body ends before its declared length | internal/may-have-run |
+      | and its body exceeds its declared length     | internal/may-have-run |
+
+  Scenario Outline: A frame within a body was taken for its end
+    When a body of two parts arrives over a peer link with a <kind> frame between them
+    Then receiving it fails as "link-broke"
+
+    Examples:
+      | kind      |
+      | KEEPALIVE |
+      | ADMITTED  |
+      | CLOSING   |
