Callers of HTTP/1.0: end the connection with a reset if a response is incomplete

A caller that spoke HTTP/1.0 got a 200 with an empty or short body that looked whole, when the upstream or the peer link ended inside a response without a length.

Cause: a response without a length is relayed in chunks to a caller of HTTP/1.1, where the missing last chunk shows that it is incomplete. HTTP/1.0 has no chunks: the close of the connection is the end of the body, and the daemon closed in the same way after half a response.

A close right after a complete head without a length can't be told from an empty response, so those rows only reset.

While such a response is incomplete, the socket is set to send a reset at its end (SO_LINGER with a time of 0), so that this holds also if the daemon's process ends. It is switched back when the response is complete. Four rows check that whole responses still arrive over HTTP/1.0 and 1.1.

--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -205,6 +205,11 @@
         """Whether the current request was received to its end."""
         return self.http.their_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
 
+    @property
+    def allows_chunks(self) -> bool:
+        """Whether the caller understands chunks, from HTTP/1.1 on."""
+        return self.http.their_http_version != b"1.0"
+
     def announce_close(self) -> None:
         """Make the next refusal announce that the connection closes."""
         self._is_close_announced = True
@@ -286,6 +291,9 @@
     decided when its head is sent, because requests may arrive until then. Until then
     a response that stays incomplete can also be replaced by a refusal; ``has_sent``
     tells whether that is too late.
+
+    A caller of HTTP/1.0 takes the close as the end of a response without a length.
+    Until that is complete, the connection ends with a reset.
     """
 
     def __init__(
@@ -300,6 +308,7 @@
         self._head: _call.HttpResponseHead | None = None
         self._body = bytearray()
         self._is_finished = False
+        self._ends_with_connection = False
         self.has_sent = False
 
     async def start(
@@ -329,12 +338,18 @@
         if self._head is None and not self._body and not self._is_finished:
             return
         await self._turn.wait()
+        is_finished = self._is_finished
         data = self._render_pending()
         self.has_sent = True
+        connection = self._exchange.connection
+        if self._ends_with_connection:
+            connection.set_reset_on_close(True)
         try:
-            await self._exchange.connection.send(data)
+            await connection.send(data)
         except sockets.ConnectionLostError as fault:
             raise _call.SinkLostError(str(fault)) from None
+        if self._ends_with_connection and is_finished:
+            connection.set_reset_on_close(False)
 
     async def finish(self) -> None:
         """Add the end of the response and flush."""
@@ -359,6 +374,8 @@
 
     def _build_response(self, head: _call.HttpResponseHead) -> h11.Response:
         headers = head.headers
+        has_length = _headers.get_header(headers, b"content-length") is not None
+        self._ends_with_connection = not (has_length or self._exchange.allows_chunks)
         if self._must_close() or not self._exchange.has_read_request:
             headers = [*headers, (b"connection", b"close")]
         return h11.Response(
--- a/umberdrum/sockets/_connection.py
+++ b/umberdrum/sockets/_connection.py
@@ -18,6 +18,9 @@
 _TCP_INFO_BYTES = 56
 _LAST_RECEIVED_OFFSET = 52
 _LAST_RECEIVED_FORMAT = struct.Struct("=I")
+# Values of the kernel's ``struct linger``. With a time of 0, a close sends a reset.
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+_FINISH_ON_CLOSE = struct.pack("ii", 0, 0)
 
 
 class ConnectionLostError(Exception):
@@ -45,6 +48,7 @@
         self._socket = sock
         self._unsent = b""
         self._is_sending = False
+        self._resets_on_close = False
         self._turn_limit = _turns.TurnLimit(MAX_RECEIVES_PER_TURN)
         self.is_closed = False
 
@@ -182,8 +186,25 @@
         )
         return float(last_received_ms) / MS_PER_SECOND
 
+    def set_reset_on_close(self, resets: bool) -> None:
+        """Choose whether the end of the connection is a reset.
+
+        That holds also if the process ends. It tells the receiver of data that the
+        close would delimit that the data is incomplete.
+        """
+        self._resets_on_close = resets
+        value = _RESET_ON_CLOSE if resets else _FINISH_ON_CLOSE
+        with contextlib.suppress(OSError):
+            self._socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, value)
+
     def finish_sending(self) -> None:
-        """Shut down the sending direction; the connection can still receive."""
+        """Shut down the sending direction; the connection can still receive.
+
+        A connection whose end is a reset is closed.
+        """
+        if self._resets_on_close:
+            self.close()
+            return
         with contextlib.suppress(OSError):
             self._socket.shutdown(socket.SHUT_WR)
 
