Watcher: list the documents once when the listing shows the restore

Cause: a contact's first call to a restored store is mostly the watcher's own listing. Its answer shows the new era, the contact manager restarts the watcher, and the restart cancelled the scope that held this listing, which was complete and of the new era already. Trace of a scratch run, one contact: 0.170 GET /v1/kv-range?prefix=op/ 200 0.170 GET /v1/kv-watch?prefix=op/ cancelled 0.170 GET /v1/kv-range?prefix=op/ 200 0.170 GET /v1/kv-watch?prefix=op/ The listing and the watch after it now have scopes of their own. A restart still cancels a listing that waits for an answer, and an open watch.

Ruled out: dropping the restart while a listing runs. A listing on a connection that has gone silent would then wait for its timeout, although another call has shown the new era.

--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -50,11 +50,14 @@
         backoff = MIN_BACKOFF_SECONDS
         try:
             while True:
+                listed: ListedDocuments | None = None
                 with trio.CancelScope() as self._follow_scope:
                     listed = await self.read_documents()
-                    if listed is not None:
-                        backoff = MIN_BACKOFF_SECONDS
-                        self._state.merge_entries(listed.entries)
+                if listed is not None:
+                    backoff = MIN_BACKOFF_SECONDS
+                    self._state.merge_entries(listed.entries)
+                    # A listing that is the first to show a new era stays valid.
+                    with trio.CancelScope() as self._follow_scope:
                         await self._follow_changes(listed)
                 self.is_following = False
                 if self._follow_scope.cancelled_caught:
