Contacts: a replaced contact makes no claim after a restore

Cause: a contact whose renewal fails clears its flag, and another daemon of the zone claims a key. When the store answers again in a new era, the first contact lists the keys to claim its own again, and beside that reads and writes the member list and lists all contacts, although gossip has told it that the zone has enough contacts. It now gives up its role before any of these calls.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -462,7 +462,14 @@
             self._publish_contact_flag(True)
 
     async def _reclaim_key(self) -> bool:
-        """Claim a key again after a restore; return False if there is none to claim."""
+        """Claim a key again after a restore; return False if there is none to claim.
+
+        A contact whose renewal failed while the store was away may have been replaced;
+        it then makes no call.
+        """
+        if self._is_replaced():
+            self._is_reclaim_due = False
+            return False
         is_claimed = False
         while self._is_reclaim_due:
             self._is_reclaim_due = False
@@ -475,6 +482,12 @@
         with trio.move_on_after(seconds):
             await self._new_era.wait()
 
+    def _is_replaced(self) -> bool:
+        """Return whether the zone has enough contacts without this one."""
+        if self._state.table.own.is_contact:
+            return False
+        return self._count_contacts() >= self._count_wanted_contacts()
+
     def _is_surplus(self) -> bool:
         """Return whether this contact should resign.
 
