Contacts: announce the role at the first answer of a restored store

Cause: a contact whose renewal failed during the outage had cleared its flag. When the store answered again it claimed its key within 0.3 s, but the flag that it then set waited for ordinary gossip; only a first claim was pushed to the zone. Others went on to find no contact, and each that claimed a key added some 7 calls in 2 s, more where it waited 0.8 s for news of the holder and took an additional key.

Change: such a contact sets its flag and pushes it to its zone at the first answer of the new era, before the jitter and the claim; if the claim fails it clears the flag, as before. A renewal that succeeds after a lost one is pushed too. A lease that was just granted is no longer renewed in the same moment (one call a contact).

Ruled out: a longer wait before another daemon steps in, which would delay the replacement of a contact that has lost the store alone.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -419,9 +419,7 @@
 
     async def _act_as_contact(self) -> None:
         """Renew the lease and follow the configuration until the lease has ended."""
-        self._publish_contact_flag(True)
-        # Push the claim to most of the zone at once, so that few other daemons claim.
-        await self._push_to_zone()
+        await self._announce_role()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watcher.run)
             nursery.start_soon(self._list_periodically)
@@ -442,8 +440,10 @@
                 await self._sleep_until_new_era(interval)
             if self._leaving.is_set():
                 await trio.sleep_forever()
-            if self._is_reclaim_due and not await self._reclaim_key():
-                return
+            if self._is_reclaim_due:
+                if not await self._reclaim_key():
+                    return
+                continue
             if not self._lease_id:
                 return
             if self._is_surplus():
@@ -459,17 +459,29 @@
             if renewed.ok.ttl_seconds <= 0:
                 self._lease_id = 0
                 return
-            self._publish_contact_flag(True)
+            await self._announce_role()
+
+    async def _announce_role(self) -> None:
+        """Push the contact flag to most of the zone at once if it was not set.
+
+        Few other daemons then claim a key.
+        """
+        if self._leaving.is_set() or self._state.table.own.is_contact:
+            return
+        self._publish_contact_flag(True)
+        await self._push_to_zone()
 
     async def _reclaim_key(self) -> bool:
         """Claim a key again after a restore; return False if there is none to claim.
 
         A contact whose renewal failed while the store was away may have been replaced;
-        it then makes no call.
+        it then makes no call. Otherwise it announces its role before the claim, so that
+        it is not replaced although the store answers it again.
         """
         if self._is_replaced():
             self._is_reclaim_due = False
             return False
+        await self._announce_role()
         is_claimed = False
         while self._is_reclaim_due:
             self._is_reclaim_due = False
