--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -64,24 +64,34 @@
         try:
             while True:
                 began_at = trio.current_time()
-                with trio.CancelScope() as self._follow_scope:
-                    await self._list_and_follow()
-                    self.is_following = False
-                    self._is_pausing = True
-                    seconds = trio.current_time() - began_at
-                    await trio.sleep(retry_pause.draw_seconds(seconds))
+                await self._list_and_follow()
                 self.is_following = False
-                self._is_pausing = False
+                if self._follow_scope.cancelled_caught:
+                    continue
+                seconds = trio.current_time() - began_at
+                await self._pause(retry_pause.draw_seconds(seconds))
         finally:
             self.is_following = False
-            self._is_pausing = False
 
     async def _list_and_follow(self) -> None:
-        listed = await self.read_documents()
+        listed: ListedDocuments | None = None
+        with trio.CancelScope() as self._follow_scope:
+            listed = await self.read_documents()
         if listed is None:
             return
+        # A listing that is the first to show a new era stays valid.
         self._state.merge_entries(listed.entries)
-        await self._follow_changes(_Position(listed.revision + 1, listed.era))
+        with trio.CancelScope() as self._follow_scope:
+            await self._follow_changes(_Position(listed.revision + 1, listed.era))
+
+    async def _pause(self, seconds: float) -> None:
+        """Sleep, unless ``restart`` or ``reopen`` ends the pause."""
+        self._is_pausing = True
+        try:
+            with trio.CancelScope() as self._follow_scope:
+                await trio.sleep(seconds)
+        finally:
+            self._is_pausing = False
 
     def restart(self) -> None:
         """List the documents again at once, because the store began a new era."""
