Don't let pauses between fetches of one document delay those of later ones

Seen: a daemon that always knew of a newer document when one arrived (changes every 50 to 80 ms, fetches of 0.1 s) asked the peer that answered ever more seldom, and counted as outdated since the first change, so that after 1 s it would read the store although its peer delivered. Callers get answers by older versions.

The counts and the time since when a document is missing were reset only when the daemon knew of no newer one. In a fleet all daemons see the same series, so all would read the store at once.

Ruled out: the limit of parallel fetches (one ran at a time).

Now an answer that brings a document ends the pauses towards its peer, and the time since when a document is missing is that of the first position above the daemon's own. Peers that give no answer keep their pauses.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -622,6 +622,7 @@
         """Synchronise with a peer until it is answered, cancelled or too late."""
         now = trio.current_time()
         outdated_seconds = self.get_outdated_seconds()
+        position = self._state.catalog.position
         is_completed = False
         scope = trio.CancelScope(deadline=now + FETCH_TIMEOUT_SECONDS)
         self._fetch_scopes.add(scope)
@@ -633,7 +634,9 @@
                 is_completed = result.is_completed
         finally:
             self._fetch_scopes.discard(scope)
-            self._fetch_selector.end_fetch()
+            self._fetch_selector.end_fetch(
+                fetch.peer, is_completed and self._state.catalog.position > position
+            )
         self._log_fetch(fetch, is_completed, outdated_seconds, now)
         self._fetch_wakeup.set()
 
--- a/umberdrum/gossip/_fetch_selector.py
+++ b/umberdrum/gossip/_fetch_selector.py
@@ -29,7 +29,8 @@
 class _Advertiser(NamedTuple):
     """Peer with a newer catalog.
 
-    ``n_fetches`` were begun from it, the last one at ``began_at``.
+    ``n_fetches`` were begun from it since one last brought a document, the last one at
+    ``began_at``.
     """
 
     position: classes.EntryPosition
@@ -38,6 +39,13 @@
     began_at: float = -math.inf
 
 
+class _HeardPosition(NamedTuple):
+    """Position that was the highest when it was first heard of, at ``heard_at``."""
+
+    position: classes.EntryPosition
+    heard_at: float
+
+
 class FetchPeerSelector:
     """Selects among peers with a newer catalog, preferring the same zone.
 
@@ -53,14 +61,17 @@
     ``FETCH_PATIENCE_SECONDS``, another one begins beside it over a new link, first from
     a peer that was not asked yet, up to ``MAX_FETCHES`` at once.
 
+    Third, changes follow each other so fast that a newer one is known whenever one
+    arrives. The waits and pauses for one document don't count for the next.
+
     ``take_fetch`` begins a fetch, ``end_fetch`` must follow when it has ended.
     """
 
     def __init__(self) -> None:
-        self._highest_position = classes.NO_POSITION
+        # In rising order of positions and times.
+        self._heard: list[_HeardPosition] = []
         # In the order of their last advertisements.
         self._advertisers: dict[peerlink.PeerAddress, _Advertiser] = {}
-        self._outdated_since = 0.0
         self._n_running = 0
         self._last_began_at = -math.inf
 
@@ -75,10 +86,11 @@
         """Record the position that ``peer`` advertises; return whether it is newer."""
         if position <= own_position:
             return False
-        if not self.is_outdated(own_position):
-            self._outdated_since = now
+        self._heard = [row for row in self._heard if row.position > own_position]
+        if not self._heard:
             self._advertisers.clear()
-        self._highest_position = max(self._highest_position, position)
+        if not self._heard or position > self._heard[-1].position:
+            self._heard.append(_HeardPosition(position, now))
         known = self._advertisers.pop(peer, None)
         advertiser = known or _Advertiser(position, is_same_zone)
         self._advertisers[peer] = advertiser._replace(position=position)
@@ -86,13 +98,16 @@
 
     def is_outdated(self, own_position: classes.EntryPosition) -> bool:
         """Return whether a peer has advertised a newer position."""
-        return own_position < self._highest_position
+        return bool(self._heard) and own_position < self._heard[-1].position
 
     def get_outdated_seconds(
         self, own_position: classes.EntryPosition, now: float
     ) -> float:
         """Return for how long a newer position has been known, 0 if there is none."""
-        return now - self._outdated_since if self.is_outdated(own_position) else 0.0
+        for row in self._heard:
+            if row.position > own_position:
+                return now - row.heard_at
+        return 0.0
 
     def take_fetch(
         self, own_position: classes.EntryPosition, now: float
@@ -120,9 +135,12 @@
         self._last_began_at = now
         return Fetch(best_peer, not is_first)
 
-    def end_fetch(self) -> None:
-        """Record that a fetch has ended, whatever its result."""
+    def end_fetch(self, peer: peerlink.PeerAddress, has_brought_document: bool) -> None:
+        """Record that a fetch from ``peer`` has ended."""
         self._n_running -= 1
+        advertiser = self._advertisers.get(peer)
+        if advertiser is not None and has_brought_document:
+            self._advertisers[peer] = advertiser._replace(n_fetches=0)
 
     def get_due_at(self, own_position: classes.EntryPosition) -> float:
         """Return when the next fetch is due; infinite if none is.
@@ -159,5 +177,12 @@
             seconds = FETCH_PATIENCE_SECONDS * 2.0 ** (advertiser.n_fetches - 1)
             return max(due_at, advertiser.began_at + min(MAX_RETRY_SECONDS, seconds))
         if not advertiser.is_same_zone and own_position > classes.NO_POSITION:
-            due_at = max(due_at, self._outdated_since + CROSS_ZONE_WAIT_SECONDS)
+            due_at = max(due_at, self._compute_cross_zone_at(own_position))
         return due_at
+
+    def _compute_cross_zone_at(self, own_position: classes.EntryPosition) -> float:
+        """Return from when on peers in other zones are asked."""
+        for row in self._heard:
+            if row.position > own_position:
+                return row.heard_at + CROSS_ZONE_WAIT_SECONDS
+        return math.inf
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -84,6 +84,17 @@
     And the document comes by another way and another peer advertises revision 10
     Then the later document is fetched at once
 
+  # Pauses between fetches of one document delayed those of later documents.
+  Scenario Outline: Changes that follow each other are neither late nor overdue
+    Given a daemon at revision 5
+    When a peer advertises <n> changes, one every <ms> ms, and answers fetches after 0.1 s
+    Then each change is fetched within 2 s and the store is not read for any
+
+    Examples:
+      | n  | ms |
+      | 25 | 80 |
+      | 60 | 50 |
+
   Scenario: The wait for a peer in the same zone ends exactly at its due time
     When a peer in another zone advertises a newer revision at 10000 random times
     Then each time the peer is selected exactly when the wait has ended
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -267,8 +267,8 @@
     "the document comes by another way and another peer advertises revision 10"
 )
 def advertise_later_document(context: runner.Context) -> None:
-    for _ in context.fetches:
-        context.selector.end_fetch()
+    for fetch, _ in context.fetches:
+        context.selector.end_fetch(fetch.peer, has_brought_document=False)
     context.later_peer = peerlink.PeerAddress(settings.Address("10.0.0.2", 1), 1)
     position = classes.EntryPosition(0, 0, 10)
     context.selector.record_position(
@@ -284,6 +284,47 @@
     assert not fetch.needs_new_link
 
 
+@behave.when(
+    "a peer advertises {n_changes:d} changes, one every {interval_ms:d} ms, and "
+    "answers fetches after 0.1 s"
+)
+def advertise_series(context: runner.Context, n_changes: int, interval_ms: int) -> None:
+    peer = peerlink.PeerAddress(settings.Address("10.0.0.1", 1), 1)
+    selector = context.selector
+    own = first = context.own_position
+    advertised_ms: dict[int, int] = {}
+    context.delays_ms = []
+    context.max_outdated_seconds = 0.0
+    replies: list[tuple[int, classes.EntryPosition]] = []
+    newest = first
+    for now_ms in range(0, n_changes * interval_ms + 10_000, 10):
+        now = now_ms / 1000
+        if now_ms % interval_ms == 0 and len(advertised_ms) < n_changes:
+            newest = classes.EntryPosition(0, 0, newest.revision + 1)
+            advertised_ms[newest.revision] = now_ms
+            selector.record_position(peer, newest, own, True, now)
+        while replies and replies[0][0] <= now_ms:
+            _, position = replies.pop(0)
+            for revision in range(own.revision + 1, position.revision + 1):
+                context.delays_ms.append(now_ms - advertised_ms[revision])
+            own = max(own, position)
+            selector.end_fetch(peer, has_brought_document=True)
+        outdated_seconds = selector.get_outdated_seconds(own, now)
+        context.max_outdated_seconds = max(
+            context.max_outdated_seconds, outdated_seconds
+        )
+        if selector.take_fetch(own, now) is not None:
+            replies.append((now_ms + 100, newest))
+    assert own == newest, (own, newest)
+
+
+@behave.then("each change is fetched within 2 s and the store is not read for any")
+def check_series(context: runner.Context) -> None:
+    assert max(context.delays_ms) <= 2000, context.delays_ms
+    # A daemon that lacks a document for 1 s reads it from the store.
+    assert context.max_outdated_seconds < 1.0, context.max_outdated_seconds
+
+
 @behave.when(
     "a peer in another zone advertises a newer revision at {n_times:d} random times"
 )
