--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -98,6 +98,8 @@
         if not _reserve(port):
             continue
         with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            # As for the listeners themselves, closed connections keep no port in use.
+            tcp.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
             with contextlib.suppress(OSError):
                 tcp.bind((host, port))
                 udp.bind((host, port))
