Contacts: claim soon after an outage, and as rarely from a large zone as a small

Callers saw: after an outage of the store in which the contacts had ended, no daemon followed the configuration for up to 45 s: later changes were not in force. Cause: every daemon of the zone claims while there are no contacts, and the pause after failed claims grew to 30 s times 0.5 to 1.5. Nothing tells daemons that aren't contacts that the store is back. Ruled out: a shorter pause for all, since the calls of a zone would rise with its size; they did so before, as the pause had a fixed maximum. Fix: the longest pause is 1.5 s times the number of the zone's daemons. The zone as a whole claims every 1.5 s on average, whatever its size. In a large zone no daemon claims for 3 s with some 13 %, as calculated; contacts of other zones spread the change then.

--- a/umberdrum/configuration/__init__.py
+++ b/umberdrum/configuration/__init__.py
@@ -1,5 +1,6 @@
 """Operators' configuration: kept in the store, distributed by a few contacts."""
 
+from umberdrum.configuration._claim_delay import ClaimDelay
 from umberdrum.configuration._contacts import ContactKeys, ContactManager
 from umberdrum.configuration._documents import (
     ZONE_DRAINS_NAME_PREFIX,
@@ -25,6 +26,7 @@
 
 __all__ = [
     "ZONE_DRAINS_NAME_PREFIX",
+    "ClaimDelay",
     "ClassChange",
     "ClassRepository",
     "ConfigurationWatcher",
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -41,12 +41,9 @@
 MIN_LIST_INTERVAL_SECONDS = 1.0
 LIST_INTERVAL_GROWTH = 4.0
 MAX_LIST_INTERVAL_SECONDS = 30.0
-MAX_CLAIM_BACKOFF_SECONDS = 30.0
 # Users require a daemon to follow the store again 3 s after the store recovers. Every
 # daemon that starts meanwhile reads the store.
 MAX_START_RETRY_PERIOD_SECONDS = 1.75
-# While no daemon can reach the store, every daemon finds too few contacts and claims.
-MIN_CLAIM_BACKOFF_SECONDS = 2.0
 
 
 def build_members_prefix(store_prefix: str) -> str:
@@ -211,14 +208,13 @@
 
     async def _act_as_contact_when_needed(self) -> None:
         """Act as a contact whenever the zone needs one, until cancelled."""
-        backoff = MIN_CLAIM_BACKOFF_SECONDS
         while True:
             await self._wait_until_contact_needed()
             if not await self._claim_key():
-                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-                backoff = min(MAX_CLAIM_BACKOFF_SECONDS, backoff * 2)
+                n_members = self._count_zone_members()
+                await trio.sleep(self._claim_delay.draw_retry_seconds(n_members))
                 continue
-            backoff = MIN_CLAIM_BACKOFF_SECONDS
+            self._claim_delay.record_success()
             try:
                 await self._act_as_contact()
             finally:
--- a/umberdrum/configuration/tests/configuration.feature
+++ b/umberdrum/configuration/tests/configuration.feature
@@ -39,6 +39,17 @@
       | 9 | 0.5     | 0.25  | 1.25 |
       | 9 | 2.0     | 0.0   | 0.1  |
 
+  Scenario Outline: A zone of <n> daemons whose claims all fail for 600 s
+    Given a zone of <n> daemons
+    When their claims fail for 600 s
+    Then they claim from <least> to <most> times in the last 300 s
+
+    Examples:
+      | n   | least | most |
+      | 1   | 150   | 300  |
+      | 4   | 150   | 300  |
+      | 100 | 150   | 300  |
+
   Scenario Outline: The catalog follows the store and no revision decreases
     Given a watcher that follows a store with classes "a" and "b"
     When "<event>" happens
--- a/umberdrum/configuration/tests/configuration_steps.py
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -147,6 +147,28 @@
     assert len(set(context.pauses)) > N_SEEDS / 2
 
 
+@behave.given("a zone of {n:d} daemons")
+def set_zone_size(context: runner.Context, n: int) -> None:
+    context.n_members = n
+
+
+@behave.when("their claims fail for {seconds:d} s")
+def fail_claims(context: runner.Context, seconds: int) -> None:
+    context.claim_times = []
+    for seed in range(context.n_members):
+        delay = configuration.ClaimDelay(random.Random(seed))
+        now = 0.0
+        while now < seconds:
+            now += delay.draw_retry_seconds(context.n_members)
+            context.claim_times.append(now)
+
+
+@behave.then("they claim from {least:d} to {most:d} times in the last {last:d} s")
+def check_claims(context: runner.Context, least: int, most: int, last: int) -> None:
+    n_late = sum(1 for at in context.claim_times if last <= at < 2 * last)
+    assert least <= n_late <= most, n_late
+
+
 class WatcherRun:
     """Watcher with its own shared state; counts revisions that decrease."""
 
