Metrics: report the watch of the store of a contact

Operators saw: neither log nor metrics told whether the watch was silent. The age of the store rises and falls with the renewals, which go on. Cause: the watch's answers were counted with those of all other calls. Evidence: contacts.feature, "A daemon's own output doesn't tell a silent watch", failed before: no contact reports a watch. Ruled out: a line for each answer of the watch, whose number is unbounded. Fix: contacts report the dependency `store_watch` in `umberdrum_dependency_up` and `umberdrum_dependency_age_seconds`; other daemons don't, so that its absence is no alarm. `store_watch_reopened` tells the age of the last answer; there is at most one line for each renewal. Result: the scenario passes, with the metrics page's own (platform.feature).

--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -38,6 +38,8 @@
 
     A waiting watch does not show whether its connection is still alive. ``reopen``
     continues it on a new connection, from the revision that it had reached.
+
+    ``is_running`` is set on contacts only, ``is_following`` while a watch is open.
     """
 
     def __init__(
@@ -55,12 +57,23 @@
         self._log = log
         self._follow_scope = trio.CancelScope()
         self._watch_scope = trio.CancelScope()
+        self._watch: store.Watch | None = None
         self._is_pausing = False
+        self._answered_at: float | None = None
+        self.is_running = False
         self.is_following = False
 
+    @property
+    def last_answer_at(self) -> float | None:
+        """Time of the last answer to a listing or a watch, None before the first."""
+        if self._watch is not None and self._watch.last_answer_at is not None:
+            return self._watch.last_answer_at
+        return self._answered_at
+
     async def run(self) -> None:
         """Follow the store until cancelled, with pauses while it does not answer."""
         retry_pause = _retry_pause.RetryPause(self._rng, MAX_RETRY_PERIOD_SECONDS)
+        self.is_running = True
         try:
             while True:
                 began_at = trio.current_time()
@@ -73,6 +86,7 @@
                 self.is_following = False
                 self._is_pausing = False
         finally:
+            self.is_running = False
             self.is_following = False
             self._is_pausing = False
 
@@ -80,6 +94,8 @@
         listed = await self.read_documents()
         if listed is None:
             return
+        self._watch = None
+        self._answered_at = trio.current_time()
         self._state.merge_entries(listed.entries)
         await self._follow_changes(_Position(listed.revision + 1, listed.era))
 
@@ -97,7 +113,9 @@
             return
         if not self.is_following or self._watch_scope.cancel_called:
             return
-        self._log.write("store_watch_reopened", reason=reason)
+        answered_at = self.last_answer_at
+        age = None if answered_at is None else trio.current_time() - answered_at
+        self._log.write("store_watch_reopened", reason=reason, age_seconds=age)
         self._watch_scope.cancel()
 
     async def read_documents(self) -> ListedDocuments | None:
@@ -135,6 +153,8 @@
             async with self._store.watch(
                 self._prefix, position.next_revision, position.era
             ) as watch:
+                self._answered_at = self.last_answer_at
+                self._watch = watch
                 self.is_following = True
                 with trio.CancelScope() as self._watch_scope:
                     await self._merge_changes(watch)
--- a/umberdrum/daemon/_metric_page.py
+++ b/umberdrum/daemon/_metric_page.py
@@ -6,6 +6,7 @@
     accounts,
     announcements,
     callpath,
+    configuration,
     gossip,
     logs,
     measuring,
@@ -32,6 +33,7 @@
     budget: measuring.MeasuringBudget
     counter: store.StoreCallCounter
     eras: store.EraTracker
+    watcher: configuration.ConfigurationWatcher
     writer: logs.LineWriter
     statistics: callpath.CallStatistics
     announcement_tracker: announcements.AnnouncementTracker
--- a/umberdrum/daemon/_metrics.py
+++ b/umberdrum/daemon/_metrics.py
@@ -164,7 +164,10 @@
 
 
 class _DependencyCollector(registry.Collector):
-    """State of store, upstream and peers, and the time since each was last seen."""
+    """State of store, upstream and peers, and the time since each was last seen.
+
+    A contact also reports its watch of the store, as ``store_watch``.
+    """
 
     def __init__(self, sources: _metric_page.MetricSources) -> None:
         self._sources = sources
@@ -195,7 +198,8 @@
         announcement_tracker = sources.announcement_tracker
         exchange = sources.exchange
         has_peers = sources.state.table.n_live > 1
-        return [
+        watcher = sources.watcher
+        dependencies = [
             _Dependency("store", counter.is_answering, counter.last_answer_at),
             _Dependency(
                 "upstream",
@@ -204,6 +208,11 @@
             ),
             _Dependency("peers", has_peers, exchange.last_received_at),
         ]
+        if watcher.is_running:
+            dependencies.append(
+                _Dependency("store_watch", watcher.is_following, watcher.last_answer_at)
+            )
+        return dependencies
 
 
 def _list_buckets(
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -206,6 +206,9 @@
         documents_prefix = configuration.build_documents_prefix(prefix)
         if integration.routes is not None:
             documents_prefix = integration.routes.keys_prefix
+        watcher = configuration.ConfigurationWatcher(
+            self._store, documents_prefix, self.state, rng, log
+        )
         self.contact_manager = configuration.ContactManager(
             self._store,
             configuration.ContactKeys(
@@ -216,9 +219,7 @@
             ),
             self.state,
             self.exchange,
-            configuration.ConfigurationWatcher(
-                self._store, documents_prefix, self.state, rng, log
-            ),
+            watcher,
             own_settings.seeds,
             rng,
             log,
@@ -257,6 +258,7 @@
                 budget,
                 counter,
                 self._store.eras,
+                watcher,
                 writer,
                 self.statistics,
                 self.announcement_tracker,
--- a/umberdrum/store/_etcd.py
+++ b/umberdrum/store/_etcd.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator
 
 import expression
+import trio
 
 from umberdrum import errors, jsonclient, settings
 from umberdrum.store import _calls, _eras, _store
@@ -196,6 +197,7 @@
     def __init__(self, stream: jsonclient.JsonStream, from_revision: int) -> None:
         self._stream = stream
         self.next_revision = from_revision
+        self.last_answer_at: float | None = None
 
     async def receive(
         self,
@@ -205,6 +207,7 @@
             received = await self._stream.receive()
             if received.is_error():
                 return expression.Error(received.error)
+            self.last_answer_at = trio.current_time()
             result = received.ok.get("result", {})
             compacted_revision = int(result.get("compact_revision", 0))
             if result.get("canceled") and not compacted_revision:
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -80,10 +80,12 @@
 class Watch(Protocol):
     """Open watch of the changes below one prefix.
 
-    All changes before ``next_revision`` have been received.
+    All changes before ``next_revision`` have been received. ``last_answer_at`` is the
+    time of the last answer, also of one without changes, None before the first.
     """
 
     next_revision: int
+    last_answer_at: float | None
 
     async def receive(self) -> expression.Result[WatchBatch, errors.Failure]:
         """Return the next batch, or the failure that ended the watch."""
