Headers: accept the request ids of deeply nested calls

Callers saw: 400 for a request whose id has more than 128 characters.

Cause: the limit was chosen for ids of one caller.

Why it works: 512 characters leave room for 30 levels; the record of outcomes, with 100,000 ids at most, then holds 51 MB of ids at worst.

--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -11,7 +11,8 @@
 HeaderFields = list[tuple[bytes, bytes]]
 
 MAX_DEADLINE_MS = 900_000
-_REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,128}")
+MAX_REQUEST_ID_CHARACTERS = 512
+_REQUEST_ID_PATTERN = re.compile(rb"[!-~]{1,%d}" % MAX_REQUEST_ID_CHARACTERS)
 _DEADLINE_PATTERN = re.compile(rb"-?[0-9]+(\.[0-9]+)?")
 _HOP_BY_HOP = frozenset(
     (
@@ -67,7 +68,8 @@
             service = value
         elif name == dialect.request_id:
             if not _REQUEST_ID_PATTERN.fullmatch(value):
-                return _reject_field(name, "1 to 128 visible characters", value)
+                expected = f"1 to {MAX_REQUEST_ID_CHARACTERS} visible characters"
+                return _reject_field(name, expected, value)
             request_id = value
         elif name == dialect.deadline_ms:
             deadline_ms = _parse_deadline_ms(value)
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -72,6 +72,11 @@
       | GET /look HTTP/1.1~Host: pay~Connection: close~umberdrum-deadline-ms: 900001~~     |
       | GET /look HTTP/1.1~Host: pay~Connection: close~umberdrum-deadline-ms: 3600000000~~ |
 
+  # Clients append an id of their own to that of the call that they run.
+  Scenario: The id of a call nested nine deep was refused as malformed
+    When a caller sends "GET /look HTTP/1.1~Host: pay~Connection: close~umberdrum-request-id: 0123456789abcdef.0123456789abcdef.0123456789abcdef.0123456789abcdef.0123456789abcdef.0123456789abcdef.0123456789abcdef.0123456789abcdef.0123456789abcdef~~"
+    Then it gets the upstream's response to a body of 0 bytes
+
   # Some clients send an empty line after a body.
   Scenario Outline: A request behind an empty line was refused as malformed
     When a caller sends "<request>"
