Upstream: only the application's responses are passed on as answers

Callers would see: a 4xx, or a success, that the application never gave, but the software in front of it or a faulty endpoint. On the platform each answer of an application carries a stamp; without it a 404 reads as the system's own.

Cause: any response with the id of the request was passed on. The adapter's dialect didn't name the header that proves the origin.

Ruled out: responses with "not run" (503 for callers, as before), and a repeated response to an earlier request, which its id identifies.

Why it works: a dialect may name a receipt. A response below 500 without it is invalid (502, may have run), its connection is closed, and an idempotent call is tried elsewhere. Server errors are passed on as before. The library's own dialect names none.

--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -20,6 +20,7 @@
 MS_PER_SECOND = 1000.0
 SHED_STATUS = 503
 MISDIRECTED_STATUS = 421
+MIN_SERVER_ERROR = 500
 MAX_BUFFERED_RESPONSE_BYTES = 65_536
 RESPONSE_GRACE_SECONDS = 0.25
 # An upstream that sheds at random is as likely to serve a call now as later, and an
@@ -132,6 +133,8 @@
         if refusal is not None:
             await upstream.relay_body(_sinks.DiscardingSink())
             return expression.Error(refusal)
+        if self._lacks_receipt(head):
+            return expression.Error(_build_receipt_failure(head))
         now = trio.current_time()
         load = self._record_upstream_load(head)
         self._log.write(
@@ -174,6 +177,16 @@
             return expression.Ok(report)
         return expression.Error(build_overdue_failure(call))
 
+    def _lacks_receipt(self, head: _call.HttpResponseHead) -> bool:
+        """Return whether a response may not be the application's.
+
+        A server error tells the caller nothing that such a response could falsify.
+        """
+        name = self._dialect.receipt
+        if not name or head.status >= MIN_SERVER_ERROR:
+            return False
+        return _headers.get_header(head.headers, name) is None
+
     def _record_upstream_load(
         self, head: _call.HttpResponseHead
     ) -> _upstream_load.UpstreamLoad | None:
@@ -227,6 +240,14 @@
     )
 
 
+def _build_receipt_failure(head: _call.HttpResponseHead) -> errors.Failure:
+    return errors.fail(
+        errors.ErrorKind.UPSTREAM_INVALID_ANSWER,
+        f"upstream: status {head.status} without the application's receipt",
+        errors.Execution.MAY_HAVE_RUN,
+    )
+
+
 def _fits_buffer(head: _call.HttpResponseHead) -> bool:
     """Return whether the response is short enough to be buffered until complete."""
     length = _headers.get_header(head.headers, b"content-length")
