Planned stop: refuse late requests that may outlast the grace period

In a planned stop, requests that were read late in the grace period were passed on to an endpoint elsewhere. At the end of the period they were cut: the caller got 504 "outcome-unknown" for a payment that had just begun, or a close without an answer.

Cause: the endpoint daemon refuses calls whose deadline lies beyond its end (ends_at), but the entry daemon made every call that it read, up to its last moment. Such requests are those whose head or body arrives slowly, on a connection from before the stop, and those that wait behind another response: when that was cut at the end, the next request on the connection was begun, and the daemon ended 0.1 s later.

Evidence, on the code before this change (late_requests.feature, grace period of 2 s, 0.5 s of work, deadline of 5 s): a payment complete 1.1, 1.9 and 1.99 s after the stop and a look-up at 1.9 s ran and ended as "outcome-unknown/may-have-run" at 2.0 s; a payment behind a call that hangs got no response (`['outcome-unknown/may-have-run', '0']`). Three rows for a daemon that is entry and endpoint in one failed only in the kind: "no-endpoint" where "endpoint-leaving" is expected, both not run.

Ruled out, by rows that passed before: calls with a deadline within the period; callers that send without a pause on kept, new and pipelined connections through the whole stop, at an entry daemon and at one that is both; uploads whose end is late (answered, or 504 at the end of the period).

The entry daemon now checks before each attempt, hedges and retries included. From the middle of the grace period on, a call begins only if its deadline lies within the period; otherwise it is refused as not run, at once. In the first half every call begins: it has the other half to end, and a caller whose daemon stops can't be served better elsewhere. The decision is in callpath/_stop_period.py, without I/O.

Open: a call from the first half that is still at work at the end of the period gets 504 there, and so does an upload that was routed before the stop and whose end arrives too late to be run in time. The outcome is then unknown.

--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -46,6 +46,7 @@
     LatencyHistogram,
     TargetReport,
 )
+from umberdrum.callpath._stop_period import build_stop_period
 from umberdrum.callpath._sync import Synchronizer
 from umberdrum.callpath._upstream import (
     UpstreamConnection,
@@ -96,6 +97,7 @@
     "UpstreamPool",
     "UpstreamProber",
     "WholeBody",
+    "build_stop_period",
     "decode_load",
     "encode_load",
     "filter_request_headers",
--- a/umberdrum/callpath/_attempt_sequence.py
+++ b/umberdrum/callpath/_attempt_sequence.py
@@ -42,6 +42,9 @@
     def is_drained(self, service: str) -> bool:
         """Return whether all endpoints of ``service`` are in drained zones."""
 
+    def find_refusal(self, call: _call.Call) -> errors.Failure | None:
+        """Return why the call may make no further attempt, None if it may."""
+
     def choose(
         self,
         service: str,
@@ -99,6 +102,9 @@
         self._budget.record_call()
         last_result: _endpoint.CallResult | None = None
         while True:
+            refusal = self._entry.find_refusal(self._call)
+            if refusal is not None:
+                return self._merge_execution(refusal)
             decision = self._choose()
             if decision is None:
                 return last_result or expression.Error(
@@ -191,6 +197,8 @@
         index = self.n_attempts
         if not self._allowance.allows(index):
             return
+        if self._entry.find_refusal(self._call) is not None:
+            return
         decision = self._choose()
         if decision is None or decision.candidate.is_suspected:
             return
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -31,6 +31,7 @@
     _sinks,
     _startup_period,
     _statistics,
+    _stop_period,
 )
 
 MS_PER_SECOND = 1000.0
@@ -108,6 +109,8 @@
         self._log = log
         self.hedge_scheduler = _hedging.HedgeScheduler(tasks)
         self._startup_period = _startup_period.StartupPeriod(trio.current_time())
+        # Set while the daemon stops.
+        self.stop_period: _stop_period.StopPeriod | None = None
 
     async def handle(
         self,
@@ -296,6 +299,12 @@
         """Return the retry budget towards ``service``."""
         return self._budgets.get_budget(service)
 
+    def find_refusal(self, call: _call.Call) -> errors.Failure | None:
+        """Return why the call may make no further attempt, None if it may."""
+        if self.stop_period is None:
+            return None
+        return self.stop_period.find_refusal(call.deadline, trio.current_time())
+
     def is_drained(self, service: str) -> bool:
         """Return whether all endpoints of ``service`` are in drained zones."""
         return self._directory.is_drained(service)
--- /dev/null
+++ b/umberdrum/callpath/_stop_period.py
@@ -0,0 +1,34 @@
+"""Decision which calls a daemon that stops may still begin."""
+
+from typing import NamedTuple
+
+from umberdrum import errors
+
+# A call that begins in this first share of the grace period is likely to end within the
+# rest of it, whatever its deadline.
+EARLY_SHARE = 0.5
+
+
+class StopPeriod(NamedTuple):
+    """Times of a stop in seconds of the monotonic clock.
+
+    Load pattern: requests whose head or body arrives slowly, or that wait behind others
+    on their connection, are read until the end of the grace period. A call that begins
+    from ``late_from`` on must have its deadline by ``ends_at``, when the daemon cuts
+    the calls that are in progress.
+    """
+
+    late_from: float
+    ends_at: float
+
+    def find_refusal(self, deadline: float, now: float) -> errors.Failure | None:
+        """Return why a call must not begin now, None if it may."""
+        if now < self.late_from or deadline <= self.ends_at:
+            return None
+        detail = "the daemon may end before the deadline"
+        return errors.fail(errors.ErrorKind.ENDPOINT_LEAVING, detail)
+
+
+def build_stop_period(now: float, grace_seconds: float) -> StopPeriod:
+    """Return the times of a stop that begins now."""
+    return StopPeriod(now + EARLY_SHARE * grace_seconds, now + grace_seconds)
--- a/umberdrum/daemon/_shutdown.py
+++ b/umberdrum/daemon/_shutdown.py
@@ -2,7 +2,7 @@
 
 import trio
 
-from umberdrum import logs, settings, sockets, supervision
+from umberdrum import callpath, logs, settings, sockets, supervision
 from umberdrum.daemon import _listeners, _parts
 
 FINAL_GOSSIP_SECONDS = 1.0
@@ -27,7 +27,8 @@
        their last response.
     4. Peer links and control connections are closed.
 
-    Calls that are still in progress after the grace period are cut off. An error in one
+    Requests that are read late in the grace period are refused if their deadline lies
+    beyond it. Calls that are still in progress after it are cut off. An error in one
     step is logged and keeps none of the others from being taken.
     """
 
@@ -45,7 +46,10 @@
         self._error_log = error_log
         self._n_ready_failures = own_settings.n_ready_failures
         now = trio.current_time()
-        self._grace_until = now + own_settings.grace_ms / MS_PER_SECOND
+        self._stop_period = callpath.build_stop_period(
+            now, own_settings.grace_ms / MS_PER_SECOND
+        )
+        self._grace_until = self._stop_period.ends_at
         self._accept_until = min(
             now + own_settings.leave_accept_ms / MS_PER_SECOND, self._grace_until
         )
@@ -58,6 +62,7 @@
         self._log.write("stopping", in_progress=parts.watch.n_watched)
         parts.reporter.is_stopping = True
         parts.endpoint.ends_at = self._grace_until
+        parts.entry.stop_period = self._stop_period
         with self._error_log.suppress("shutdown"):
             parts.contact_manager.leave()
         if self._is_accepting:
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -49,6 +49,7 @@
 importlib.import_module("umberdrum.callpath.tests.cut_response_steps")
 importlib.import_module("umberdrum.callpath.tests.deadlines_steps")
 importlib.import_module("umberdrum.callpath.tests.hostile_steps")
+importlib.import_module("umberdrum.callpath.tests.late_requests_steps")
 importlib.import_module("umberdrum.callpath.tests.peer_stop_steps")
 importlib.import_module("umberdrum.callpath.tests.repeated_refusal_steps")
 # The adapter is outside the library, in a folder that must not be a package: a package
