Planned stop: refuse requests that are still being received at its end

A caller whose request was still arriving when a stopping daemon ended got a close without an answer, and could not know whether the request had run.

Cause: the end of the grace period cancelled the calls in progress, but not the reading of requests. The connection was then closed with the daemon's tasks.

Nothing of these requests was passed on, so that the refusal as not run is true. An upload of more than 64 KiB is routed before it is complete; it keeps its 504, because its outcome is not known at the entry daemon.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -56,6 +56,7 @@
         self._closed = trio.Event()
         self._is_ending = False
         self._call_scopes: set[trio.CancelScope] = set()
+        self._receive_scopes: set[trio.CancelScope] = set()
 
     async def serve(self, connection: sockets.Connection) -> None:
         """Serve the requests of one connection until it ends."""
@@ -87,10 +88,11 @@
     def end_calls(self) -> None:
         """Refuse the requests in progress, whose outcome is unknown to their callers.
 
-        A response that was started stays incomplete.
+        A response that was started stays incomplete. Requests that are still being
+        received are refused as not run.
         """
         self._is_ending = True
-        for scope in list(self._call_scopes):
+        for scope in [*self._call_scopes, *self._receive_scopes]:
             scope.cancel()
 
     async def wait_closed(self) -> None:
@@ -143,10 +145,9 @@
             pipeline.start_receiving()
             try:
                 waited_seconds = 0.0 if unparsed else self._get_wait_seconds(pipeline)
-                request = await exchange.receive_request(waited_seconds)
-                if request is None:
+                received = await self._receive_request(exchange, waited_seconds)
+                if received is None:
                     return
-                body = await exchange.receive_first_body_part()
             except _call.BodyLostError as fault:
                 await pipeline.wait_for_turn()
                 await exchange.refuse(fault.failure, "")
@@ -160,8 +161,32 @@
             is_first = False
             unparsed = exchange.get_unparsed()
             pipeline.has_unparsed = bool(unparsed)
+            request, body = received
             await self._start(pipeline, exchange, request, body)
 
+    async def _receive_request(
+        self, exchange: _caller_exchange.CallerExchange, waited_seconds: float
+    ) -> tuple[_entry.IncomingRequest, _call.RequestBody] | None:
+        """Return a request with the first part of its body, None if there is none.
+
+        Raises ``BodyLostError``, also if the calls are ended first.
+        """
+        with trio.CancelScope() as scope:
+            self._receive_scopes.add(scope)
+            try:
+                if self._is_ending:
+                    scope.cancel()
+                request = await exchange.receive_request(waited_seconds)
+                if request is None:
+                    return None
+                return request, await exchange.receive_first_body_part()
+            finally:
+                self._receive_scopes.discard(scope)
+        detail = "the daemon ended before the request was received"
+        raise _call.BodyLostError(
+            errors.fail(errors.ErrorKind.ENDPOINT_LEAVING, detail)
+        )
+
     def _must_stop_reading(self, pipeline: _request_pipeline.RequestPipeline) -> bool:
         """Return whether this server closes and takes no more from the connection."""
         if not self.is_closing:
--- a/umberdrum/callpath/tests/late_requests.feature
+++ b/umberdrum/callpath/tests/late_requests.feature
@@ -23,6 +23,16 @@
       | both  | look  | the head | 1.9     | 5000     | 0.5     | endpoint-leaving/not-run       | 0    |
       | both  | pay   | an end   | 1.9     | 5000     | 0.5     | endpoint-leaving/not-run       | 0    |
 
+  Scenario Outline: A <class> request that is still arriving when the daemon ends
+    When <part> of a <class> request of 5000 ms arrives 9 s after the <role> daemon stops, and it runs for 0.1 s
+    Then the caller gets a whole response of "<result>" within 2.2 s, after 0 runs
+
+    Examples:
+      | role  | class | part     | result                   |
+      | entry | pay   | the head | endpoint-leaving/not-run |
+      | entry | pay   | the body | endpoint-leaving/not-run |
+      | both  | look  | the head | endpoint-leaving/not-run |
+
   Scenario: An upload that is still arriving when the daemon ends
     When an end of a pay request of 5000 ms arrives 9 s after the entry daemon stops, and it runs for 0.1 s
     Then the caller gets a whole response of "outcome-unknown/may-have-run" within 2.2 s, after 0 runs
