--- a/umberdrum/store/tests/store.feature
+++ b/umberdrum/store/tests/store.feature
@@ -82,3 +82,12 @@
     Given a store in which "k" is absent
     When a call and a waiting watch have opened a connection each
     Then the kernel is told to end both after at most 2 s of silence
+
+  Scenario Outline: A response that the store sends twice <moment> answers one request
+    When a store sends the response to a refused write twice <moment>, and another write follows
+    Then the first write is refused and the second one gets its own response
+
+    Examples:
+      | moment      |
+      | at once     |
+      | 50 ms apart |
