Zone simulation: count the same calls in both parts of the share in time

Cause: it divided the calls that ended in time within 12 s by those that began within the same 12 s. Calls still running at the end counted as late, and calls begun in the warm-up counted when they ended. Zone 0 has more calls at the end than at the beginning, so that each policy lost some 0.004, and one that keeps calls in their zone, where they take a little longer, lost more.

A call counts now if it begins within the 12 s, and has its whole target to end. All comparisons and bounds are the same; the wrong part could favour either side. The target is a field of the pattern, for a pattern in which calls are late at all.

--- a/umberdrum/routing/tests/zone_simulation.py
+++ b/umberdrum/routing/tests/zone_simulation.py
@@ -28,7 +28,7 @@
 
     Each endpoint tells each entry daemon its load at random moments, with a mean pause
     of ``report_seconds``, or never if that is 0. The rates of ``later`` replace those
-    of ``per_second`` half way.
+    of ``per_second`` half way. A call is in time if it ends within ``target_seconds``.
     """
 
     n_endpoints: Sequence[int]
@@ -36,13 +36,15 @@
     later: Sequence[float] | None = None
     report_seconds: float = 1.0
     seconds: float = 12.0
+    target_seconds: float = TARGET_SECONDS
 
 
 class Result(NamedTuple):
     """Share of calls in time, calls that left their zone, and the spill shares.
 
-    ``n_left`` counts them by the zone of their callers. ``shares`` holds the mean share
-    of the first zone's routers, every 0.1 s.
+    Calls that begin in the warm-up or after the pattern don't count. ``n_left`` counts
+    them by the zone of their callers. ``shares`` holds the mean share of the first
+    zone's routers, every 0.1 s.
     """
 
     in_time: float
@@ -116,6 +118,7 @@
         self._n_calls = 0
         self._n_in_time = 0
         self._n_left = [0] * len(pattern.n_endpoints)
+        self._end_at = WARM_UP_SECONDS + pattern.seconds
         self._shares: list[float] = []
         for zone, n_endpoints in enumerate(pattern.n_endpoints):
             for index in range(n_endpoints):
@@ -146,10 +149,9 @@
                 for endpoint in self._endpoints.values():
                     self._schedule_report(router, endpoint)
         self._run_until(WARM_UP_SECONDS)
-        self._n_calls = self._n_in_time = 0
-        self._n_left = [0] * len(self._routers)
         self.schedule(0.1, self._record_share)
-        self._run_until(WARM_UP_SECONDS + self._pattern.seconds)
+        # The last calls have their whole target to end.
+        self._run_until(self._end_at + self._pattern.target_seconds)
         return Result(self._n_in_time / self._n_calls, self._n_left, self._shares)
 
     def _run_until(self, end_at: float) -> None:
@@ -165,7 +167,8 @@
         ]
         if shares:
             self._shares.append(sum(shares) / len(shares))
-        self.schedule(0.1, self._record_share)
+        if self.now < self._end_at:
+            self.schedule(0.1, self._record_share)
 
     def _schedule_report(self, router: routing.Router, endpoint: _Endpoint) -> None:
         if not self._pattern.report_seconds:
@@ -197,15 +200,17 @@
     def _call(self, zone: int) -> None:
         router = self.rng.choice(self._routers[zone])
         began_at = self.now
-        attributes = routing.CallAttributes(0, TARGET_SECONDS)
+        is_counted = WARM_UP_SECONDS <= began_at < self._end_at
+        target_seconds = self._pattern.target_seconds
+        attributes = routing.CallAttributes(0, target_seconds)
         decision = router.choose(
             CLASS_NAME, self._candidates, frozenset(), self.now, attributes
         )
         assert decision is not None
         candidate = decision.candidate
         is_home = candidate.availability_zone == f"z{zone}"
-        self._n_calls += 1
-        self._n_left[zone] += not is_home
+        self._n_calls += is_counted
+        self._n_left[zone] += is_counted and not is_home
         one_way = WITHIN_ZONE_SECONDS if is_home else BETWEEN_ZONES_SECONDS
         handle = router.start_attempt(candidate.key, CLASS_NAME, self.now)
         endpoint = self._endpoints[candidate.key]
@@ -219,7 +224,8 @@
 
                 def end() -> None:
                     total_seconds = self.now - began_at
-                    self._n_in_time += total_seconds <= TARGET_SECONDS
+                    is_in_time = total_seconds <= target_seconds
+                    self._n_in_time += is_counted and is_in_time
                     observation = routing.Observation(
                         routing.AttemptResult.ANSWERED,
                         total_seconds,
