Forget a newer document that no daemon has any more

Seen: where all daemons that had a change ended after they had told of it, and the store lost it in a restore from an older copy, every daemon that had heard of it stayed outdated for good: up to one fetch every 4 s from each peer that was gone, and reads of the store by every daemon of the fleet for as long as it ran.

Now a peer is forgotten after five fetches without an answer (0, 0.3, 0.9, 2.1 and 4.5 s after the first) unless it advertises again, and the position with the last peer that advertised it. While a peer advertises, it is asked every 4 s. Not run on whole daemons: a restore with the loss of all daemons that had the change.

--- a/umberdrum/gossip/_fetch_selector.py
+++ b/umberdrum/gossip/_fetch_selector.py
@@ -13,6 +13,8 @@
 FETCH_PATIENCE_SECONDS = 0.3
 MAX_FETCHES = 4
 MAX_RETRY_SECONDS = 4.0
+# The last one begins 4.5 s after the first, by when gossip suspects an ended peer.
+MAX_FETCHES_PER_ADVERTISEMENT = 5
 
 
 class Fetch(NamedTuple):
@@ -30,12 +32,13 @@
     """Peer with a newer catalog.
 
     ``n_fetches`` were begun from it since one last brought a document, the last one at
-    ``began_at``.
+    ``began_at``, and ``n_since_advertised`` since it last advertised ``position``.
     """
 
     position: classes.EntryPosition
     is_same_zone: bool
     n_fetches: int = 0
+    n_since_advertised: int = 0
     began_at: float = -math.inf
 
 
@@ -64,6 +67,10 @@
     Third, changes follow each other so fast that a newer one is known whenever one
     arrives. The waits and pauses for one document don't count for the next.
 
+    Fourth, all daemons that had a change have ended, and the store has lost it in a
+    restore. A peer that does not advertise it again is forgotten after
+    ``MAX_FETCHES_PER_ADVERTISEMENT`` fetches, and the position with the last such peer.
+
     ``take_fetch`` begins a fetch, ``end_fetch`` must follow when it has ended.
     """
 
@@ -93,7 +100,9 @@
             self._heard.append(_HeardPosition(position, now))
         known = self._advertisers.pop(peer, None)
         advertiser = known or _Advertiser(position, is_same_zone)
-        self._advertisers[peer] = advertiser._replace(position=position)
+        self._advertisers[peer] = advertiser._replace(
+            position=position, n_since_advertised=0
+        )
         return True
 
     def is_outdated(self, own_position: classes.EntryPosition) -> bool:
@@ -129,7 +138,9 @@
             return None
         chosen = self._advertisers[best_peer]
         self._advertisers[best_peer] = chosen._replace(
-            n_fetches=chosen.n_fetches + 1, began_at=now
+            n_fetches=chosen.n_fetches + 1,
+            n_since_advertised=chosen.n_since_advertised + 1,
+            began_at=now,
         )
         self._n_running += 1
         self._last_began_at = now
@@ -139,8 +150,24 @@
         """Record that a fetch from ``peer`` has ended."""
         self._n_running -= 1
         advertiser = self._advertisers.get(peer)
-        if advertiser is not None and has_brought_document:
+        if advertiser is None:
+            return
+        if has_brought_document:
             self._advertisers[peer] = advertiser._replace(n_fetches=0)
+            return
+        if advertiser.n_since_advertised >= MAX_FETCHES_PER_ADVERTISEMENT:
+            self._forget_advertiser(peer)
+
+    def _forget_advertiser(self, peer: peerlink.PeerAddress) -> None:
+        """Forget a peer, and the positions that no other peer has advertised."""
+        del self._advertisers[peer]
+        highest = max(
+            (row.position for row in self._advertisers.values()),
+            default=classes.NO_POSITION,
+        )
+        self._heard = [
+            row._replace(position=min(row.position, highest)) for row in self._heard
+        ]
 
     def get_due_at(self, own_position: classes.EntryPosition) -> float:
         """Return when the next fetch is due; infinite if none is.
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -95,6 +95,18 @@
       | 25 | 80 |
       | 60 | 50 |
 
+  # Daemons that had a change ended, and the store was restored from an older copy.
+  Scenario Outline: A document that no daemon has any more is not fetched for ever
+    Given a daemon at revision 5
+    When <n> peers advertise revision 9 <how> and refuse every fetch for 120 s
+    Then each peer gets at most <n_fetches> fetches and the daemon counts as <state>
+
+    Examples:
+      | n  | how        | n_fetches | state    |
+      | 1  | once       | 5         | current  |
+      | 20 | once       | 5         | current  |
+      | 1  | every 1 s  | 34        | outdated |
+
   Scenario: The wait for a peer in the same zone ends exactly at its due time
     When a peer in another zone advertises a newer revision at 10000 random times
     Then each time the peer is selected exactly when the wait has ended
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -1,5 +1,6 @@
 """Steps for gossip datagrams, updates, synchronisation, probes and rate limit."""
 
+import collections
 import json
 import logging
 import random
@@ -325,6 +326,43 @@
     assert context.max_outdated_seconds < 1.0, context.max_outdated_seconds
 
 
+@behave.when(
+    "{n_peers:d} peers advertise revision 9 {how} and refuse every fetch for 120 s"
+)
+def refuse_fetches(context: runner.Context, n_peers: int, how: str) -> None:
+    peers = [
+        peerlink.PeerAddress(settings.Address("10.0.0.1", 1 + index), 1)
+        for index in range(n_peers)
+    ]
+    context.n_fetches = collections.Counter()
+    for now in range(120):
+        for peer in peers:
+            if now == 0 or how != "once":
+                context.selector.record_position(
+                    peer, NEWER_POSITION, context.own_position, True, float(now)
+                )
+        for tenth in range(10):
+            fetch = context.selector.take_fetch(context.own_position, now + tenth / 10)
+            while fetch is not None:
+                context.n_fetches[fetch.peer] += 1
+                context.selector.end_fetch(fetch.peer, has_brought_document=False)
+                fetch = context.selector.take_fetch(
+                    context.own_position, now + tenth / 10
+                )
+
+
+@behave.then(
+    "each peer gets at most {n_fetches:d} fetches and the daemon counts as {state}"
+)
+def check_refused_fetches(context: runner.Context, n_fetches: int, state: str) -> None:
+    assert max(context.n_fetches.values()) <= n_fetches, context.n_fetches
+    is_outdated = context.selector.is_outdated(context.own_position)
+    assert is_outdated == (state == "outdated")
+    assert (
+        context.selector.get_outdated_seconds(context.own_position, 120.0) > 0
+    ) == is_outdated
+
+
 @behave.when(
     "a peer in another zone advertises a newer revision at {n_times:d} random times"
 )
