Read an overdue document at once, whatever the pause after the last one

Seen: a daemon that had failed for a time to get a change, from peers and from the store, served by an older version for more than 2 s after the ack of the next one, although the store answered again.

Cause: the task that reads overdue documents slept through its back-off, up to 45 s, also after the document had come another way, and was blind to the next meanwhile.

Ruled out: the store connection (it is refused and opened anew) and the peers, as the next change is had from the store alone.

Now the schedule is code of its own without input or output, and a pause ends when the daemon lacks nothing any more. The growth of pauses for one document is as before.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -11,6 +11,7 @@
     _claim_delay,
     _introduction,
     _member_list,
+    _overdue_reads,
     _watcher,
 )
 
@@ -42,11 +43,7 @@
 MAX_LOAD_BACKOFF_SECONDS = 2.0
 # A daemon that knows no other daemon cannot serve; it must serve again within 5 s.
 MAX_JOIN_BACKOFF_SECONDS = 2.0
-# Half of the time within which users require a change to be in force. Fetches from up
-# to four peers have failed by then.
-OVERDUE_SECONDS = 1.0
 OVERDUE_CHECK_INTERVAL_SECONDS = 0.4
-MIN_OVERDUE_BACKOFF_SECONDS = 2.0
 # While no daemon can reach the store, every daemon finds too few contacts and claims.
 MIN_CLAIM_BACKOFF_SECONDS = 2.0
 
@@ -183,19 +180,13 @@
             backoff = min(MAX_LOAD_BACKOFF_SECONDS, backoff * 2)
 
     async def _read_overdue_documents(self) -> None:
-        """Read the documents from the store when no peer delivers a newer one.
-
-        Load pattern: the daemons that have a change were stopped, or can no longer be
-        reached, after they had told of it. Each daemon that lacks it then reads the
-        store once, at a time of its own, and seldom again while that does not help.
-        """
-        backoff = MIN_OVERDUE_BACKOFF_SECONDS
+        """Read the documents from the store when no peer delivers a newer one."""
+        reads = _overdue_reads.OverdueReads(self._rng)
         while True:
             interval = OVERDUE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5)
             await trio.sleep(interval)
             outdated_seconds = self._exchange.get_outdated_seconds()
-            if outdated_seconds < OVERDUE_SECONDS:
-                backoff = MIN_OVERDUE_BACKOFF_SECONDS
+            if not reads.take_read(outdated_seconds, trio.current_time()):
                 continue
             listed = await self._watcher.read_documents()
             if listed is not None:
@@ -205,9 +196,6 @@
                 waited_ms=outdated_seconds * MS_PER_SECOND,
                 is_current=not self._exchange.expects_documents(),
             )
-            if self._exchange.expects_documents():
-                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-                backoff = min(MAX_CLAIM_BACKOFF_SECONDS, backoff * 2)
 
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
