Leave a call time for another endpoint while no link to the first one opens

Seen: callers get 503 at their deadline although another endpoint of the service was idle and the request had never been sent.

Cause: the attempt to open a link (1 s to connect, 2 s for the handshake) was bounded by the call's deadline alone. A daemon that has lost power, or is stuck while its host still accepts connections, is known to gossip after 1.4 s only, and each call that was sent there meanwhile spent all of its time on it.

Evidence: deadlines.feature, new cases: of 8 calls with a deadline of 500 ms, 3 ended with 503 on the code before, for lookups and for payments; with 1900 ms all were answered on the code before as well. Ruled out: kept links (closed first; silent ones are cut after 0.3 s).

Now a call that another endpoint may run spends a third of its remaining time on opening a link, and at least 0.3 s. Nothing was sent by then, so that it may go elsewhere also if it may run once only. A call for which no other endpoint is left still waits until its deadline, as the other cases of that feature ask for. All cases of deadlines, callpath, closing, hostile and peer_stop.feature pass.

--- a/umberdrum/callpath/_peer_client.py
+++ b/umberdrum/callpath/_peer_client.py
@@ -7,6 +7,10 @@
 from umberdrum.callpath import _call, _frames, _liveness, _sending, _sinks
 
 DEADLINE_GRACE_SECONDS = 0.1
+# A call that another endpoint may run leaves it most of its time. A peer that is busy,
+# or in another region, opens a link within the least time.
+MAX_LINK_OPEN_SHARE = 1 / 3
+MIN_LINK_OPEN_SECONDS = 0.3
 QUERY_WAIT_MS = 1000
 QUERY_INTERVAL_SECONDS = 0.05
 MAX_FAILED_QUERIES = 3
@@ -56,7 +60,7 @@
         for open_link in (self._pool.acquire, self._pool.open):
             link: peerlink.PeerLink | None = None
             try:
-                with trio.move_on_at(call.deadline):
+                with trio.move_on_at(_compute_open_by(call, trio.current_time())):
                     link = await open_link(peer)
             except (
                 sockets.ConnectionLostError,
@@ -64,7 +68,7 @@
             ) as fault:
                 return _build_link_failure(str(fault), errors.Execution.NOT_RUN)
             if link is None:
-                detail = f"no link to {peer.address} was open by the deadline"
+                detail = f"no link to {peer.address} was open in time"
                 return _build_link_failure(detail, errors.Execution.NOT_RUN)
             try:
                 return await self._run_on_link(call, link, body, sink)
@@ -368,6 +372,18 @@
         return await self._body.receive()
 
 
+def _compute_open_by(call: _call.Call, now: float) -> float:
+    """Return until when a link for the call may be opened.
+
+    Load pattern: a daemon has lost power, or is stuck and accepts connections all the
+    same, and gossip has not found out yet.
+    """
+    if call.is_last_resort:
+        return call.deadline
+    seconds = (call.deadline - now) * MAX_LINK_OPEN_SHARE
+    return min(call.deadline, now + max(MIN_LINK_OPEN_SECONDS, seconds))
+
+
 def _build_deadline_failure(call: _call.Call) -> errors.Failure:
     return errors.fail(
         errors.ErrorKind.DEADLINE_EXCEEDED,
--- a/umberdrum/callpath/tests/deadlines.feature
+++ b/umberdrum/callpath/tests/deadlines.feature
@@ -11,6 +11,18 @@
       | pay   | 500      | 550   |
       | look  | 1900     | 1950  |
 
+  # The attempt to open the first link took the whole time of the call.
+  Scenario Outline: A call has time for another endpoint while no link to the first one opens
+    When 8 <class> calls with a deadline of <deadline> ms can go to a peer that stays silent and to another
+    Then each of them gets a response and is run once
+
+    Examples:
+      | class | deadline |
+      | look  | 500      |
+      | pay   | 500      |
+      | look  | 1900     |
+      | pay   | 1900     |
+
   Scenario Outline: The deadline of a request counts from its arrival, however late it is read
     When a <class> request with a deadline of 2000 ms on a <connection> connection is read <wait> ms late
     Then the caller gets "<result>" and the upstream runs it <runs> times with at most <left> ms
--- a/umberdrum/callpath/tests/deadlines_steps.py
+++ b/umberdrum/callpath/tests/deadlines_steps.py
@@ -8,7 +8,7 @@
 
 from umberdrum import sockets
 from umberdrum.callpath.tests import callpath_steps
-from umberdrum.tests import harness
+from umberdrum.tests import harness, payment_site
 
 MS_PER_SECOND = 1000.0
 UPTIME_SECONDS = 10.0
@@ -59,6 +59,54 @@
     assert [row.is_suspected for row in context.candidates] == [True]
 
 
+@behave.when(
+    "{n_calls:d} {cls} calls with a deadline of {deadline_ms:d} ms can go to a peer "
+    "that stays silent and to another"
+)
+def call_past_silent_peer(
+    context: runner.Context, n_calls: int, cls: str, deadline_ms: int
+) -> None:
+    async def run() -> None:
+        async with harness.open_site() as site:
+            entry = await payment_site.start_payments(site, n_slots=n_calls)
+            parts = entry.daemon.parts
+            silent = site.nodes[0]
+            assert parts is not None and silent.link is not None
+            parts.peer_pool.close_all()
+            silent.link.pause()
+            body = b"x" if cls == "pay" else b""
+            context.answers = []
+
+            async def call(nonce: str) -> None:
+                answer = await site.call(
+                    entry,
+                    "payments",
+                    nonce,
+                    f"/{cls}",
+                    "",
+                    body,
+                    deadline_ms=deadline_ms,
+                )
+                context.answers.append(answer)
+
+            nonces = [f"n{index}" for index in range(n_calls)]
+            async with trio.open_nursery() as nursery:
+                for nonce in nonces:
+                    nursery.start_soon(call, nonce)
+            context.n_runs = [site.count_runs(nonce) for nonce in nonces]
+            context.n_silent_runs = len(silent.upstream.begun)
+
+    harness.run_on_virtual_clock(run)
+
+
+@behave.then("each of them gets a response and is run once")
+def check_all_answered(context: runner.Context) -> None:
+    statuses = [answer.status for answer in context.answers]
+    assert set(statuses) == {200}, statuses
+    assert set(context.n_runs) == {1}, context.n_runs
+    assert context.n_silent_runs == 0
+
+
 @behave.when(
     "a {cls} request with a deadline of {deadline_ms:d} ms on a {connection} "
     "connection is read {wait_ms:d} ms late"
