--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -11,6 +11,7 @@
     _claim_delay,
     _introduction,
     _member_list,
+    _overdue_reads,
     _retry_pause,
     _watcher,
 )
@@ -42,12 +43,7 @@
 LIST_INTERVAL_GROWTH = 4.0
 MAX_LIST_INTERVAL_SECONDS = 30.0
 MS_PER_SECOND = 1000.0
-MAX_CLAIM_BACKOFF_SECONDS = 30.0
-# Half of the time within which users require a change to be in force. Fetches from up
-# to four peers have failed by then.
-OVERDUE_SECONDS = 1.0
 OVERDUE_CHECK_INTERVAL_SECONDS = 0.4
-MIN_OVERDUE_BACKOFF_SECONDS = 2.0
 # Users require a daemon to follow the store again 3 s after the store recovers. Every
 # daemon that starts meanwhile reads the store.
 MAX_START_RETRY_PERIOD_SECONDS = 1.75
@@ -189,19 +185,13 @@
         return _retry_pause.RetryPause(self._rng, MAX_START_RETRY_PERIOD_SECONDS)
 
     async def _read_overdue_documents(self) -> None:
-        """Read the documents from the store when no peer delivers a newer one.
-
-        Load pattern: the daemons that have a change were stopped, or can no longer be
-        reached, after they had told of it. Each daemon that lacks it then reads the
-        store once, at a time of its own, and seldom again while that does not help.
-        """
-        backoff = MIN_OVERDUE_BACKOFF_SECONDS
+        """Read the documents from the store when no peer delivers a newer one."""
+        reads = _overdue_reads.OverdueReads(self._rng)
         while True:
             interval = OVERDUE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5)
             await trio.sleep(interval)
             outdated_seconds = self._exchange.get_outdated_seconds()
-            if outdated_seconds < OVERDUE_SECONDS:
-                backoff = MIN_OVERDUE_BACKOFF_SECONDS
+            if not reads.take_read(outdated_seconds, trio.current_time()):
                 continue
             listed = await self._watcher.read_documents()
             if listed is not None:
@@ -211,9 +201,6 @@
                 waited_ms=outdated_seconds * MS_PER_SECOND,
                 is_current=not self._exchange.expects_documents(),
             )
-            if self._exchange.expects_documents():
-                await trio.sleep(backoff * self._rng.uniform(0.5, 1.5))
-                backoff = min(MAX_CLAIM_BACKOFF_SECONDS, backoff * 2)
 
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
