--- a/umberdrum_bench/store_server.py
+++ b/umberdrum_bench/store_server.py
@@ -4,6 +4,7 @@
 import base64
 import collections
 import json
+import random
 import sys
 from collections.abc import Sequence
 from typing import Any
@@ -25,6 +26,8 @@
     ``n_lost_answers`` counts the next writes that are applied but not answered.
     ``copy`` is the last copy that was taken, to which the store can be restored.
     Listings of a prefix that begins with ``slow_prefix`` take ``slow_prefix_seconds``.
+    ``lost_share`` of all answers are lost, drawn from ``rng``; a connection on which an
+    answer was lost stays open and returns nothing more.
     """
 
     def __init__(self) -> None:
@@ -34,6 +37,8 @@
         self.copy: store_state.StoreCopy | None = None
         self.slow_prefix = ""
         self.slow_prefix_seconds = 0.0
+        self.lost_share = 0.0
+        self.rng = random.Random(1)
 
 
 class _ConnectionDroppedError(Exception):
