Caller: log and count requests that are refused while they are read

Operators saw: nothing. A 400, 408, 413 or 431 for a request whose head or first body bytes are refused left neither a log line nor a count, so the reports of 4xx could not be told apart by kind.

Cause: the caller's server sent such refusals by itself; only the entry service logs and counts refusals.

Why it works: the caller's server passes the failure to the entry service, which writes the line "refused" with kind, execution and detail, and counts it in umberdrum_calls beside the refusals for want of a route.

--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -149,6 +149,7 @@
                     return
                 body = await exchange.receive_first_body_part()
             except _call.BodyLostError as fault:
+                self._entry.record_unread(fault.failure)
                 await pipeline.wait_for_turn()
                 await exchange.refuse(fault.failure, "")
                 return
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -198,6 +198,10 @@
         if ticket is not None and self._allotments is not None:
             self._allotments.give_back(ticket)
 
+    def record_unread(self, failure: errors.Failure) -> None:
+        """Count and log a request that was refused while it was read."""
+        self._refuse("", failure)
+
     def _refuse(
         self, request_id: str, failure: errors.Failure, account: str = ""
     ) -> EntryOutcome:
@@ -249,7 +253,7 @@
     ) -> None:
         self._log.write(
             "refused",
-            request=request_id,
+            request=request_id or None,
             account=account or None,
             version=self._matcher.version,
             kind=failure.kind.token,
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -50,6 +50,17 @@
       | GET /look HTTP/1.1~Host: pay~X: never ends      | 408    | caller-too-slow |
       | POST /look HTTP/1.1~Host: pay~Content-Length: 9~~short | 408 | caller-too-slow |
 
+  Scenario Outline: A request that was refused while it was read left no trace
+    When a caller sends "<request>"
+    Then the entry daemon logged and counted one refusal as "<kind>"
+
+    Examples:
+      | request                                                | kind              |
+      | GET /look HTTP/1.1~Host: pay~umberdrum-deadline-ms: x~~ | malformed-request |
+      | GET /look HTTP/1.1~Host: pay~X: <long>~~               | head-too-large    |
+      | GET /look HTTP/1.1~Host: nosuch~~                      | unknown-service   |
+      | POST /pay HTTP/1.1~Host: pay~Content-Length: 9~~short  | caller-too-slow   |
+
   # Such requests got 400, on which callers give up.
   Scenario Outline: A deadline that has passed was refused as malformed
     When a caller sends "<request>"
--- a/umberdrum/callpath/tests/callpath_steps.py
+++ b/umberdrum/callpath/tests/callpath_steps.py
@@ -49,6 +49,9 @@
         address = entry.settings.caller_listen
         context.raw = await site.send_raw(address, text.encode())
         context.n_forwarded = len(node.upstream.begun)
+        context.log_lines = list(entry.log_lines)
+        assert entry.daemon.parts is not None
+        context.n_calls = dict(entry.daemon.parts.statistics.n_calls)
 
     run_with_upstream(test)
 
@@ -81,6 +84,13 @@
     assert context.n_forwarded == 0
 
 
+@behave.then('the entry daemon logged and counted one refusal as "{kind}"')
+def check_logged(context: runner.Context, kind: str) -> None:
+    refusals = [row for row in context.log_lines if "event=refused" in row]
+    assert len(refusals) == 1 and f"kind={kind}" in refusals[0], refusals
+    assert context.n_calls == {("-", kind): 1}, context.n_calls
+
+
 @behave.then("it gets the upstream's response to a body of {n_bytes:d} bytes")
 def check_response(context: runner.Context, n_bytes: int) -> None:
     final = context.raw.rpartition(b"HTTP/1.1 ")[2]
