--- a/umberdrum/callpath/_caller.py
+++ b/umberdrum/callpath/_caller.py
@@ -150,6 +150,7 @@
                 if received is None:
                     return
             except _call.BodyLostError as fault:
+                self._entry.record_unread(fault.failure)
                 await pipeline.wait_for_turn()
                 await exchange.refuse(fault.failure, "")
                 return
