Planned stop: accept the calls of an upstream until it has ended its own

When a daemon stopped and the upstream beside it ran on, calls that the upstream made late in the stop found no listener. The calls that needed them failed, although they had been accepted and had time left.

Cause: the callers' listener was closed 2.5 s after the stop (leave_accept_ms), whether or not the upstream still ran calls. Calls that begin shortly before the departure is known run longer than that.

Evidence: "Calls that an endpoint makes after callers are no longer accepted are answered" failed before this change: three payments that began 1.9 s after the stop made a call after 0.7 s of work, with the statuses [0, 0, 0].

Ruled out: the wait for failed readiness checks. If they are asked for, the daemon usually closes its listener earlier, but only when its upstream has ended its calls.

The listener now stays open until the upstream has ended its calls, at most until 0.5 s before the end of the grace period, so that the connections to callers still end in order. A daemon that accepts no callers during its stop (leave_accept_ms of 0) closes its listener at once, as before.

Measured: the scenario passes, and so do the others of planned_stop.feature, platform.feature, handover.feature, closing.feature, peer_stop.feature, late_requests.feature and hostile.feature.

--- a/umberdrum/daemon/_shutdown.py
+++ b/umberdrum/daemon/_shutdown.py
@@ -54,6 +54,11 @@
             now + own_settings.leave_accept_ms / MS_PER_SECOND, self._grace_until
         )
         self._is_accepting = own_settings.leave_accept_ms > 0
+        self._listen_until = self._accept_until
+        if self._is_accepting:
+            self._listen_until = max(
+                self._accept_until, self._grace_until - DEPARTURE_SECONDS
+            )
         self._has_drained = trio.Event()
 
     async def run(self) -> None:
@@ -96,13 +101,14 @@
     async def _leave(self) -> None:
         """Gossip the departure, close the callers' listener and finish all calls.
 
-        The listener stays open for calls that the upstream makes while it finishes the
-        calls of peers, at most as long as callers are accepted.
+        A listener that accepts callers during the stop stays open for calls that the
+        upstream makes while it finishes its own. It closes early enough for callers'
+        connections to end within the grace period.
         """
         server = self._parts.caller_server
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._drain_endpoint)
-            with trio.move_on_at(self._accept_until):
+            with trio.move_on_at(self._listen_until):
                 await self._has_drained.wait()
             with self._error_log.suppress("shutdown"):
                 sockets.close_listener(self._listeners.caller)
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -15,7 +15,8 @@
     at which the upstream answers probes before it has announced itself, or None if it
     is not known. ``leave_accept_ms`` is the time for which a stopping daemon continues
     to accept new calls from callers, or less once ``n_ready_failures`` readiness checks
-    in a row have failed, if that is not 0. ``shared_retries`` and
+    in a row have failed, if that is not 0. It accepts them longer while its upstream,
+    which may make calls of its own, still runs calls. ``shared_retries`` and
     ``shared_retry_share`` limit the extra attempts that all daemons together may send
     to one service, as a number of attempts and as a share of the calls; if
     ``shared_retries`` is 0, each daemon has its own retry budget.
