Synchronise over a new link, not over one that may have gone silent

Seen: after a time in which datagrams were lost and open links went silent, daemons sent calls to a drained zone for longer than the 5 s that users allow. A drain is no numbered document, so that it is not fetched: what datagrams do not bring comes with the next synchronisation.

Cause: a synchronisation used a kept link if there was one, waited 2 s for its reply, paused for 1 s and waited for four more messages with other digests, then took the next peer, whose kept link was silent as well. No other one begins meanwhile.

Synchronisations are 5 s or more apart except while a daemon joins, when it has no kept links, so that a new link for each costs little; it is kept afterwards. gossip, configuration_spread, handover, contacts and zone_drain.feature pass. Not mended: a peer that takes links and answers nothing still holds the schedule up for 2 s and a pause.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -593,7 +593,9 @@
 
     async def _sync(self, peer: peerlink.PeerAddress) -> None:
         """Synchronise with a peer whose digests differ."""
-        result = await self._synchronizer.sync_with(peer, trio.current_time())
+        result = await self._synchronizer.sync_with(
+            peer, trio.current_time(), needs_new_link=True
+        )
         self._sync_schedule.record_result(result, trio.current_time())
         if result.n_newer_records and not self._has_joined:
             # The own record was sent only to peers that were known before.
