Draw no random numbers while no document is overdue

Cause: drew the time of its next check from the daemon's random generator, two to five times a second. Routing draws from the same one, so that all four uploads went to the other endpoint (0 and 4 begun), which the test does not expect. The uploads themselves were answered.

Now a daemon checks every 0.3 s and draws only when a document is overdue. The draw delays the read, and a daemon that has got the document from another one by then does not call the store.

--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -43,7 +43,8 @@
 MAX_LOAD_BACKOFF_SECONDS = 2.0
 # A daemon that knows no other daemon cannot serve; it must serve again within 5 s.
 MAX_JOIN_BACKOFF_SECONDS = 2.0
-OVERDUE_CHECK_INTERVAL_SECONDS = 0.4
+OVERDUE_CHECK_INTERVAL_SECONDS = 0.3
+OVERDUE_JITTER_SECONDS = 0.3
 # While no daemon can reach the store, every daemon finds too few contacts and claims.
 MIN_CLAIM_BACKOFF_SECONDS = 2.0
 
@@ -183,11 +184,14 @@
         """Read the documents from the store when no peer delivers a newer one."""
         reads = _overdue_reads.OverdueReads(self._rng)
         while True:
-            interval = OVERDUE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5)
-            await trio.sleep(interval)
+            await trio.sleep(OVERDUE_CHECK_INTERVAL_SECONDS)
             outdated_seconds = self._exchange.get_outdated_seconds()
             if not reads.take_read(outdated_seconds, trio.current_time()):
                 continue
+            # A daemon that reads earlier may deliver the documents to this one.
+            await trio.sleep(self._rng.uniform(0.0, OVERDUE_JITTER_SECONDS))
+            if not self._exchange.expects_documents():
+                continue
             listed = await self._watcher.read_documents()
             if listed is not None:
                 self._state.merge_entries(listed.entries)
