--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -43,7 +43,8 @@
 LIST_INTERVAL_GROWTH = 4.0
 MAX_LIST_INTERVAL_SECONDS = 30.0
 MS_PER_SECOND = 1000.0
-OVERDUE_CHECK_INTERVAL_SECONDS = 0.4
+OVERDUE_CHECK_INTERVAL_SECONDS = 0.3
+OVERDUE_JITTER_SECONDS = 0.3
 # Users require a daemon to follow the store again 3 s after the store recovers. Every
 # daemon that starts meanwhile reads the store.
 MAX_START_RETRY_PERIOD_SECONDS = 1.75
@@ -188,11 +189,14 @@
         """Read the documents from the store when no peer delivers a newer one."""
         reads = _overdue_reads.OverdueReads(self._rng)
         while True:
-            interval = OVERDUE_CHECK_INTERVAL_SECONDS * self._rng.uniform(0.5, 1.5)
-            await trio.sleep(interval)
+            await trio.sleep(OVERDUE_CHECK_INTERVAL_SECONDS)
             outdated_seconds = self._exchange.get_outdated_seconds()
             if not reads.take_read(outdated_seconds, trio.current_time()):
                 continue
+            # A daemon that reads earlier may deliver the documents to this one.
+            await trio.sleep(self._rng.uniform(0.0, OVERDUE_JITTER_SECONDS))
+            if not self._exchange.expects_documents():
+                continue
             listed = await self._watcher.read_documents()
             if listed is not None:
                 self._state.merge_entries(listed.entries)
