Test of the idle timeout: 16 callers in place of 6

Two timers expire in one pass of the scheduler, which runs its batch in random order: a caller that finds its connection closed sends nothing, and all six may. All checks stay, for more callers.

--- a/umberdrum/callpath/tests/closing.feature
+++ b/umberdrum/callpath/tests/closing.feature
@@ -57,7 +57,7 @@
       | 4.9     |
 
   Scenario: Requests arrive at the moment of the idle timeout
-    When 6 callers in turn send a request at the moment of the idle timeout, unless closed
+    When 16 callers in turn send a request at the moment of the idle timeout, unless closed
     Then each of them gets a complete response
 
   Scenario: An idle connection is closed
