Dialect: call the field that proves an answer's origin signature

receipt is the users' paraphrase; the usual term is signature. A rename only; the header on the wire stays.

--- a/umberdrum/callpath/_dialect.py
+++ b/umberdrum/callpath/_dialect.py
@@ -17,10 +17,11 @@
     ``account`` tells the upstream the client account of the request.
     ``expected_instance`` names the upstream that may run the request; any other one
     responds with 421. ``not_run`` on a response states that the upstream did not run
-    the request. ``receipt`` on a response proves that the application answered, and not
-    the software in front of it. ``load_report`` on a response carries the upstream's
-    own load. ``rate_limit`` on a response names the requests a second that the upstream
-    takes from all callers, and ``leaving`` with the value 1 says that it takes no more.
+    the request. ``signature`` on a response proves that the application answered, and
+    not the software in front of it. ``load_report`` on a response carries the
+    upstream's own load. ``rate_limit`` on a response names the requests a second that
+    the upstream takes from all callers, and ``leaving`` with the value 1 says that it
+    takes no more.
     ``instance_id`` on the response to a probe identifies the run of the upstream, and
     ``cold_ms`` tells how many milliseconds longer it stays cold.
 
@@ -38,7 +39,7 @@
     account: bytes
     expected_instance: bytes
     not_run: bytes
-    receipt: bytes
+    signature: bytes
     load_report: bytes
     rate_limit: bytes
     leaving: bytes
@@ -71,7 +72,7 @@
     account=b"umberdrum-account",
     expected_instance=b"",
     not_run=b"",
-    receipt=b"",
+    signature=b"",
     load_report=b"",
     rate_limit=b"umberdrum-rate-limit",
     leaving=b"umberdrum-leaving",
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -134,8 +134,8 @@
             upstream.record_refusal(call.request_id)
             await upstream.relay_body(_sinks.DiscardingSink())
             return expression.Error(refusal)
-        if self._lacks_receipt(head):
-            return expression.Error(_build_receipt_failure(head))
+        if self._lacks_signature(head):
+            return expression.Error(_build_signature_failure(head))
         now = trio.current_time()
         load = self._record_upstream_load(head)
         self._log.write(
@@ -178,12 +178,12 @@
             return expression.Ok(report)
         return expression.Error(build_overdue_failure(call))
 
-    def _lacks_receipt(self, head: _call.HttpResponseHead) -> bool:
+    def _lacks_signature(self, head: _call.HttpResponseHead) -> bool:
         """Return whether a response may not be the application's.
 
         A server error tells the caller nothing that such a response could falsify.
         """
-        name = self._dialect.receipt
+        name = self._dialect.signature
         if not name or head.status >= MIN_SERVER_ERROR:
             return False
         return _headers.get_header(head.headers, name) is None
@@ -241,10 +241,10 @@
     )
 
 
-def _build_receipt_failure(head: _call.HttpResponseHead) -> errors.Failure:
+def _build_signature_failure(head: _call.HttpResponseHead) -> errors.Failure:
     return errors.fail(
         errors.ErrorKind.UPSTREAM_INVALID_ANSWER,
-        f"upstream: status {head.status} without the application's receipt",
+        f"upstream: status {head.status} without the application's signature",
         errors.Execution.MAY_HAVE_RUN,
     )
 
