A change without a version raises the position of the catalog that holds it

Callers were sent to a zone for longer than the 5 s that users allow after it was drained, where datagrams had been lost.

Cause: the position that daemons advertise was that of the document with the highest version. Next to a versioned route table a drain, which has no version, never raised it, so that a daemon without the drain did not know that it lacked something: neither a fetch nor a read from the store followed. It was left to anti-entropy, which takes the peer with other digests that was heard last. Ruled out: silent links (all syncs were answered), suspicions, the order of tasks (it decides only which peer is taken).

Change: a catalog's position is its highest version with the era and revision of the latest change of any document. Catalogs stay totally ordered, and whoever fetches from a catalog with a higher position has that position afterwards, as long as one document only has versions. Daemons of the build before may repeat fetches (each 0.3 to 4 s) from those of this one while a drain is newer than the route table.

--- a/umberdrum/classes/_catalog.py
+++ b/umberdrum/classes/_catalog.py
@@ -14,7 +14,7 @@
     """Order of the states of one entry: the one with the highest position is newest.
 
     The operator's own version comes first, because a store that is restored from an
-    older copy may hold an old document at a new revision.
+    older copy may hold an old document at a new revision. Catalogs are ordered alike.
     """
 
     version: int
@@ -56,8 +56,10 @@
 class Catalog:
     """Classes known to one daemon, each at the highest position seen.
 
-    A class is active when it is not deleted and its document is valid. ``position`` is
-    the highest position of all entries, ``NO_POSITION`` for an empty catalog.
+    A class is active when it is not deleted and its document is valid. ``position``
+    has the highest version of all entries and the era and revision of the latest change
+    of any entry, so that a catalog which lacks that change has a lower one. It is
+    ``NO_POSITION`` for an empty catalog.
     ``digest`` covers the names, eras, revisions and deletions of all entries, for
     comparison with other daemons.
 
@@ -76,7 +78,7 @@
 
     @property
     def revision(self) -> int:
-        """Store revision of the entry with the highest position, 0 if there is none."""
+        """Store revision of the latest change of any entry, 0 if there is none."""
         return self.position.revision
 
     @property
@@ -109,7 +111,7 @@
             return self
         merged._active_by_service = merged._group_by_service()
         merged.digest = merged._compute_digest()
-        merged.position = max(entry.position for entry in merged._entries.values())
+        merged.position = merged._compute_position()
         return merged
 
     def is_update(self, entry: CatalogEntry) -> bool:
@@ -149,6 +151,11 @@
             grouped.setdefault(active.request_class.service, []).append(active)
         return grouped
 
+    def _compute_position(self) -> EntryPosition:
+        positions = [entry.position for entry in self._entries.values()]
+        era, revision = max((row.era, row.revision) for row in positions)
+        return EntryPosition(max(row.version for row in positions), era, revision)
+
     def _compute_digest(self) -> int:
         hasher = hashlib.blake2b(digest_size=8)
         for entry in self.entries:
--- a/umberdrum/classes/tests/classes.feature
+++ b/umberdrum/classes/tests/classes.feature
@@ -41,6 +41,17 @@
   Scenario: Merging catalogs is commutative, associative and idempotent
     Then merging random catalogs has these properties and lowers no revision
 
+  # Daemons that had missed a change without a version did not know that they had.
+  Scenario Outline: A catalog that lacks <lacked> has a lower position
+    Given a catalog with version 43 at revision 100 and two documents without a version
+    Then the same catalog without <lacked> has a lower position
+
+    Examples:
+      | lacked                                |
+      | its latest document without a version |
+      | the latest change of that document    |
+      | its versioned document                |
+
   Scenario Outline: The call policy is derived from the target
     When a class that is "<kind>" has a target of <ms> ms
     Then its deadline is <deadline> ms, its hedging delay <hedge> ms and its longest queueing time <queue> ms
--- a/umberdrum/classes/tests/classes_steps.py
+++ b/umberdrum/classes/tests/classes_steps.py
@@ -131,10 +131,40 @@
             kept = both.get_entry(entry.name)
             assert kept is not None and kept.revision >= entry.revision
         assert both.digest == one.merge(second).digest
+        assert both.position >= one.position
 
     check()
 
 
+@behave.given(
+    "a catalog with version {version:d} at revision {revision:d} and two documents "
+    "without a version"
+)
+def build_versioned_catalog(
+    context: runner.Context, version: int, revision: int
+) -> None:
+    context.entries = [
+        classes.CatalogEntry("routes", revision, b"r", False, version=version),
+        classes.CatalogEntry("drains/a", revision + 1, b"a", False),
+        classes.CatalogEntry("drains/b", revision + 2, b"b", False),
+        classes.CatalogEntry("drains/b", revision + 3, b"", True),
+    ]
+
+
+@behave.then("the same catalog without {lacked} has a lower position")
+def check_lower_position(context: runner.Context, lacked: str) -> None:
+    entries = context.entries
+    kept = {
+        "its versioned document": entries[1:],
+        "its latest document without a version": entries[:2],
+        "the latest change of that document": entries[:3],
+    }[lacked]
+    complete = classes.Catalog().merge(entries)
+    incomplete = classes.Catalog().merge(kept)
+    assert incomplete.position < complete.position, incomplete.position
+    assert incomplete.merge(entries).position == complete.position
+
+
 @behave.when('a class that is "{kind}" has a target of {ms:d} ms')
 def derive_policy(context: runner.Context, ms: int, kind: str) -> None:
     request_class = VALID._replace(
