Wait for log lines that are being written before the process ends

Operators miss the last lines of a stop, `stopped` among them.

Cause: lines are written in a worker thread, which was abandoned when the loop ended. A flush that is in progress then has taken the lines from the buffer, so that the flush of the main thread finds none, and the interpreter's end stops the thread.

Change: at its end a daemon begins no further flush and waits for the one in progress, 0.25 s at most. LineFlusher moves to the package of logs.

--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -84,12 +84,14 @@
     daemon = _daemon.Daemon(
         own_settings, logger, writer, integration=integration, listeners=listeners
     )
+    flusher = logs.LineFlusher(writer)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_handle_signals, daemon, path)
         nursery.start_soon(_watch_settings_file, daemon, path)
         tasks = supervision.TaskSupervisor(nursery, daemon.errors, daemon.fail)
-        tasks.keep_running("log_flush", _LineFlusher(writer).run)
+        tasks.keep_running("log_flush", flusher.run)
         await daemon.run()
+        await flusher.finish()
         nursery.cancel_scope.cancel()
     return daemon.has_failed
 
@@ -136,31 +138,6 @@
         daemon.reload(loaded.ok)
 
 
-class _LineFlusher:
-    """Flushes log lines in a worker thread, so that calls do not wait for writes.
-
-    Pending lines are flushed ``logs.FLUSH_INTERVAL_SECONDS`` after the first of them.
-    """
-
-    def __init__(self, writer: logs.LineWriter) -> None:
-        self._writer = writer
-        self._has_lines = trio.Event()
-        writer.set_first_line_listener(self._signal_first_line)
-
-    async def run(self) -> None:
-        """Flush lines until cancelled."""
-        # A flush that failed has left its lines in the buffer.
-        self._has_lines.set()
-        while True:
-            await self._has_lines.wait()
-            self._has_lines = trio.Event()
-            await trio.sleep(logs.FLUSH_INTERVAL_SECONDS)
-            await trio.to_thread.run_sync(self._writer.flush, abandon_on_cancel=True)
-
-    def _signal_first_line(self) -> None:
-        self._has_lines.set()
-
-
 def _disable_unused_log_fields() -> None:
     """Make ``logging`` skip the record fields that no log line contains."""
     logging._srcfile = ""
--- a/umberdrum/daemon/tests/daemon_steps.py
+++ b/umberdrum/daemon/tests/daemon_steps.py
@@ -403,7 +403,7 @@
             tasks = supervision.TaskSupervisor(
                 nursery, error_log, nursery.cancel_scope.cancel
             )
-            tasks.keep_running("log_flush", main._LineFlusher(writer).run)
+            tasks.keep_running("log_flush", logs.LineFlusher(writer).run)
             for number in range(3):
                 logger.info("line %d", number)
                 await trio.sleep(TASK_PERIOD_SECONDS)
--- a/umberdrum/logs/tests/logs.feature
+++ b/umberdrum/logs/tests/logs.feature
@@ -19,3 +19,13 @@
   Scenario: The volume per second is limited, and a warning beyond the limit is kept
     When 5000 lines and then a warning are logged in one second
     Then the file has at most 260 KB, the warning and the number of dropped lines
+
+  # The process ended while a thread wrote, and the last lines of a stop were lost.
+  Scenario Outline: The end of a daemon waits for lines that are being written, <reader>
+    When a daemon ends while its lines are being written and <reader>
+    Then it waits for <seconds> s, <n> writes are unfinished then, and no further one begins
+
+    Examples:
+      | reader                            | seconds | n |
+      | the reader of the log takes them  | 0       | 0 |
+      | the reader of the log never reads | 0.25    | 1 |
--- a/umberdrum/logs/tests/logs_steps.py
+++ b/umberdrum/logs/tests/logs_steps.py
@@ -3,12 +3,17 @@
 import logging
 import os
 import tempfile
+import threading
 
 import behave
+import trio
+import trio.testing
 from behave import runner
 
 from umberdrum import logs
 
+MAX_WAIT_SECONDS = 0.25
+
 
 @behave.when('the value "{value}" is logged')
 def format_value(context: runner.Context, value: str) -> None:
@@ -68,3 +73,73 @@
     assert "event=kept" in text
     n_kept = text.count("x" * 100)
     assert f"event=lines_dropped count={5000 - n_kept}" in text, text[-300:]
+
+
+class _BlockedWriter(logs.LineWriter):
+    """Writer whose flushes wait until they are released."""
+
+    def __init__(self) -> None:
+        super().__init__(-1)
+        self.has_begun = threading.Event()
+        self.is_released = threading.Event()
+        self.n_begun = 0
+        self.n_ended = 0
+
+    def flush(self) -> None:
+        """Wait for the release in place of a slow reader."""
+        self.n_begun += 1
+        self.has_begun.set()
+        self.is_released.wait()
+        self.n_ended += 1
+
+
+@behave.when("a daemon ends while its lines are being written and {reader}")
+def end_during_flush(context: runner.Context, reader: str) -> None:
+    context.writer = writer = _BlockedWriter()
+    flusher = logs.LineFlusher(writer)
+    # The clock stands still while the worker thread is at work.
+    clock = trio.testing.MockClock()
+    wait_until_blocked = trio.testing.wait_all_tasks_blocked
+
+    async def run() -> None:
+        finished = trio.Event()
+
+        async def finish() -> None:
+            await flusher.finish()
+            finished.set()
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(flusher.run)
+            await wait_until_blocked()
+            clock.jump(logs.FLUSH_INTERVAL_SECONDS)
+            await wait_until_blocked()
+            writer.has_begun.wait()
+            writer.emit(logging.LogRecord("d", logging.INFO, "", 0, "late", (), None))
+            began_at = trio.current_time()
+            nursery.start_soon(finish)
+            await wait_until_blocked()
+            context.is_waiting = not finished.is_set()
+            if reader == "the reader of the log takes them":
+                writer.is_released.set()
+            else:
+                clock.jump(MAX_WAIT_SECONDS)
+            await finished.wait()
+            context.seconds = trio.current_time() - began_at
+            context.n_unfinished = writer.n_begun - writer.n_ended
+            writer.is_released.set()
+            clock.jump(2 * logs.FLUSH_INTERVAL_SECONDS)
+            await wait_until_blocked()
+            nursery.cancel_scope.cancel()
+
+    trio.run(run, clock=clock)
+
+
+@behave.then(
+    "it waits for {seconds:g} s, {n_unfinished:d} writes are unfinished then, and no "
+    "further one begins"
+)
+def check_wait(context: runner.Context, seconds: float, n_unfinished: int) -> None:
+    assert context.is_waiting
+    assert context.seconds == seconds, context.seconds
+    assert context.n_unfinished == n_unfinished, context.n_unfinished
+    assert context.writer.n_begun == 1, context.writer.n_begun
