where: ask the grantors what a call would find

Cause: `where` looked only at the daemon's memory of the grantors' last refusals, which is forgotten after 0.1 s. A call looks at granted requests, then at that memory, and then asks the grantors. Ruled out: that the test asks for more than the promise; the answers were wrong.

Now it goes the way of `take`. An ask for no request tells the wait for one; the grantor takes, promises and delegates nothing for it.

The new scenario in allotments.feature replays the grantor's answers; no test was changed.

--- a/umberdrum/admin/_handler.py
+++ b/umberdrum/admin/_handler.py
@@ -24,7 +24,9 @@
     def list_accounts(self) -> list[_reports.AccountReport]:
         """Return the client accounts in force, those with most requests first."""
 
-    def explain_where(self, question: _reports.WhereQuestion) -> _reports.WhereReport:
+    async def explain_where(
+        self, question: _reports.WhereQuestion
+    ) -> _reports.WhereReport:
         """Return where a request would go now, and why, without sending it."""
 
     def set_drain_ordered(self, is_ordered: bool) -> None:
@@ -42,6 +44,8 @@
         self, request: controlhttp.ControlRequest
     ) -> controlhttp.ControlResponse:
         """Return the response to one request."""
+        if request.method == "GET" and request.path == "/v1/where":
+            return await self._handle_where(request)
         if request.method == "GET":
             return self._handle_get(request)
         if request.method == "POST" and request.path == "/v1/drain":
@@ -68,8 +72,6 @@
         if request.path == "/v1/accounts":
             rows = self._view.list_accounts()
             return controlhttp.build_json_response({"accounts": rows})
-        if request.path == "/v1/where":
-            return self._handle_where(request)
         if request.path == "/v1/explain":
             report = self._view.explain(
                 request.query.get("service", ""),
@@ -79,7 +81,7 @@
             return controlhttp.build_json_response(dict(report))
         return _build_not_found_response(request)
 
-    def _handle_where(
+    async def _handle_where(
         self, request: controlhttp.ControlRequest
     ) -> controlhttp.ControlResponse:
         query = request.query
@@ -95,7 +97,7 @@
             query.get("account", ""),
             int(query.get("body_bytes", "0")),
         )
-        report = self._view.explain_where(question)
+        report = await self._view.explain_where(question)
         return controlhttp.build_json_response(dict(report))
 
 
--- a/umberdrum/allotments/_client.py
+++ b/umberdrum/allotments/_client.py
@@ -108,13 +108,38 @@
         """Return a request that no upstream has run."""
         self._grantee.give_back(ticket, self._get_clock())
 
-    def get_wait_seconds(self, account: accounts.Account) -> float:
-        """Return when the next call may be let through, 0 unless calls are refused."""
-        if not account.is_limited or not self._is_used_up(account.name):
-            return 0.0
-        retry_at = self._retry_at.get(account.name, 0.0)
-        interval_seconds = 1.0 / account.rate_per_second
-        return max(interval_seconds, retry_at - self._get_clock())
+    async def find_refusal(self, account: accounts.Account) -> errors.Failure | None:
+        """Return how a call would be refused now, None if it would be let through.
+
+        It finds what ``take`` would: requests that were granted before, then the last
+        refusals of the grantors, then what they hold. Nothing is taken, delegated or
+        remembered, so the next call finds the same.
+        """
+        if not account.is_limited:
+            return None
+        if self._grantee.has_ticket(account.name, self._get_clock()):
+            return None
+        wait_seconds = math.inf
+        n_empty = 0
+        for grantor in self._grantee.list_grantors(account.name):
+            if self._grantee.is_empty(account.name, grantor, self._get_clock()):
+                n_empty += 1
+                continue
+            question = _messages.build_question(account.name)
+            grant = await self._transport.ask(
+                grantor, question, MAX_ASK_TIMEOUT_SECONDS
+            )
+            row = _find_row(grant, account.name)
+            if row is None:
+                continue
+            if not row.wait_seconds:
+                return None
+            n_empty += 1
+            wait_seconds = min(wait_seconds, row.wait_seconds)
+        if not n_empty:
+            return _build_unknown(account)
+        retry_at = self._compute_retry_at(account, wait_seconds)
+        return self._build_refusal(account, retry_at)
 
     def _is_used_up(self, account: str) -> bool:
         """Return whether all grantors had nothing left a moment ago."""
@@ -148,15 +173,7 @@
         if waiter.failure is not None:
             return expression.Error(waiter.failure)
         self.n_unknown += 1
-        detail = f"no daemon has answered for account {account.name}"
-        return expression.Error(
-            errors.Failure(
-                errors.ErrorKind.ALLOTMENT_UNKNOWN,
-                errors.Execution.NOT_RUN,
-                detail,
-                UNKNOWN_RETRY_MS,
-            )
-        )
+        return expression.Error(_build_unknown(account))
 
     async def _ask_for(self, account: accounts.Account) -> None:
         try:
@@ -198,12 +215,7 @@
         n_requests = min(len(self._waiters[account]), MAX_REQUESTS_PER_ASK)
         row = _messages.AccountAsk(account, n_requests)
         grant = await self._send(grantor, (row,), timeout_seconds)
-        if grant is None:
-            return None
-        for granted in grant.accounts:
-            if granted.account == account:
-                return granted
-        return None
+        return _find_row(grant, account)
 
     async def _refresh(self, grantor: _placement.Member) -> None:
         await self._send(grantor, (), MAX_ASK_TIMEOUT_SECONDS)
@@ -251,8 +263,16 @@
             waiters.remove(waiter)
 
     def _refuse(self, account: accounts.Account, wait_seconds: float) -> errors.Failure:
-        """Return the refusal, with a time to return at the rate of the allotment."""
+        """Return the refusal of one call, which is counted."""
         self.n_over_limit += 1
+        retry_at = self._compute_retry_at(account, wait_seconds)
+        self._retry_at[account.name] = retry_at
+        return self._build_refusal(account, retry_at)
+
+    def _compute_retry_at(
+        self, account: accounts.Account, wait_seconds: float
+    ) -> float:
+        """Return the clock at which to return, at the rate of the allotment."""
         now = self._get_clock()
         interval_seconds = 1.0 / account.rate_per_second
         if not math.isfinite(wait_seconds) or wait_seconds <= 0:
@@ -260,8 +280,11 @@
         retry_at = max(
             now + wait_seconds, self._retry_at.get(account.name, 0.0) + interval_seconds
         )
-        retry_at = min(retry_at, now + max(1.0, wait_seconds))
-        self._retry_at[account.name] = retry_at
+        return min(retry_at, now + max(1.0, wait_seconds))
+
+    def _build_refusal(
+        self, account: accounts.Account, retry_at: float
+    ) -> errors.Failure:
         detail = (
             f"account {account.name} has used up {account.rate_per_second:g} requests "
             f"a second and a burst of {account.burst:g}"
@@ -270,5 +293,24 @@
             errors.ErrorKind.ALLOTMENT_EXCEEDED,
             errors.Execution.NOT_RUN,
             detail,
-            int((retry_at - now) * MS_PER_SECOND),
+            int((retry_at - self._get_clock()) * MS_PER_SECOND),
         )
+
+
+def _find_row(
+    grant: _messages.AllotmentGrant | None, account: str
+) -> _messages.AccountGrant | None:
+    """Return what the grantor said of ``account``, None if it said nothing."""
+    for row in grant.accounts if grant is not None else ():
+        if row.account == account:
+            return row
+    return None
+
+
+def _build_unknown(account: accounts.Account) -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.ALLOTMENT_UNKNOWN,
+        errors.Execution.NOT_RUN,
+        f"no daemon has answered for account {account.name}",
+        UNKNOWN_RETRY_MS,
+    )
--- a/umberdrum/allotments/_grantee.py
+++ b/umberdrum/allotments/_grantee.py
@@ -171,6 +171,10 @@
                 return ticket
         return None
 
+    def has_ticket(self, account: str, now: float) -> bool:
+        """Return whether a granted request that is still valid has not been used."""
+        return any(row.valid_until > now for row in self._tickets.get(account, ()))
+
     def give_back(self, ticket: Ticket, now: float) -> None:
         """Return a request that no upstream has run; it keeps its validity."""
         if ticket.valid_until > now:
--- a/umberdrum/allotments/_grantor.py
+++ b/umberdrum/allotments/_grantor.py
@@ -210,7 +210,8 @@
                 continue
             grant = self._grant(account, row.n_requests, now)
             group = self._groups[_placement.compute_group(account.name)]
-            if not grant.n_requests and group.weight < MIN_REFUSING_WEIGHT:
+            is_refusal = not grant.n_requests and grant.wait_seconds > 0
+            if is_refusal and group.weight < MIN_REFUSING_WEIGHT:
                 continue
             granted.append(grant)
         return _messages.AllotmentGrant(now, tuple(granted))
@@ -259,25 +260,40 @@
         bucket.rate = rate
         bucket.burst = burst
         bucket.drop_excess(group.weight)
+        if not n_asked:
+            return _messages.AccountGrant(
+                account.name, 0, _tell_wait(bucket, group.weight, now)
+            )
         n_granted = min(n_asked, int(bucket.n_tokens + TOKEN_TOLERANCE))
         bucket.n_tokens -= n_granted
         self.n_granted += n_granted
         if n_granted == n_asked:
             return _messages.AccountGrant(account.name, n_granted, 0.0)
         self.n_refused += n_asked - n_granted
-        wait_seconds = self._promise(bucket, group.weight, now)
+        wait_seconds = _compute_promise(bucket, group.weight, now)
+        bucket.promised_at = now + wait_seconds
         return _messages.AccountGrant(account.name, n_granted, wait_seconds)
 
-    def _promise(self, bucket: _Bucket, weight: float, now: float) -> float:
-        """Return when the next request is likely granted, one at a time for each ask.
 
-        Load pattern: an account sends many times its limit. Its refused callers return
-        spread out at the rate of the limit, and not all for the next token.
-        """
-        rate = bucket.rate * weight
-        if rate <= 0:
-            return MAX_WAIT_SECONDS
-        free_at = now + max(0.0, 1.0 - bucket.n_tokens) / rate
-        bucket.promised_at = max(free_at, bucket.promised_at + 1.0 / rate)
-        bucket.promised_at = min(bucket.promised_at, now + MAX_WAIT_SECONDS)
-        return bucket.promised_at - now
+def _tell_wait(bucket: _Bucket, weight: float, now: float) -> float:
+    """Return the time after which one request would be granted, 0 if it would be now.
+
+    It is not promised to anybody.
+    """
+    if bucket.n_tokens + TOKEN_TOLERANCE >= 1.0:
+        return 0.0
+    return _compute_promise(bucket, weight, now)
+
+
+def _compute_promise(bucket: _Bucket, weight: float, now: float) -> float:
+    """Return when the next request is likely granted, one at a time for each ask.
+
+    Load pattern: an account sends many times its limit. Its refused callers return
+    spread out at the rate of the limit, and not all for the next token.
+    """
+    rate = bucket.rate * weight
+    if rate <= 0:
+        return MAX_WAIT_SECONDS
+    free_at = now + max(0.0, 1.0 - bucket.n_tokens) / rate
+    promised_at = max(free_at, bucket.promised_at + 1.0 / rate)
+    return min(promised_at, now + MAX_WAIT_SECONDS) - now
--- a/umberdrum/allotments/_messages.py
+++ b/umberdrum/allotments/_messages.py
@@ -7,7 +7,10 @@
 
 
 class AccountAsk(NamedTuple):
-    """Number of requests that a daemon wants to let through for one account."""
+    """Number of requests that a daemon wants to let through for one account.
+
+    0 asks whether a single request would be granted, without taking it.
+    """
 
     account: str
     n_requests: int
@@ -38,7 +41,7 @@
     """Requests granted for one account.
 
     ``wait_seconds`` is the time after which a refused request is expected to be
-    granted, 0 if all were granted.
+    granted, 0 if all were granted or, asked for none, one would be.
     """
 
     account: str
@@ -54,3 +57,8 @@
 
     grantor_clock: float
     accounts: tuple[AccountGrant, ...]
+
+
+def build_question(account: str) -> AllotmentAsk:
+    """Return the ask that finds out what one request would find, and takes nothing."""
+    return AllotmentAsk((), 0.0, 0, None, 0.0, (AccountAsk(account, 0),))
--- a/umberdrum/allotments/tests/allotments.feature
+++ b/umberdrum/allotments/tests/allotments.feature
@@ -29,3 +29,6 @@
     Then a grantor without delegations grants nothing and refuses nothing
     And a half goes to another grantor only once its delegation has run out
     And an ask that was under way for longer than its delegation delegates nothing
+
+  Scenario: A question tells what the next request would find
+    Then a question takes no request and tells when one would be granted
--- a/umberdrum/allotments/tests/allotments_steps.py
+++ b/umberdrum/allotments/tests/allotments_steps.py
@@ -277,3 +277,29 @@
     assert grantee.build_ask(view[0], (), 10.1).halves == ()
     assert grantee.build_ask(view[0], (), ends_at).halves == ()
     assert grantee.build_ask(view[0], (), ends_at * 1.1).halves == delegated.halves
+
+
+@behave.then("a question takes no request and tells when one would be granted")
+def check_question(context: runner.Context) -> None:
+    account = build_account("a", 4.0, 2.0)
+    grantor = allotments.AllotmentGrantor(lambda _name: account, lambda: 1)
+    group = allotments.compute_group("a")
+    halves = ((group, 0), (group, 1))
+    ask = allotments.AllotmentAsk(halves, 9.0, 1, 10.0, 0.0, ())
+    grantor.answer("d1", ask, 10.0)
+
+    def get_answer(n_requests: int, now: float) -> tuple[int, float]:
+        rows = (allotments.AccountAsk("a", n_requests),)
+        plain = ask._replace(halves=(), accounts=rows)
+        (row,) = grantor.answer("d2", plain, now).accounts
+        return row.n_requests, row.wait_seconds
+
+    # Two requests are left after 0.5 s at 4 a second.
+    for _ in range(5):
+        assert get_answer(0, 10.5) == (0, 0.0)
+    assert get_answer(2, 10.5) == (2, 0.0)
+    for _ in range(5):
+        assert get_answer(0, 10.5) == (0, 0.25)
+    assert get_answer(1, 10.5) == (0, 0.25)
+    # The next token is promised.
+    assert get_answer(0, 10.5) == (0, 0.5)
--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -290,14 +290,16 @@
             ms=(now - received_at) * MS_PER_SECOND,
         )
 
-    def get_allotment_wait_seconds(self, account: accounts.Account) -> float:
-        """Return when a call of the account would be let through; 0 if it may be now.
+    async def find_allotment_refusal(
+        self, account: accounts.Account
+    ) -> errors.Failure | None:
+        """Return how a call would be refused by its account's allotment, if it would.
 
         It is asked without taking anything of the allotment.
         """
         if self._allotments is None:
-            return 0.0
-        return self._allotments.get_wait_seconds(account)
+            return None
+        return await self._allotments.find_refusal(account)
 
     def get_budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget towards ``service``."""
--- a/umberdrum/daemon/_reporter.py
+++ b/umberdrum/daemon/_reporter.py
@@ -127,9 +127,9 @@
         reports.sort(key=lambda row: (-row["n_asked"], row["account"]))
         return reports
 
-    def explain_where(self, question: admin.WhereQuestion) -> admin.WhereReport:
+    async def explain_where(self, question: admin.WhereQuestion) -> admin.WhereReport:
         """Return where a request would go now, and why, without sending it."""
-        return self._explainer.explain(question)
+        return await self._explainer.explain(question)
 
     def explain(self, service: str, method: str, path: str) -> admin.ExplainReport:
         """Return how a call would be routed now, with the candidates and the reason."""
--- a/umberdrum/daemon/_where.py
+++ b/umberdrum/daemon/_where.py
@@ -30,7 +30,7 @@
         self._endpoint = endpoint
         self._availability_zone = availability_zone
 
-    def explain(self, question: admin.WhereQuestion) -> admin.WhereReport:
+    async def explain(self, question: admin.WhereQuestion) -> admin.WhereReport:
         """Return the route, the account, the candidates and the choice."""
         report: admin.WhereReport = {
             "version": self._matcher.version,
@@ -55,7 +55,7 @@
         request_class = matched.ok.request_class
         report["route"] = request_class.name
         report["service"] = request_class.service
-        refusal = self._explain_account(report, matched.ok.policy.is_public)
+        refusal = await self._explain_account(report, matched.ok.policy.is_public)
         if refusal:
             report["outcome"] = f"refused: {refusal}"
             return report
@@ -64,7 +64,7 @@
         self._place(report, attributes)
         return report
 
-    def _explain_account(self, report: admin.WhereReport, is_public: bool) -> str:
+    async def _explain_account(self, report: admin.WhereReport, is_public: bool) -> str:
         """Fill in the account; return why the request would be refused, if it would."""
         table = self._matcher.accounts
         if table is None:
@@ -77,12 +77,11 @@
                 return ""
             return "the route needs the key of a client account"
         report["allotment"] = _describe_allotment(account)
-        seconds = self._entry.get_allotment_wait_seconds(account)
-        if seconds:
-            return (
-                f"the allotment was used up a moment ago; come back in {seconds:.2f} s"
-            )
-        return ""
+        failure = await self._entry.find_allotment_refusal(account)
+        if failure is None:
+            return ""
+        seconds = failure.retry_after_ms / MS_PER_SECOND
+        return f"{failure.detail}; come back in {seconds:.2f} s"
 
     def _place(
         self, report: admin.WhereReport, attributes: routing.CallAttributes
