Entry: no final 404 while newer routes are known and not received

Callers saw 404 for a route that the operator had added, at a daemon that had heard of the newer configuration and was still fetching it. Callers give up on 404.

Cause: matching looked at the table in force alone, and took its silence for a final answer, although gossip knew that a newer document exists. Ruled out: a table that loses routes (a document is taken as a whole, its version never goes down).

If nothing matches and the document is still missing, it is refused as routes-outdated: 503 with Retry-After, not run. Calls that a route in force matches wait for nothing, and 404 stays the answer as soon as nothing newer is known. The same holds for classes.

The test of a split route passes the new argument of the matcher.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -28,6 +28,7 @@
     _matching,
     _notices,
     _peer_client,
+    _route_wait,
     _sinks,
     _startup_period,
     _statistics,
@@ -168,15 +169,28 @@
         return EntryOutcome(result, request_id)
 
     async def _match(self, request: IncomingRequest) -> _matching.MatchResult:
-        """Return the class of the request; right after a start, wait for routes."""
-        fields = request.fields
-        method = request.method.decode("ascii")
-        matched = self._matcher.match(fields, method, request.target)
-        if not _lacks_routes(matched):
+        """Return the class of the request.
+
+        Right after a start, wait for routes; later, wait for newer ones that are known
+        if those in force match nothing.
+        """
+
+        def match() -> _matching.MatchResult:
+            method = request.method.decode("ascii")
+            return self._matcher.match(request.fields, method, request.target)
+
+        matched = match()
+        deadline = request.received_at + _get_timeout_seconds(request.fields)
+        if _has_failed_as(matched, errors.ErrorKind.NO_ROUTES_YET):
+            await self._startup_period.wait_until(self._has_routes, deadline)
+        elif _has_failed_as(matched, errors.ErrorKind.ROUTES_OUTDATED):
+            outdated = errors.ErrorKind.ROUTES_OUTDATED
+            await _route_wait.wait_until(
+                lambda: not _has_failed_as(match(), outdated), deadline
+            )
+        else:
             return matched
-        deadline = request.received_at + _get_timeout_seconds(fields)
-        await self._startup_period.wait_until(self._has_routes, deadline)
-        return self._matcher.match(fields, method, request.target)
+        return match()
 
     def _identify(
         self, request: IncomingRequest, class_with_policy: classes.ClassWithPolicy
@@ -491,8 +505,7 @@
     return result.error.execution is errors.Execution.NOT_RUN
 
 
-def _lacks_routes(matched: _matching.MatchResult) -> bool:
-    kind = errors.ErrorKind.NO_ROUTES_YET
+def _has_failed_as(matched: _matching.MatchResult, kind: errors.ErrorKind) -> bool:
     return matched.is_error() and matched.error.kind is kind
 
 
--- a/umberdrum/callpath/_matching.py
+++ b/umberdrum/callpath/_matching.py
@@ -1,6 +1,7 @@
 """Matching of calls with the operator's classes or routes."""
 
 import random
+from collections.abc import Callable
 from typing import Protocol
 
 import expression
@@ -9,11 +10,14 @@
 from umberdrum.callpath import _headers, _paths
 
 NO_ROUTES_RETRY_MS = 500
+# By then a fetch that was not answered has been repeated at another daemon.
+OUTDATED_RETRY_MS = 300
 QUEUE_SHARE_OF_TARGET = 0.5
 HEDGE_SHARE_OF_TARGET = 0.5
 ROUTE_PERCENTILE = 99.0
 
 MatchResult = expression.Result[classes.ClassWithPolicy, errors.Failure]
+OutdatedCheck = Callable[[], bool]
 
 
 class CallMatcher(Protocol):
@@ -34,10 +38,15 @@
 
 
 class ClassMatcher:
-    """Matches calls with the classes in the catalog, by service, method and path."""
+    """Matches calls with the classes in the catalog, by service, method and path.
 
-    def __init__(self) -> None:
+    ``is_outdated`` tells whether a newer document is known and not received yet. A call
+    without a class is then refused as ``ROUTES_OUTDATED``.
+    """
+
+    def __init__(self, is_outdated: OutdatedCheck) -> None:
         self.catalog = classes.Catalog()
+        self._is_outdated = is_outdated
 
     @property
     def version(self) -> int:
@@ -58,13 +67,12 @@
         class_with_policy = self.catalog.match(service, method, path)
         if class_with_policy is not None:
             return expression.Ok(class_with_policy)
+        kind = errors.ErrorKind.UNKNOWN_CLASS
+        detail = f"no class of {service!r} matches {method} {path[:200]}"
         if not self.catalog.has_service(service):
+            kind = errors.ErrorKind.UNKNOWN_SERVICE
             detail = f"no class names the service {service!r}"
-            return expression.Error(
-                errors.fail(errors.ErrorKind.UNKNOWN_SERVICE, detail)
-            )
-        detail = f"no class of {service!r} matches {method} {path[:200]}"
-        return expression.Error(errors.fail(errors.ErrorKind.UNKNOWN_CLASS, detail))
+        return expression.Error(_explain_mismatch(kind, detail, self._is_outdated()))
 
 
 class RouteMatcher:
@@ -72,11 +80,20 @@
 
     If a route is split between services, each call picks one at random in proportion to
     the weights. Every daemon then keeps the proportions without any coordination.
+
+    ``is_outdated`` tells whether a newer table is known and not received yet. A call
+    without a route is then refused as ``ROUTES_OUTDATED``.
     """
 
-    def __init__(self, source: routetable.RouteTableSource, rng: random.Random) -> None:
+    def __init__(
+        self,
+        source: routetable.RouteTableSource,
+        rng: random.Random,
+        is_outdated: OutdatedCheck,
+    ) -> None:
         self._source = source
         self._rng = rng
+        self._is_outdated = is_outdated
         self._table: routetable.RouteTable | None = None
         self._route_classes: dict[routetable.Route, list[classes.ClassWithPolicy]] = {}
 
@@ -113,7 +130,9 @@
             detail = (
                 f"version {table.version} has no route for {fields.service}{path[:200]}"
             )
-            return expression.Error(errors.fail(errors.ErrorKind.UNKNOWN_ROUTE, detail))
+            kind = errors.ErrorKind.UNKNOWN_ROUTE
+            failure = _explain_mismatch(kind, detail, self._is_outdated())
+            return expression.Error(failure)
         route_classes = self._route_classes.get(route)
         if route_classes is None:
             route_classes = self._route_classes[route] = _build_route_classes(route)
@@ -123,6 +142,24 @@
         return expression.Ok(self._rng.choices(route_classes, weights)[0])
 
 
+def _explain_mismatch(
+    kind: errors.ErrorKind, detail: str, is_outdated: bool
+) -> errors.Failure:
+    """Return the failure of a call that nothing matches; it is final if not outdated.
+
+    Load pattern: a route is added, and calls for it reach daemons that have heard of
+    the newer table while they still fetch it.
+    """
+    if not is_outdated:
+        return errors.fail(kind, detail)
+    return errors.Failure(
+        errors.ErrorKind.ROUTES_OUTDATED,
+        errors.Execution.NOT_RUN,
+        f"{detail}; a newer document is being fetched",
+        OUTDATED_RETRY_MS,
+    )
+
+
 def _build_route_classes(route: routetable.Route) -> list[classes.ClassWithPolicy]:
     """Return a class with its policy for each service that the route forwards to."""
     hedge_after_ms = 0
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -118,10 +118,12 @@
         )
         self.endpoint.crash_guard.on_marks = self._publish_crash_marks
         self.routes = _build_routes(integration, log)
-        self._class_matcher = callpath.ClassMatcher()
+        self._class_matcher = callpath.ClassMatcher(self.exchange.expects_documents)
         self.matcher: callpath.CallMatcher = self._class_matcher
         if self.routes is not None:
-            self.matcher = callpath.RouteMatcher(self.routes, rng)
+            self.matcher = callpath.RouteMatcher(
+                self.routes, rng, self.exchange.expects_documents
+            )
         self.allotments = _allotments.AllotmentParts(
             self.table,
             self.exchange,
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -72,6 +72,7 @@
     UNKNOWN_ACCOUNT = 41
     ALLOTMENT_EXCEEDED = 42
     ALLOTMENT_UNKNOWN = 43
+    ROUTES_OUTDATED = 44
 
     @property
     def token(self) -> str:
@@ -200,6 +201,9 @@
     ErrorKind.NO_ROUTES_YET: ErrorResponse(
         503, "No route table is known yet", "destination_unavailable"
     ),
+    ErrorKind.ROUTES_OUTDATED: ErrorResponse(
+        503, "Newer routes are known and not received yet", "destination_unavailable"
+    ),
     ErrorKind.UNKNOWN_ROUTE: ErrorResponse(
         404, "No route matches the request", "destination_not_found"
     ),
--- a/umberdrum/routetable/tests/routetable_steps.py
+++ b/umberdrum/routetable/tests/routetable_steps.py
@@ -103,7 +103,7 @@
     source = routetable.RouteTableSource("config", decode, log)
     entry = classes.CatalogEntry("config", 1, b"x", False)
     source.apply_catalog(classes.Catalog().merge([entry]))
-    context.matcher = callpath.RouteMatcher(source, random.Random(4))
+    context.matcher = callpath.RouteMatcher(source, random.Random(4), lambda: False)
 
 
 @behave.when("{n_calls:d} calls are matched")
