Headers: take the name of a host from every form that RFC 3986 allows

Callers whose Host ended with a dot ("pay."), or with a colon and no port ("pay:"), saw 404 for a service or route that exists.

Cause: the port was cut off only if it had digits, and the dot was taken for a part of the name.

--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -86,7 +86,7 @@
     if is_chunked and content_length is not None:
         detail = "expected either Content-Length or Transfer-Encoding, found both"
         return expression.Error(errors.fail(errors.ErrorKind.MALFORMED_REQUEST, detail))
-    service_name = (service or _strip_port(host)).decode("ascii", "replace").lower()
+    service_name = (service or _get_host_name(host)).decode("ascii", "replace").lower()
     return expression.Ok(
         CallFields(
             service_name,
@@ -193,13 +193,18 @@
     return frozenset(names)
 
 
-def _strip_port(host: bytes) -> bytes:
+def _get_host_name(host: bytes) -> bytes:
+    """Return the name in a ``Host`` field, without its port and a dot at its end.
+
+    The port may be empty (RFC 3986, section 3.2.3). The dot makes a name absolute (RFC
+    1034, section 3.1) and names the same host.
+    """
     if host.endswith(b"]"):
         return host
     name, separator, port = host.rpartition(b":")
-    if separator and port.isdigit():
-        return name
-    return host
+    if separator and (port.isdigit() or not port):
+        host = name
+    return host.removesuffix(b".")
 
 
 def _parse_deadline_ms(value: bytes) -> int:
--- a/umberdrum/callpath/tests/callpath.feature
+++ b/umberdrum/callpath/tests/callpath.feature
@@ -108,6 +108,10 @@
       | GET /look HTTP/1.1~Host: pay:8080~Connection: close~~                   | 0       |
       | GET /look HTTP/1.1~Host: x~umberdrum-service: pay~Connection: close~~   | 0       |
       | GET http://pay/look HTTP/1.1~Host: pay~Connection: close~~              | 0       |
+      | GET http://pay.:80/look HTTP/1.1~Host: x~Connection: close~~            | 0       |
+      | GET /look HTTP/1.1~Host: pay:~Connection: close~~                       | 0       |
+      | GET /look HTTP/1.1~Host: pay.~Connection: close~~                       | 0       |
+      | GET /look HTTP/1.1~Host: PAY.:8080~Connection: close~~                  | 0       |
       | GET /look HTTP/1.0~Host: pay~~                                          | 0       |
       | GET /look HTTP/1.0~umberdrum-service: pay~~                             | 0       |
       | POST /look HTTP/1.1~Host: pay~Connection: close~Content-Length: 5~~hello | 5      |
