Caller: a request that its caller broke off is not malformed

A caller that ended its side of the connection within a request, and still read, was told 400: that its request was wrong, and that it must not repeat it. What it had sent was valid.

Cause: the parser reports the end of the connection within a head or body as a protocol violation, and all of those became malformed-request. Errors in the bytes themselves are found when they arrive, so an error at the end means only that the request is incomplete.

Now it is caller-gone: 408 while nothing of it can have run, 502 once it may have.

Evidence: seven rows of proper_requests.feature. The end comes between two checks of the liveness watch: a caller that the watch finds gone first gets a close without a response, as before.

--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -64,6 +64,7 @@
         self._n_body_bytes = 0
         self._unparsed = unparsed
         self._has_skipped_line = False
+        self._has_ended = False
         self.http = _build_parser(self._limits)
         self._is_close_announced = False
         self._turn_limit = sockets.TurnLimit(MAX_EVENTS_PER_TURN)
@@ -273,11 +274,15 @@
             kind = errors.ErrorKind.MALFORMED_REQUEST
             if fault.error_status_hint == 431:
                 kind = errors.ErrorKind.HEAD_TOO_LARGE
+            elif self._has_ended:
+                # What came before the end was valid, or would have been refused then.
+                kind = errors.ErrorKind.CALLER_GONE
             raise _build_body_error(kind, str(fault)) from None
 
     async def _receive_event(self) -> object:
         while True:
             data = await self.connection.receive()
+            self._has_ended = not data
             self.http.receive_data(data)
             event = self._next_event()
             if event is not h11.NEED_DATA:
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -83,3 +83,17 @@
       | KEEPALIVE |
       | ADMITTED  |
       | CLOSING   |
+
+  Scenario Outline: A caller that ended its side within a request was told that it was malformed
+    When a caller sends <request> to the <place> daemon and ends its side
+    Then its request fails with <status> as "<result>"
+
+    Examples:
+      | request                        | place    | status | result                   |
+      | half a head                    | entry    | 408    | caller-gone/not-run      |
+      | half a body of 10 bytes        | entry    | 408    | caller-gone/not-run      |
+      | half a chunk of 10 bytes       | entry    | 408    | caller-gone/not-run      |
+      | half a body of 200000 bytes    | endpoint | 408    | caller-gone/not-run      |
+      | half a body of 200000 bytes    | entry    | 502    | caller-gone/may-have-run |
+      | half a body of 800000 bytes    | endpoint | 502    | caller-gone/may-have-run |
+      | half a chunk of 200000 bytes   | entry    | 502    | caller-gone/may-have-run |
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -1,5 +1,6 @@
 """Steps for proper requests whose form or timing is unusual."""
 
+import json
 import socket
 
 import behave
@@ -17,6 +18,8 @@
 MAX_HEAD_BYTES = 9000
 STOP_AFTER_SECONDS = 0.5
 LAST_PART_BYTES = 10_000
+# Between two checks for callers that are gone, which close without a response.
+END_AFTER_SECONDS = 0.12
 REQUEST = b"GET /look HTTP/1.1\r\nHost: pay\r\nx-nonce: second\r\n\r\n"
 HALF_BYTES = len(REQUEST) // 2
 MARKERS = (b'"nonce": "first"', b'"nonce": "second"')
@@ -263,3 +266,44 @@
 @behave.then('receiving it fails as "{kind}"')
 def check_lost(context: runner.Context, kind: str) -> None:
     assert (context.parts, context.kind) == ([b"part"], kind), context.kind
+
+
+@behave.when("a caller sends half a head to the {place} daemon and ends its side")
+def end_in_head(context: runner.Context, place: str) -> None:
+    _send_and_end(context, place, REQUEST[:HALF_BYTES])
+
+
+@behave.when(
+    "a caller sends half a {form} of {n_bytes:d} bytes to the {place} daemon and ends "
+    "its side"
+)
+def end_in_body(context: runner.Context, form: str, n_bytes: int, place: str) -> None:
+    length = b"Content-Length: %d\r\n\r\n" % n_bytes
+    if form == "chunk":
+        length = b"Transfer-Encoding: chunked\r\n\r\n%x\r\n" % n_bytes
+    head = b"POST /pay HTTP/1.1\r\nHost: pay\r\n" + length
+    _send_and_end(context, place, head + bytes(n_bytes // 2))
+
+
+def _send_and_end(context: runner.Context, place: str, data: bytes) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        at = node if place == "endpoint" else entry
+        connection = await sockets.connect(at.settings.caller_listen, 1.0)
+        await connection.send(data)
+        await trio.sleep(END_AFTER_SECONDS)
+        connection.finish_sending()
+        context.raw = b""
+        with trio.move_on_after(RESPONSES_SECONDS):
+            while received := await connection.receive():
+                context.raw += received
+        connection.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then('its request fails with {status:d} as "{result}"')
+def check_ended(context: runner.Context, status: int, result: str) -> None:
+    head, _, body = context.raw.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), context.raw
+    problem = json.loads(body)
+    assert f"{problem['kind']}/{problem['execution']}" == result, problem
