Classes: a daemon that has read no class yet refuses calls as no-routes-yet

A daemon that had just started, or could reach neither store nor peers since, told the callers of every service 404, on which they give up.

Cause: an empty catalog was taken for one in which no class names the service. A daemon with a route table has told the two apart since it has route tables; now both do, and a call right after a start waits for the classes as it does for routes.

Evidence: proper_requests.feature, "A call that no class matches is not found only if the classes are known": its first row was unknown-service before.

--- a/umberdrum/callpath/_matching.py
+++ b/umberdrum/callpath/_matching.py
@@ -62,6 +62,8 @@
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
         """Return the class of the call with its policy, or the failure."""
+        if self.catalog.position == classes.NO_POSITION:
+            return expression.Error(_build_no_routes_failure("no class is known yet"))
         path = _paths.normalize_path(target)
         service = fields.service
         class_with_policy = self.catalog.match(service, method, path)
@@ -113,14 +115,8 @@
         """Return the route of the call as a class with its policy, or the failure."""
         table = self._source.table
         if table is None:
-            return expression.Error(
-                errors.Failure(
-                    errors.ErrorKind.NO_ROUTES_YET,
-                    errors.Execution.NOT_RUN,
-                    "no route table was received yet",
-                    NO_ROUTES_RETRY_MS,
-                )
-            )
+            detail = "no route table was received yet"
+            return expression.Error(_build_no_routes_failure(detail))
         if table is not self._table:
             self._table = table
             self._route_classes.clear()
@@ -142,6 +138,15 @@
         return expression.Ok(self._rng.choices(route_classes, weights)[0])
 
 
+def _build_no_routes_failure(detail: str) -> errors.Failure:
+    return errors.Failure(
+        errors.ErrorKind.NO_ROUTES_YET,
+        errors.Execution.NOT_RUN,
+        detail,
+        NO_ROUTES_RETRY_MS,
+    )
+
+
 def _explain_mismatch(
     kind: errors.ErrorKind, detail: str, is_outdated: bool
 ) -> errors.Failure:
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -84,6 +84,19 @@
       | ADMITTED  |
       | CLOSING   |
 
+  # A daemon that had read no class yet, as after a restart, refused all calls as not found.
+  Scenario Outline: A call that no class matches is not found only if the classes are known
+    When a call to "<service>" and "<path>" is matched by a daemon that <state>
+    Then matching it fails as "<kind>"
+
+    Examples:
+      | service | path   | state                          | kind            |
+      | pay     | /look  | has read no class yet          | no-routes-yet   |
+      | nosuch  | /look  | has read all classes           | unknown-service |
+      | pay     | /other | has read all classes           | unknown-class   |
+      | nosuch  | /look  | has heard of newer classes     | routes-outdated |
+      | pay     | /other | has heard of newer classes     | routes-outdated |
+
   Scenario Outline: A caller that ended its side within a request was told that it was malformed
     When a caller sends <request> to the <place> daemon and ends its side
     Then its request fails with <status> as "<result>"
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -7,7 +7,7 @@
 import trio
 from behave import runner
 
-from umberdrum import callpath, peerlink, settings, sockets
+from umberdrum import callpath, classes, peerlink, settings, sockets
 from umberdrum.callpath import _dialect, _peer_server, _upstream
 from umberdrum.callpath.tests import callpath_steps
 from umberdrum.tests import harness
@@ -268,6 +268,30 @@
     assert (context.parts, context.kind) == ([b"part"], kind), context.kind
 
 
+@behave.when(
+    'a call to "{service}" and "{path}" is matched by a daemon that has {knowledge}'
+)
+def match_call(
+    context: runner.Context, service: str, path: str, knowledge: str
+) -> None:
+    is_outdated = knowledge == "heard of newer classes"
+    matcher = callpath.ClassMatcher(lambda: is_outdated)
+    if knowledge != "read no class yet":
+        target = classes.Target(200, 99.0)
+        look = classes.RequestClass("look", "pay", (), "/look", True, target, "c1")
+        entry = classes.CatalogEntry("look", 1, classes.encode_document(look), False)
+        matcher.catalog = classes.Catalog().merge([entry])
+    fields = callpath.read_call_fields([(b"host", service.encode())]).ok
+    context.matched = matcher.match(fields, "GET", path.encode())
+
+
+@behave.then('matching it fails as "{kind}"')
+def check_match(context: runner.Context, kind: str) -> None:
+    failure = context.matched.error
+    assert failure.kind.token == kind, failure
+    assert (failure.retry_after_ms > 0) is (not kind.startswith("unknown")), failure
+
+
 @behave.when("a caller sends half a head to the {place} daemon and ends its side")
 def end_in_head(context: runner.Context, place: str) -> None:
     _send_and_end(context, place, REQUEST[:HALF_BYTES])
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -199,7 +199,7 @@
         400, "The route table is not valid", "http_request_error"
     ),
     ErrorKind.NO_ROUTES_YET: ErrorResponse(
-        503, "No route table is known yet", "destination_unavailable"
+        503, "No routes or classes are known yet", "destination_unavailable"
     ),
     ErrorKind.ROUTES_OUTDATED: ErrorResponse(
         503, "Newer routes are known and not received yet", "destination_unavailable"
