--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -83,3 +83,30 @@
       | KEEPALIVE |
       | ADMITTED  |
       | CLOSING   |
+
+  # A daemon that had read no class yet, as after a restart, refused all calls as not found.
+  Scenario Outline: A call that no class matches is not found only if the classes are known
+    When a call to "<service>" and "<path>" is matched by a daemon that <state>
+    Then matching it fails as "<kind>"
+
+    Examples:
+      | service | path   | state                          | kind            |
+      | pay     | /look  | has read no class yet          | no-routes-yet   |
+      | nosuch  | /look  | has read all classes           | unknown-service |
+      | pay     | /other | has read all classes           | unknown-class   |
+      | nosuch  | /look  | has heard of newer classes     | routes-outdated |
+      | pay     | /other | has heard of newer classes     | routes-outdated |
+
+  Scenario Outline: A caller that ended its side within a request was told that it was malformed
+    When a caller sends <request> to the <place> daemon and ends its side
+    Then its request fails with <status> as "<result>"
+
+    Examples:
+      | request                        | place    | status | result                   |
+      | half a head                    | entry    | 408    | caller-gone/not-run      |
+      | half a body of 10 bytes        | entry    | 408    | caller-gone/not-run      |
+      | half a chunk of 10 bytes       | entry    | 408    | caller-gone/not-run      |
+      | half a body of 200000 bytes    | endpoint | 408    | caller-gone/not-run      |
+      | half a body of 200000 bytes    | entry    | 502    | caller-gone/may-have-run |
+      | half a body of 800000 bytes    | endpoint | 502    | caller-gone/may-have-run |
+      | half a chunk of 200000 bytes   | entry    | 502    | caller-gone/may-have-run |
