Gossip: contacts repeat a change to peers that have not told of it

Cause: a change was told once, to five peers, and then only by the periodic probes. Peers that are suspected, because answers of theirs were lost, were told nothing at all: pushes and probes go to live peers.

Ruled out: a fetch that hangs. The daemons that were late had not heard of the change (no fetch had begun).

Change: for 1.8 s after a change, a contact repeats its position every 0.2 s to the peers of its zone that have not advertised it, suspected ones included. An answer ends that. The messages are no probes, so lost answers raise no suspicion, and they hold no updates. Rounds are of 16 peers, of 4 while the byte budget is spent.

The link stand-in can lose datagrams by seeded random choice.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -18,6 +18,7 @@
     wire,
 )
 from umberdrum.gossip import (
+    _change_reminders,
     _datagram,
     _fetch_selector,
     _peer_selector,
@@ -132,7 +133,9 @@
         self._fetch_selector = _fetch_selector.FetchPeerSelector()
         self._fetch_wakeup = trio.Event()
         self._fetch_scopes: set[trio.CancelScope] = set()
-        state.add_catalog_listener(self._wake_fetch_task)
+        self._change_reminders = _change_reminders.ChangeReminders()
+        self._catalog_changed = trio.Event()
+        state.add_catalog_listener(self._handle_catalog_change)
         self._token_bucket = _token_bucket.GossipTokenBucket(0.0)
         self._wakeup = trio.Event()
         self.n_bytes_sent = 0
@@ -174,6 +177,7 @@
             nursery.start_soon(self._receive_forever)
             nursery.start_soon(self._remove_expired_forever)
             nursery.start_soon(self._fetch_forever)
+            nursery.start_soon(self._remind_forever)
             while True:
                 self._wakeup = trio.Event()
                 with trio.move_on_after(self._draw_period_seconds()):
@@ -579,11 +583,15 @@
         address = settings.parse_address(message.sender_id)
         record = self._state.table.get(message.sender_id)
         own_zone = self._state.table.own.availability_zone
+        position = classes.EntryPosition(
+            message.catalog_version, message.catalog_era, message.catalog_revision
+        )
+        self._change_reminders.record_position(
+            message.sender_id, message.sender_process_id, position
+        )
         is_newer = self._fetch_selector.record_position(
             peerlink.PeerAddress(address, message.sender_process_id),
-            classes.EntryPosition(
-                message.catalog_version, message.catalog_era, message.catalog_revision
-            ),
+            position,
             self._state.catalog.position,
             record is not None and record.availability_zone == own_zone,
             trio.current_time(),
@@ -602,6 +610,33 @@
             self._has_joined = True
             await self.push_own_record()
 
+    async def _remind_forever(self) -> None:
+        """Repeat each change for some time while this daemon is a contact."""
+        while True:
+            await self._catalog_changed.wait()
+            self._catalog_changed = trio.Event()
+            ends_at = trio.current_time() + _change_reminders.REMINDER_PERIOD_SECONDS
+            while trio.current_time() < ends_at and not self._catalog_changed.is_set():
+                await trio.sleep(_change_reminders.REMINDER_INTERVAL_SECONDS)
+                if self._state.table.own.is_contact:
+                    await self._send_reminders()
+
+    async def _send_reminders(self) -> None:
+        """Send the own position to peers of the zone that may not know it.
+
+        The messages are no probes: an answer that is lost raises no suspicion.
+        """
+        n_peers = _change_reminders.MAX_REMINDED_PEERS
+        if self._token_bucket.get_available(trio.current_time()) < 0:
+            n_peers = _change_reminders.MIN_REMINDED_PEERS
+        for record in self._change_reminders.take_round(
+            self._peer_selector.list_zone_peers(),
+            self._state.catalog.position,
+            n_peers,
+        ):
+            message = self._build_bare_message(record.process_id)
+            await self._send(message, record.address)
+
     async def _fetch_forever(self) -> None:
         """Fetch newer documents that peers advertise, and advertise them in turn."""
         async with trio.open_nursery() as nursery:
@@ -642,8 +677,9 @@
         self._log_fetch(fetch, is_completed, outdated_seconds, now)
         self._fetch_wakeup.set()
 
-    def _wake_fetch_task(self, _catalog: classes.Catalog) -> None:
+    def _handle_catalog_change(self, _catalog: classes.Catalog) -> None:
         self._fetch_wakeup.set()
+        self._catalog_changed.set()
 
     def _cancel_fetches(self) -> None:
         for scope in self._fetch_scopes:
@@ -672,4 +708,5 @@
         while True:
             await trio.sleep(EXPIRY_INTERVAL_SECONDS)
             for endpoint_id in self._state.table.remove_expired(trio.current_time()):
+                self._change_reminders.forget(endpoint_id)
                 self._log.write("endpoint_forgotten", endpoint=endpoint_id)
--- a/umberdrum/gossip/_peer_selector.py
+++ b/umberdrum/gossip/_peer_selector.py
@@ -22,6 +22,20 @@
         records = self._table.records
         return [row for row in records if row.is_live and row.endpoint_id != own_id]
 
+    def list_zone_peers(self) -> list[membership.EndpointRecord]:
+        """Return the records of the own zone's daemons, suspected ones included.
+
+        This daemon and those that have left are not among them.
+        """
+        own = self._table.own
+        return [
+            row
+            for row in self._table.records
+            if row.availability_zone == own.availability_zone
+            and not row.is_final
+            and row.endpoint_id != own.endpoint_id
+        ]
+
     def choose_peer(self) -> membership.EndpointRecord | None:
         """Select a peer, mostly from the same zone and rarely from another region.
 
--- a/umberdrum/gossip/tests/gossip.feature
+++ b/umberdrum/gossip/tests/gossip.feature
@@ -149,6 +149,25 @@
       | 2    | 6     | 5 | 5      | 3      |
       | 0    | 0     | 5 | 0      | 0      |
 
+  # A daemon whose answers were lost was suspected, and told of no change any more.
+  Scenario Outline: Which peers a contact reminds of a change
+    When a peer in its zone is <state> and has last told of the <told> document
+    Then it reminds the peer of the newer document: <reminded>
+
+    Examples:
+      | state     | told  | reminded |
+      | live      | older | yes      |
+      | live      | newer | no       |
+      | suspected | older | yes      |
+      | suspected | newer | no       |
+      | restarted | newer | yes      |
+      | gone      | older | no       |
+
+  Scenario: Peers of a large zone are reminded in turn
+    Given a daemon that knows 40 live peers in its zone and 9 in another zone
+    When it reminds 16 peers in each of 5 rounds
+    Then each peer of its zone is reminded 2 times
+
   Scenario Outline: Which of two states of a document a daemon keeps
     Given a daemon that holds version <version> of era <era> at revision <revision>
     When a daemon of <build> sends version <sent> of era <sent era> at revision <sent revision>
--- a/umberdrum/gossip/tests/gossip_steps.py
+++ b/umberdrum/gossip/tests/gossip_steps.py
@@ -558,6 +558,46 @@
     assert (len(zones), zones.count("az2")) == (n_chosen, n_remote), zones
 
 
+@behave.when("a peer in its zone is {state} and has last told of the {told} document")
+def remind_peer(context: runner.Context, state: str, told: str) -> None:
+    table = membership.MembershipTable(_build_record(9998))
+    peer = _build_record(1)
+    later = peer._replace(
+        version=peer.version + 1,
+        is_suspected=state == "suspected",
+        is_final=state == "gone",
+    )
+    table.merge([peer], 0.0)
+    table.merge([later], 0.0)
+    reminders = gossip.ChangeReminders()
+    process_id = peer.process_id + (1 if state == "restarted" else 0)
+    position = NEWER_POSITION if told == "newer" else OLDER_POSITION
+    reminders.record_position(peer.endpoint_id, process_id, position)
+    zone_peers = gossip.PeerSelector(table, random.Random(1)).list_zone_peers()
+    context.reminded = reminders.take_round(zone_peers, NEWER_POSITION, 1)
+
+
+@behave.then("it reminds the peer of the newer document: {is_reminded}")
+def check_reminded(context: runner.Context, is_reminded: str) -> None:
+    assert bool(context.reminded) == (is_reminded == "yes"), context.reminded
+
+
+@behave.when("it reminds {n_peers:d} peers in each of {n_rounds:d} rounds")
+def remind_peers(context: runner.Context, n_peers: int, n_rounds: int) -> None:
+    reminders = gossip.ChangeReminders()
+    zone_peers = context.peer_selector.list_zone_peers()
+    context.reminded = collections.Counter()
+    for _ in range(n_rounds):
+        for row in reminders.take_round(zone_peers, NEWER_POSITION, n_peers):
+            context.reminded[row.endpoint_id] += 1
+
+
+@behave.then("each peer of its zone is reminded {n_times:d} times")
+def check_reminder_counts(context: runner.Context, n_times: int) -> None:
+    assert set(context.reminded.values()) == {n_times}, context.reminded
+    assert len(context.reminded) == len(context.peer_selector.list_zone_peers())
+
+
 def _read_test_version(name: str, document: bytes) -> int:
     assert name == "config", name
     return int(document)
--- a/umberdrum_bench/link.py
+++ b/umberdrum_bench/link.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import random
 import signal
 import socket
 import sys
@@ -24,7 +25,8 @@
 
     Datagrams from ``blocked_hosts`` are dropped. ``delay_seconds`` delays the bytes of
     connections in each direction. While ``is_refusing`` is set, new connections are
-    closed immediately.
+    closed immediately. Each datagram in either direction is lost with the probability
+    ``datagram_loss``, as ``rng`` draws.
     """
 
     def __init__(self, listen: settings.Address, target: settings.Address) -> None:
@@ -39,6 +41,8 @@
         self.delay_seconds = 0.0
         self.is_refusing = False
         self.blocked_hosts: frozenset[str] = frozenset()
+        self.datagram_loss = 0.0
+        self.rng = random.Random(0)
         self._udp_clients: dict[settings.Address, trio.socket.SocketType] = {}
 
     @property
@@ -112,6 +116,8 @@
                 data, sender = await server.recvfrom(MAX_DATAGRAM_BYTES)
                 if not self._inbound_open.is_set() or sender[0] in self.blocked_hosts:
                     continue
+                if self._is_datagram_lost():
+                    continue
                 address = settings.Address(*sender)
                 client = self._udp_clients.get(address)
                 if client is None:
@@ -129,9 +135,12 @@
     ) -> None:
         while True:
             data = await client.recv(MAX_DATAGRAM_BYTES)
-            if self._outbound_open.is_set():
+            if self._outbound_open.is_set() and not self._is_datagram_lost():
                 await server.sendto(data, (address.host, address.port))
 
+    def _is_datagram_lost(self) -> bool:
+        return self.rng.random() < self.datagram_loss
+
     async def _forward_bytes(
         self,
         source: sockets.Connection,
