Gossip: handle all datagrams that have arrived in one pass of the event loop

Cause: trio's recvfrom and sendto each end the pass. A daemon took two passes for a datagram and its answer, and five to push a change to five peers, one datagram after the other. With passes of 50 ms datagrams arrive faster than they are handled: daemons heard of a change late, suspected each other, and sent still more datagrams.

Ruled out: the fetch itself. Of 25 to 48 passes until a change was in force, some six belong to the fetch; the others went by before the daemon had heard.

Change: a socket of our own receives what has arrived, 16 datagrams a turn, and sends without a pass unless the kernel would block, as connections do already.

--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -138,7 +138,7 @@
             )
             self.parts = parts
             parts.caller_server.set_listening_since(trio.current_time() - bound_seconds)
-            await parts.exchange.bind()
+            parts.exchange.bind()
             self._start_tasks(parts, listeners, tasks)
             self._log.write(
                 "started",
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -1,7 +1,6 @@
 """Periodic gossip with random peers and failure detection by probes."""
 
 import random
-import socket
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
 
@@ -15,6 +14,7 @@
     membership,
     peerlink,
     settings,
+    sockets,
     wire,
 )
 from umberdrum.gossip import (
@@ -116,7 +116,7 @@
         self._listen = listen
         self._rng = rng
         self._log = log
-        self._socket: trio.socket.SocketType | None = None
+        self._socket: sockets.DatagramSocket | None = None
         self._sequence = 0
         self._probes: dict[int, _Probe] = {}
         self._urgent_probe_ids: set[str] = set()
@@ -159,12 +159,9 @@
             self._n_endpoints_told = n_endpoints
             self._n_endpoints_told_at = now
 
-    async def bind(self) -> None:
+    def bind(self) -> None:
         """Bind the UDP socket; raises ``OSError``."""
-        family = socket.AF_INET6 if ":" in self._listen.host else socket.AF_INET
-        sock = trio.socket.socket(family, socket.SOCK_DGRAM)
-        await sock.bind((self._listen.host, self._listen.port))
-        self._socket = sock
+        self._socket = sockets.DatagramSocket(self._listen)
 
     def close(self) -> None:
         """Close the UDP socket."""
@@ -390,7 +387,7 @@
             self._token_bucket.spend(n_bytes)
         self.n_bytes_sent += n_bytes
         try:
-            await self._socket.sendto(datagram, (address.host, address.port))
+            await self._socket.sendto(datagram, address)
         except OSError as fault:
             self._log.warn("gossip_send", peer=str(address), reason=str(fault))
 
@@ -399,12 +396,11 @@
             raise RuntimeError("bind() must be called before run()")
         while True:
             try:
-                datagram, sender = await self._socket.recvfrom(65_536)
+                datagram, peer = await self._socket.receive()
             except OSError:
                 # A peer's host reported a closed port; probe timeouts cover this case.
                 continue
             self.n_bytes_received += len(datagram) + _datagram.PACKET_OVERHEAD_BYTES
-            peer = settings.Address(*sender[:2])
             decoded = self._codec.decode(datagram)
             if decoded.is_ok():
                 await self._handle_message(decoded.ok, peer)
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -83,6 +83,31 @@
     return mock.patch.object(sockets.Connection, name, measure)
 
 
+class SlowPasses(trio.abc.Instrument):
+    """Makes each pass of the scheduler in which a task runs take some time.
+
+    All daemons of a test run in the same passes, as if each were on a machine of its
+    own that is short of processor time. Use it on the virtual clock.
+    """
+
+    def __init__(self, pass_seconds: float) -> None:
+        self._pass_seconds = pass_seconds
+        self._has_run = False
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        """Record that the pass is not empty."""
+        self._has_run = True
+
+    def before_io_wait(self, timeout: float) -> None:
+        """Let the time of a pass go by after it has ended."""
+        if not (self._has_run and self._pass_seconds):
+            return
+        self._has_run = False
+        clock = trio.lowlevel.current_clock()
+        assert isinstance(clock, trio.testing.MockClock)
+        clock.jump(self._pass_seconds)
+
+
 _ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
 _reservations: dict[int, socket.socket] = {}
 
