Soak: change a long route table beside its faults, and judge each change in time

The soak changed request classes only. Its daemons were all contacts, too, in a soak of 4, which fetch nothing.

Plans of earlier seeds stay as they are; changes have random choices of their own, and most come with a trouble within 0.2 s: all links silent, a contact killed, a daemon paused, the store away, slow or turning a zone away. Each zone has one contact, as deployed.

Recovery now includes the zones' state.

Table in soak.feature: 15 cases, both sides of bounds.

--- a/umberdrum_bench/processes.py
+++ b/umberdrum_bench/processes.py
@@ -37,7 +37,10 @@
 
 
 class ClusterOptions(NamedTuple):
-    """Options of a cluster, its daemons and its upstreams."""
+    """Options of a cluster, its daemons and its upstreams.
+
+    ``n_contacts_per_zone`` is the setting of the daemons, 0 for their defaults.
+    """
 
     base_port: int
     directory: pathlib.Path
@@ -48,6 +51,8 @@
     has_upstreams: bool = True
     mean_ms: float = 0.0
     seed: int = 1
+    daemon_module: str = "umberdrum.startup"
+    n_contacts_per_zone: int = 0
 
 
 class EndpointAddresses(NamedTuple):
@@ -239,7 +244,8 @@
     def _spawn_daemon(
         self, index: int, settings_path: pathlib.Path
     ) -> "subprocess.Popen[bytes]":
-        arguments = ["umberdrum.startup", "--settings", str(settings_path)]
+        module = self.options.daemon_module
+        arguments = [module, "--settings", str(settings_path)]
         return self._spawn(f"daemon-{index:03d}", arguments)
 
     def _spawn_upstream(
@@ -276,6 +282,7 @@
             f"announce = {addresses.announce}",
             "[cluster]",
             f"key = {CLUSTER_KEY}",
+            *_render_contacts(options.n_contacts_per_zone),
             "[store]",
             "addresses = "
             f"{addresses.store_link if plan.has_external_links else self.store}",
@@ -302,6 +309,12 @@
         return process
 
 
+def _render_contacts(n_per_zone: int) -> list[str]:
+    if not n_per_zone:
+        return []
+    return [f"contacts_per_zone = {n_per_zone}", f"min_contacts = {n_per_zone}"]
+
+
 def build_client(address: settings.Address) -> jsonclient.JsonClient:
     """Return a JSON client for a stand-in or an admin address."""
     kind = errors.ErrorKind.DAEMON_UNAVAILABLE
--- a/umberdrum_bench/soak/_environment.py
+++ b/umberdrum_bench/soak/_environment.py
@@ -1,6 +1,7 @@
 """Processes and link proxies of a soak, with a record of the injected faults."""
 
 import collections
+import datetime
 import random
 import signal
 import subprocess
@@ -8,36 +9,16 @@
 
 import trio
 
-from umberdrum import classes, configuration, errors, settings, store
-from umberdrum_bench import checker, link, processes
-from umberdrum_bench.soak import _checker, _plan
+from umberdrum import configuration, errors, settings, store
+from umberdrum_bench import checker, link, processes, route_document
+from umberdrum_bench.soak import _checker, _documents, _plan, _spread
 
 SERVICES = ("cards", "payments")
 ZONES = ("tallinn", "tartu", "parnu")
 REGION = "estonia"
 N_SLOTS = 6
-KEY_PREFIX = "umberdrum"
-
-
-class ClassPlan(NamedTuple):
-    """Class of a soak, the rate of its calls and the size of their bodies."""
-
-    name: str
-    service: str
-    path: str
-    method: str
-    is_idempotent: bool
-    calls_per_second: float
-    n_body_bytes: int
-
-
-CLASS_PLANS = (
-    ClassPlan("lookups", "cards", "/cards", "GET", True, 40.0, 0),
-    ClassPlan("renewals", "payments", "/payments", "POST", False, 25.0, 300),
-    ClassPlan("uploads", "payments", "/photos", "POST", False, 4.0, 100_000),
-)
-TARGET_MS = 500
-PERCENTILE = 99.0
+# With more, all daemons of a small soak would read the store themselves.
+N_CONTACTS_PER_ZONE = 1
 
 
 class UpstreamCounts(NamedTuple):
@@ -53,22 +34,33 @@
     def __init__(self, options: _plan.SoakOptions) -> None:
         self.options = options
         self.rng = random.Random(options.seed + 1)
+        self.spread = _spread.SpreadChecker(options.n_endpoints)
+        store_address = settings.Address(processes.LOOPBACK_HOST, options.base_port)
+        self.documents: _documents.Documents
+        if _plan.has_routes(options.seed):
+            self.documents = _documents.RouteDocuments(store_address, self.spread)
+        else:
+            self.documents = _documents.ClassDocuments(
+                store_address, self.spread, options.seed
+            )
         self.cluster = processes.Cluster(
             processes.ClusterOptions(
-                options.base_port, options.directory, seed=options.seed
+                options.base_port,
+                options.directory,
+                seed=options.seed,
+                daemon_module=self.documents.daemon_module,
+                n_contacts_per_zone=N_CONTACTS_PER_ZONE,
             )
         )
         self.peer_links: list[link.LinkProxy] = []
         self.store_links: list[link.LinkProxy] = []
         self.outages: list[_checker.DaemonOutage] = []
         self.violations: list[str] = []
-        self.accepted_revision = 0
         self.is_interrupted = False
         self._expected_exits: set[int] = set()
         self._n_faults: collections.Counter[int] = collections.Counter()
         self._n_active: collections.Counter[int] = collections.Counter()
         self._count_baselines: dict[int, UpstreamCounts] = {}
-        self._n_changes = 0
 
     def start(self) -> None:
         """Start all processes and create the link proxies, without running these."""
@@ -89,66 +81,25 @@
                 link.LinkProxy(addresses.store_link, self.cluster.store)
             )
 
-    async def create_classes(self) -> None:
-        """Create all classes, with retries while the store refuses the writes."""
-        for plan in CLASS_PLANS:
-            while not await self._write_class(plan, 0):
-                await trio.sleep(processes.POLL_INTERVAL_SECONDS)
-
-    async def change_target(self) -> None:
-        """Change the target of a random class; store errors are ignored."""
-        plan = self.rng.choice(CLASS_PLANS)
-        repository, client = self._open_repository()
-        try:
-            found = await repository.get_class(plan.name)
-        finally:
-            client.close()
-        if found.is_ok() and found.ok is not None:
-            await self._write_class(plan, found.ok.revision)
-
-    async def _write_class(self, plan: ClassPlan, expected_revision: int) -> bool:
-        self._n_changes += 1
-        request_class = classes.RequestClass(
-            plan.name,
-            plan.service,
-            (plan.method,),
-            plan.path,
-            plan.is_idempotent,
-            classes.Target(TARGET_MS + self._n_changes, PERCENTILE),
-            f"soak-{self._n_changes}",
-        )
-        repository, client = self._open_repository()
-        try:
-            written = await repository.write_class(request_class, expected_revision)
-        finally:
-            client.close()
-        if written.is_error():
-            return False
-        self.accepted_revision = max(self.accepted_revision, written.ok.revision)
-        return True
-
-    def _open_repository(
-        self,
-    ) -> tuple[configuration.ClassRepository, store.EtcdStore]:
-        client = store.EtcdStore((self.cluster.store,), store.StoreCallCounter())
-        return configuration.ClassRepository(client, KEY_PREFIX), client
-
     async def set_zone_drained(self, zone: str, is_drained: bool) -> bool:
         """Drain or restore a zone; return whether the store has accepted it.
 
         Restoring a zone that is in service counts as accepted.
         """
         client = store.EtcdStore((self.cluster.store,), store.StoreCallCounter())
-        repository = configuration.ZoneRepository(client, KEY_PREFIX)
+        repository = configuration.ZoneRepository(client, route_document.STORE_PREFIX)
         change = repository.drain if is_drained else repository.restore
+        self.spread.record_zone_order(zone, is_drained)
         try:
             changed = await change(zone)
         finally:
             client.close()
-        if changed.is_ok():
-            return True
-        kind = changed.error.kind
-        return not is_drained and kind is errors.ErrorKind.NOT_FOUND
+        is_accepted = changed.is_ok() or (
+            not is_drained and changed.error.kind is errors.ErrorKind.NOT_FOUND
+        )
+        if is_accepted:
+            self.spread.record_zone_acceptance(zone, trio.current_time())
+        return is_accepted
 
     def list_zone(self, position: int) -> list[int]:
         """Return the positions of all endpoints in the zone of this one."""
@@ -209,6 +160,12 @@
         n_finished = record.n_ended.total() + record.n_cut.total()
         return UpstreamCounts(n_begun, n_begun - n_finished)
 
+    def record_violations(self, violations: list[str]) -> None:
+        """Record violations, and print them beside the faults with the time."""
+        for line in violations:
+            print(f"time={format_time()} event=violation {line}", flush=True)
+        self.violations += violations
+
     def record_outage(self, position: int, kind: str, began_at: float) -> None:
         """Record that the daemon was dead, stopping or paused since ``began_at``."""
         now = trio.current_time()
@@ -243,6 +200,11 @@
         client.close()
 
 
+def format_time() -> str:
+    """Return the time of day, as in the logs of daemons."""
+    return f"{datetime.datetime.now(datetime.UTC):%H:%M:%S.%f}"
+
+
 async def read_status(
     endpoint: processes.RunningEndpoint,
 ) -> dict[str, object] | None:
--- a/umberdrum_bench/soak/_injector.py
+++ b/umberdrum_bench/soak/_injector.py
@@ -1,6 +1,5 @@
 """Injects the faults of a plan from outside the processes."""
 
-import datetime
 import signal
 import subprocess
 from collections.abc import Awaitable, Callable
@@ -9,7 +8,7 @@
 
 from umberdrum import settings, sockets
 from umberdrum_bench import caller, processes, upstream
-from umberdrum_bench.soak import _environment, _plan
+from umberdrum_bench.soak import _environment, _plan, _spread
 
 # A stopping daemon finishes the calls in progress, which takes one deadline of 2 s at
 # most. The rest is a margin for a busy machine.
@@ -26,10 +25,31 @@
 N_CRASH_REQUESTS = 8
 CRASH_INTERVAL_SECONDS = 0.3
 MAX_START_SECONDS = 10.0
-# The users' bound on the drain of a zone.
-ZONE_DRAIN_SECONDS = 5.0
 MAX_RESTORE_SECONDS = 10.0
 LOG_LEVELS = ("info", "debug", "warning")
+# Faults under which a daemon's process or its links to peers are disturbed. Links that
+# are delayed, reset or silent are left out: changes must arrive in spite of them.
+PROCESS_KINDS = frozenset(
+    (
+        _plan.FaultKind.KILL_DAEMON,
+        _plan.FaultKind.STOP_DAEMON,
+        _plan.FaultKind.PAUSE_DAEMON,
+        _plan.FaultKind.LOSE_ENDPOINT,
+        _plan.FaultKind.LOSE_ALL,
+        _plan.FaultKind.CUT_LINK_IN,
+        _plan.FaultKind.CUT_LINK_OUT,
+        _plan.FaultKind.CUT_LINK,
+        _plan.FaultKind.KILL_CONTACT,
+    )
+)
+# Faults that strike no endpoint, so that checks of it stay valid.
+SHARED_KINDS = frozenset(
+    (
+        _plan.FaultKind.CHANGE_DOCUMENT,
+        _plan.FaultKind.SILENCE_ALL_LINKS,
+        _plan.FaultKind.TURN_AWAY_ZONE,
+    )
+)
 
 _Action = Callable[[_plan.SoakFault], Awaitable[None]]
 
@@ -70,6 +90,10 @@
             kinds.LAPSE_LEASES: self._lapse_leases,
             kinds.CHANGE_TARGET: self._change_target,
             kinds.DRAIN_ZONE: self._drain_zone,
+            kinds.CHANGE_DOCUMENT: self._change_target,
+            kinds.SILENCE_ALL_LINKS: self._silence_all_links,
+            kinds.KILL_CONTACT: self._kill_daemon,
+            kinds.TURN_AWAY_ZONE: self._turn_away_zone,
         }
 
     async def run(self, plan: tuple[_plan.SoakFault, ...]) -> None:
@@ -78,26 +102,61 @@
         async with trio.open_nursery() as nursery:
             for fault in plan:
                 await trio.sleep_until(began_at + fault.at_seconds)
-                now = datetime.datetime.now(datetime.UTC)
                 print(
-                    f"time={now:%H:%M:%S.%f} event=fault at={fault.at_seconds:.2f} "
-                    f"kind={fault.kind.value} position={fault.position} "
-                    f"seconds={fault.seconds:.2f}",
+                    f"time={_environment.format_time()} event=fault "
+                    f"at={fault.at_seconds:.2f} kind={fault.kind.value} "
+                    f"position={fault.position} seconds={fault.seconds:.2f}",
                     flush=True,
                 )
                 nursery.start_soon(self._inject, fault)
 
     async def _inject(self, fault: _plan.SoakFault) -> None:
-        positions = [fault.position]
-        if fault.kind is _plan.FaultKind.DRAIN_ZONE:
-            positions = self._environment.list_zone(fault.position)
-        if fault.kind is _plan.FaultKind.LOSE_ALL:
-            positions = list(range(len(self._cluster.endpoints)))
+        if fault.kind is _plan.FaultKind.KILL_CONTACT:
+            fault = fault._replace(position=self._choose_contact(fault.position))
+        positions = self._list_struck(fault)
+        disturbed = self._list_disturbed(fault, positions)
         self._environment.begin_fault(positions)
+        for row in disturbed:
+            row.begin()
         try:
             await self._actions[fault.kind](fault)
         finally:
             self._environment.end_fault(positions)
+            for row in disturbed:
+                row.end(trio.current_time())
+
+    def _list_struck(self, fault: _plan.SoakFault) -> list[int]:
+        """Return the positions of the endpoints that the fault strikes."""
+        if fault.kind in SHARED_KINDS:
+            return []
+        if fault.kind is _plan.FaultKind.DRAIN_ZONE:
+            return self._environment.list_zone(fault.position)
+        if fault.kind is _plan.FaultKind.LOSE_ALL:
+            return list(range(len(self._cluster.endpoints)))
+        return [fault.position]
+
+    def _list_disturbed(
+        self, fault: _plan.SoakFault, positions: list[int]
+    ) -> list[_spread.Disturbances]:
+        """Return what the fault disturbs of the spread of changes."""
+        spread = self._environment.spread
+        if fault.kind in PROCESS_KINDS:
+            return [spread.processes[row] for row in positions]
+        if fault.kind is _plan.FaultKind.STOP_STORE:
+            return spread.store_paths
+        if fault.kind is _plan.FaultKind.CUT_STORE_LINK:
+            return [spread.store_paths[fault.position]]
+        if fault.kind is _plan.FaultKind.TURN_AWAY_ZONE:
+            zone = self._environment.list_zone(fault.position)
+            return [spread.store_paths[row] for row in zone]
+        return []
+
+    def _choose_contact(self, position: int) -> int:
+        """Return the position of a contact, of the same zone if there is one."""
+        contacts = self._environment.spread.list_contacts()
+        zone = self._environment.list_zone(position)
+        of_zone = [row for row in contacts if row in zone]
+        return (of_zone or contacts or [position])[0]
 
     async def _kill_daemon(self, fault: _plan.SoakFault) -> None:
         position = fault.position
@@ -313,6 +372,21 @@
     async def _silence_link(self, fault: _plan.SoakFault) -> None:
         self._environment.peer_links[fault.position].silence()
 
+    async def _silence_all_links(self, fault: _plan.SoakFault) -> None:
+        for link in self._environment.peer_links:
+            link.silence()
+
+    async def _turn_away_zone(self, fault: _plan.SoakFault) -> None:
+        """Let the store refuse the daemons of a zone, and serve the others."""
+        positions = self._environment.list_zone(fault.position)
+        links = [self._environment.store_links[row] for row in positions]
+        for link in links:
+            link.is_refusing = True
+            link.reset()
+        await trio.sleep(fault.seconds)
+        for link in links:
+            link.is_refusing = False
+
     async def _cut_link(self, fault: _plan.SoakFault) -> None:
         link = self._environment.peer_links[fault.position]
         link.pause(
@@ -351,21 +425,21 @@
         await self._cluster.switch_store_faults(lapse=True)
 
     async def _change_target(self, fault: _plan.SoakFault) -> None:
-        await self._environment.change_target()
+        await self._environment.documents.change()
 
     async def _drain_zone(self, fault: _plan.SoakFault) -> None:
         """Take a zone out of service, and return it.
 
-        No call may begin in the zone later than ``ZONE_DRAIN_SECONDS`` after the store
-        has accepted the order. This is checked for upstreams that no other fault struck
-        during that time.
+        No call may begin in the zone later than the bound after the store has accepted
+        the order. This is checked for upstreams that no other fault struck during that
+        time.
         """
         environment = self._environment
         zone = self._cluster.endpoints[fault.position].plan.availability_zone
         positions = environment.list_zone(fault.position)
         n_faults = {row: environment.get_fault_count(row) for row in positions}
         if await environment.set_zone_drained(zone, is_drained=True):
-            await trio.sleep(ZONE_DRAIN_SECONDS)
+            await trio.sleep(_spread.ZONE_DRAIN_SECONDS)
             before = {row: environment.read_upstream_counts(row) for row in positions}
             await trio.sleep(fault.seconds)
             for position in positions:
@@ -375,7 +449,7 @@
                 if n_late > 0 and is_judged:
                     environment.violations.append(
                         f"zone: {n_late} calls began at upstream {position} over "
-                        f"{ZONE_DRAIN_SECONDS:g} s after its zone was drained"
+                        f"{_spread.ZONE_DRAIN_SECONDS:g} s after its zone was drained"
                     )
         with trio.move_on_after(MAX_RESTORE_SECONDS):
             while not await environment.set_zone_drained(zone, is_drained=False):
--- a/umberdrum_bench/soak/_load.py
+++ b/umberdrum_bench/soak/_load.py
@@ -5,7 +5,7 @@
 import trio
 
 from umberdrum_bench import caller, checker
-from umberdrum_bench.soak import _checker, _environment
+from umberdrum_bench.soak import _checker, _documents, _environment
 
 DEADLINE_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 20.0
@@ -31,7 +31,7 @@
         """Send calls of all classes for ``seconds`` and wait until all have ended."""
         end_at = trio.current_time() + seconds
         async with trio.open_nursery() as nursery:
-            for plan in _environment.CLASS_PLANS:
+            for plan in _documents.CLASS_PLANS:
                 nursery.start_soon(self._send_class, plan, end_at)
 
     async def measure_timer_lag(self) -> None:
@@ -46,7 +46,7 @@
         """Close all idle connections."""
         self._pool.close()
 
-    async def _send_class(self, plan: _environment.ClassPlan, end_at: float) -> None:
+    async def _send_class(self, plan: _documents.ClassPlan, end_at: float) -> None:
         next_at = trio.current_time()
         async with trio.open_nursery() as nursery:
             while next_at < end_at:
@@ -54,7 +54,7 @@
                 nursery.start_soon(self._send_call, plan)
                 next_at += self._rng.expovariate(plan.calls_per_second)
 
-    async def _send_call(self, plan: _environment.ClassPlan) -> None:
+    async def _send_call(self, plan: _documents.ClassPlan) -> None:
         self._n_calls += 1
         nonce = f"{plan.name}-{self._n_calls}"
         request = caller.CallerRequest(
--- a/umberdrum_bench/soak/_plan.py
+++ b/umberdrum_bench/soak/_plan.py
@@ -10,6 +10,12 @@
 MAX_SERIES_LENGTH = 4
 MAX_SERIES_INTERVAL_SECONDS = 0.6
 ZONE_DRAIN_SHARE = 0.4
+MEAN_CHANGE_INTERVAL_SECONDS = 1.2
+TROUBLE_SHARE = 0.7
+MAX_TROUBLE_LEAD_SECONDS = 0.2
+MAX_TROUBLE_DELAY_SECONDS = 0.15
+# Every third seed uses request classes, the others a route table.
+CLASS_SEED_INTERVAL = 3
 
 
 class FaultKind(enum.Enum):
@@ -43,6 +49,10 @@
     LAPSE_LEASES = "lapse-leases"
     CHANGE_TARGET = "change-target"
     DRAIN_ZONE = "drain-zone"
+    CHANGE_DOCUMENT = "change-document"
+    SILENCE_ALL_LINKS = "silence-all-links"
+    KILL_CONTACT = "kill-contact"
+    TURN_AWAY_ZONE = "turn-away-zone"
 
 
 class _FaultProfile(NamedTuple):
@@ -84,6 +94,18 @@
     _FaultProfile(FaultKind.CHANGE_TARGET, 2.0, 0.0, 0.0),
 )
 
+# Troubles at the moment of a change, by which a document is known but not delivered.
+_TROUBLE_PROFILES = (
+    _FaultProfile(FaultKind.SILENCE_ALL_LINKS, 2.0, 0.0, 0.0),
+    _FaultProfile(FaultKind.SILENCE_LINK, 1.0, 0.0, 0.0),
+    _FaultProfile(FaultKind.PAUSE_DAEMON, 1.5, 0.5, 3.0),
+    _FaultProfile(FaultKind.KILL_CONTACT, 1.0, 0.2, 2.0),
+    _FaultProfile(FaultKind.TURN_AWAY_ZONE, 1.0, 1.0, 4.0),
+    _FaultProfile(FaultKind.CUT_STORE_LINK, 0.7, 1.0, 4.0),
+    _FaultProfile(FaultKind.SLOW_STORE, 0.4, 0.5, 2.0),
+    _FaultProfile(FaultKind.STOP_STORE, 0.4, 0.3, 1.5),
+)
+
 
 class SoakOptions(NamedTuple):
     """Options of one soak: seed, size, time under faults, directory and base port."""
@@ -131,6 +153,7 @@
             repeat_at += rng.uniform(0.0, MAX_SERIES_INTERVAL_SECONDS)
         at_seconds += rng.expovariate(1.0 / MEAN_FAULT_INTERVAL_SECONDS)
     faults += _draw_zone_drain(options)
+    faults += _draw_changes(options)
     return tuple(sorted(faults, key=_get_start))
 
 
@@ -148,5 +171,35 @@
     return [SoakFault(at_seconds, FaultKind.DRAIN_ZONE, position, seconds)]
 
 
+def has_routes(seed: int) -> bool:
+    """Return whether daemons of this seed use a route table in place of classes."""
+    return seed % CLASS_SEED_INTERVAL != 0
+
+
+def _draw_changes(options: SoakOptions) -> list[SoakFault]:
+    """Return changes of documents, most of them with a trouble at that moment.
+
+    Load pattern: a daemon learns of a change and then can't get it, because the link or
+    the peer that it asks fails just then. Faults at times of their own rarely meet the
+    few milliseconds in between. Like zone drains, changes have random choices of their
+    own.
+    """
+    rng = random.Random(f"changes {options.seed}")
+    weights = [row.weight for row in _TROUBLE_PROFILES]
+    faults: list[SoakFault] = []
+    at_seconds = rng.expovariate(1.0 / MEAN_CHANGE_INTERVAL_SECONDS)
+    while at_seconds < options.seconds:
+        position = rng.randrange(options.n_endpoints)
+        faults.append(SoakFault(at_seconds, FaultKind.CHANGE_DOCUMENT, position, 0.0))
+        if rng.random() < TROUBLE_SHARE:
+            row = rng.choices(_TROUBLE_PROFILES, weights)[0]
+            offset = rng.uniform(-MAX_TROUBLE_LEAD_SECONDS, MAX_TROUBLE_DELAY_SECONDS)
+            seconds = rng.uniform(row.min_seconds, row.max_seconds)
+            trouble_at = max(0.0, at_seconds + offset)
+            faults.append(SoakFault(trouble_at, row.kind, position, seconds))
+        at_seconds += rng.expovariate(1.0 / MEAN_CHANGE_INTERVAL_SECONDS)
+    return faults
+
+
 def _get_start(fault: SoakFault) -> float:
     return fault.at_seconds
--- a/umberdrum_bench/soak/_run.py
+++ b/umberdrum_bench/soak/_run.py
@@ -8,13 +8,19 @@
 import trio
 
 from umberdrum_bench import checker, processes
-from umberdrum_bench.soak import _checker, _environment, _injector, _load, _plan
+from umberdrum_bench.soak import (
+    _checker,
+    _environment,
+    _injector,
+    _load,
+    _monitor,
+    _plan,
+)
 
 # Requirement: all daemons are ready and up to date this soon after the last fault.
 MAX_RECOVERY_SECONDS = 15.0
 RECOVERY_LOAD_SECONDS = 2.0
 MIN_ANSWERED_SHARE = 0.9
-MONITOR_INTERVAL_SECONDS = 0.5
 REGRESSIONS_PATH = pathlib.Path(__file__).with_name("regressions.txt")
 ERROR_LOG_PATTERNS = (
     "Traceback (most recent call last)",
@@ -33,52 +39,18 @@
 class SoakResult(NamedTuple):
     """Result of one seed.
 
-    ``recovery_seconds`` is the time from the last fault until all daemons recovered.
+    ``n_judged`` is the number of pairs of a change and a daemon that had to have it in
+    time, ``recovery_seconds`` the time from the last fault until all daemons recovered.
     """
 
     seed: int
     n_faults: int
+    n_judged: int
     recovery_seconds: float
     findings: _checker.SoakFindings
     is_interrupted: bool
 
 
-class _DaemonMonitor:
-    """Checks running daemons for unexpected exits and for older catalog revisions."""
-
-    def __init__(self, environment: _environment.SoakEnvironment) -> None:
-        self._environment = environment
-        self._catalog_revisions: dict[int, int] = {}
-
-    async def run(self) -> None:
-        """Check every daemon periodically until cancelled."""
-        while True:
-            for endpoint in self._environment.cluster.endpoints:
-                await self._check_daemon(endpoint)
-            await trio.sleep(MONITOR_INTERVAL_SECONDS)
-
-    async def _check_daemon(self, endpoint: processes.RunningEndpoint) -> None:
-        code = self._environment.poll_unexpected_exit(endpoint.position)
-        if code is not None:
-            self._environment.violations.append(
-                f"exit: daemon {endpoint.position} ended by itself with code {code}"
-            )
-            return
-        status = await _environment.read_status(endpoint)
-        if status is None:
-            return
-        pid = endpoint.daemon_process.pid
-        revision = int(str(status["catalog_revision"]))
-        if revision < self._catalog_revisions.get(pid, 0):
-            self._environment.violations.append(
-                f"regress: daemon {endpoint.position} went from revision "
-                f"{self._catalog_revisions[pid]} back to {revision}"
-            )
-        self._catalog_revisions[pid] = max(
-            revision, self._catalog_revisions.get(pid, 0)
-        )
-
-
 async def run_seed(options: _plan.SoakOptions) -> SoakResult:
     """Run the soak of one seed and return its result."""
     environment = _environment.SoakEnvironment(options)
@@ -90,10 +62,12 @@
         async with trio.open_nursery() as nursery:
             for proxy in (*environment.peer_links, *environment.store_links):
                 await nursery.start(proxy.run)
-            await environment.create_classes()
-            await environment.cluster.wait_until_ready(len(_environment.CLASS_PLANS))
+            await environment.documents.create()
+            n_classes = environment.documents.n_classes
+            await environment.cluster.wait_until_ready(n_classes)
+            await _wait_until_ready(environment)
             nursery.start_soon(_stop_on_signal, environment, nursery.cancel_scope)
-            nursery.start_soon(_DaemonMonitor(environment).run)
+            nursery.start_soon(_monitor.DaemonMonitor(environment).run)
             nursery.start_soon(load.measure_timer_lag)
             async with trio.open_nursery() as load_nursery:
                 load_nursery.start_soon(load.send, options.seconds)
@@ -115,12 +89,20 @@
     return SoakResult(
         options.seed,
         len(plan),
+        environment.spread.n_judged,
         recovery_seconds,
         findings._replace(violations=violations),
         environment.is_interrupted,
     )
 
 
+async def _wait_until_ready(environment: _environment.SoakEnvironment) -> None:
+    """Return once every daemon has the first documents in force."""
+    with trio.fail_after(processes.READY_TIMEOUT_SECONDS):
+        while await _describe_missing(environment):
+            await trio.sleep(processes.POLL_INTERVAL_SECONDS)
+
+
 async def _stop_on_signal(
     environment: _environment.SoakEnvironment, scope: trio.CancelScope
 ) -> None:
@@ -169,11 +151,12 @@
         )
         if n_serving != n_endpoints:
             return f"{name} knows {n_serving} of {n_endpoints} endpoints as serving"
-        revision = int(str(status["catalog_revision"]))
-        if revision < environment.accepted_revision:
-            return (
-                f"{name} is at revision {revision}, not {environment.accepted_revision}"
-            )
+        state = await _monitor.read_state(environment, endpoint.position)
+        if state is None:
+            return f"{name} does not answer"
+        lacking = environment.spread.describe_missing(state)
+        if lacking:
+            return f"{name} {lacking}"
     return ""
 
 
@@ -213,7 +196,8 @@
     """Print the result in one line, followed by one line per violation."""
     found = result.findings
     sys.stdout.write(
-        f"soak seed={result.seed} faults={result.n_faults} calls={found.n_calls} "
+        f"soak seed={result.seed} faults={result.n_faults} judged={result.n_judged} "
+        f"calls={found.n_calls} "
         f"answered={found.n_answered} refused={found.n_refused} "
         f"unknown={found.n_unknown} recovery_s={result.recovery_seconds:.1f} "
         f"broken={len(found.violations)}\n"
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -29,6 +29,30 @@
       | lookup  | 1      | a late answer              | undisturbed  | late          |
       | lookup  | 1      | a late answer              | paused       | none          |
 
+  Scenario Outline: A change of <document> that is not in force, <age> s after its acceptance
+    Given a daemon whose <document> had changed <age> s before it was asked
+    And until <calm> s before that, <trouble>
+    When it reports <state>
+    Then the reported violation is "<violation>"
+
+    Examples:
+      | document | age | calm | trouble                             | state                   | violation |
+      | routes   | 1.9 | 9.0  | nothing was disturbed               | the older version       | none      |
+      | routes   | 2.1 | 9.0  | nothing was disturbed               | the older version       | spread    |
+      | routes   | 2.1 | 9.0  | nothing was disturbed               | the newer version       | none      |
+      | routes   | 2.1 | 3.1  | its process was disturbed           | the older version       | spread    |
+      | routes   | 2.1 | 2.9  | its process was disturbed           | the older version       | none      |
+      | routes   | 9.0 | 0.0  | its process was disturbed           | the older version       | none      |
+      | routes   | 2.1 | 2.9  | its way to the store was disturbed  | the older version       | spread    |
+      | routes   | 2.1 | 2.9  | all ways to the store were cut      | the older version       | none      |
+      | routes   | 2.1 | 3.1  | all ways to the store were cut      | the older version       | spread    |
+      | routes   | 1.0 | 9.0  | nothing was disturbed               | the newer, then older   | regress   |
+      | zone     | 4.9 | 9.0  | nothing was disturbed               | the older version       | none      |
+      | zone     | 5.1 | 9.0  | nothing was disturbed               | the older version       | spread    |
+      | zone     | 5.1 | 2.9  | its process was disturbed           | the older version       | none      |
+      | zone     | 5.1 | 9.0  | nothing was disturbed               | the newer version       | none      |
+      | zone     | 1.0 | 9.0  | nothing was disturbed               | the newer, then older   | regress   |
+
   Scenario: Seeds of past failures are listed with their causes
     Then every regression seed has a cause
 
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -10,6 +10,7 @@
 from behave import runner
 
 from umberdrum_bench import caller, checker, soak
+from umberdrum_bench.soak import _spread
 
 BASE_PORT = 32_400
 DEADLINE_SECONDS = 2.0
@@ -40,6 +41,13 @@
         soak.DaemonOutage(1, "kill", 10.0, 11.0),
     ),
 }
+ASKED_AT = 100.0
+# Versions of the route table, and whether the zone is drained.
+STATES = {
+    "the older version": (False,),
+    "the newer version": (True,),
+    "the newer, then older": (True, False),
+}
 
 
 def _build_options(seed: int) -> soak.SoakOptions:
@@ -94,6 +102,57 @@
     context.violations = [line.partition(":")[0] for line in found.violations]
 
 
+@behave.given("a daemon whose {document} had changed {age:g} s before it was asked")
+def build_spread(context: runner.Context, document: str, age: float) -> None:
+    context.document = document
+    context.spread = _spread.SpreadChecker(2)
+    # The other daemon is a contact all along.
+    context.spread.check_state(_build_state(1, 0.0, False))
+    accepted_at = ASKED_AT - age
+    if document == "zone":
+        context.spread.record_zone_order("north", is_drained=True)
+        context.spread.record_zone_acceptance("north", accepted_at)
+    else:
+        context.spread.record_change("routes", 2, accepted_at)
+
+
+@behave.given("until {calm:g} s before that, {trouble}")
+def disturb_spread(context: runner.Context, calm: float, trouble: str) -> None:
+    rows = {
+        "nothing was disturbed": [],
+        "its process was disturbed": context.spread.processes[:1],
+        "its way to the store was disturbed": context.spread.store_paths[:1],
+        "all ways to the store were cut": context.spread.store_paths,
+    }[trouble]
+    for row in rows:
+        row.begin()
+        if calm:
+            row.end(ASKED_AT - calm)
+
+
+@behave.when("it reports {state}")
+def report_state(context: runner.Context, state: str) -> None:
+    found: list[str] = []
+    for is_new in STATES[state]:
+        report = _build_state(0, ASKED_AT, is_new)
+        if context.document == "zone":
+            report = report._replace(versions={})
+        found += context.spread.check_state(report)
+    context.violations = [line.partition(":")[0] for line in found]
+
+
+def _build_state(position: int, asked_at: float, is_new: bool) -> _spread.DaemonState:
+    zones = frozenset(("north",)) if is_new else frozenset()
+    return _spread.DaemonState(
+        position,
+        position + 1,
+        asked_at,
+        is_contact=position == 1,
+        versions={"routes": 2 if is_new else 1},
+        drained_zones=zones,
+    )
+
+
 @behave.then('the reported violation is "{violation}"')
 def check_violation(context: runner.Context, violation: str) -> None:
     expected = [] if violation == "none" else [violation]
