Tests: ports for 30 processes in place of 24

A 25th process of the whole test was refused for lack of ports ("25 groups, but ports for only 24"). The ranges begin at 5080 in place of 10000 now, and four features that had shared a process for that reason get their own again.

--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -19,18 +19,8 @@
 GROUP_VARIABLE = "UMBERDRUM_TEST_GROUP"
 # Packages whose features run whole daemons, with the index of their group.
 WHOLE_DAEMON_PACKAGES = {"callpath": 1, "daemon": 2}
-# Features of the adapter that share one process, since there is a group of ports for
-# each process and all are in use.
-JOINT_FEATURES = frozenset(
-    (
-        "accounts",
-        "adapter",
-        "configuration_spread",
-        "store_contract",
-        "upstream_crash",
-        "zone_drain",
-    )
-)
+# Short features of the adapter, which share one process.
+JOINT_FEATURES = frozenset(("adapter", "late_routes", "store_contract"))
 # The slowest group takes about 100 s on a busy machine.
 TIMEOUT_SECONDS = 900
 _COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
--- a/umberdrum/tests/harness.py
+++ b/umberdrum/tests/harness.py
@@ -44,8 +44,8 @@
 # All ranges end below the ports of the soak and the operating system's ephemeral ports.
 # A whole test uses the groups below ``N_GROUPS``.
 N_PORTS = 820
-N_GROUPS = 24
-FIRST_PORT = 10_000 + N_PORTS * int(
+N_GROUPS = 30
+FIRST_PORT = 5_080 + N_PORTS * int(
     os.environ.get("UMBERDRUM_TEST_GROUP", str(N_GROUPS))
 )
 LAST_PORT = FIRST_PORT + N_PORTS
