A daemon that starts again knows that its upstream leaves before the first call

Cause: the leaving is in responses, while announcements go on to say "ready". Peers hold the record of the earlier process as draining, but it names no run, so the next announcement made the upstream serve, and its first lookup told the new process. Ruled out: peers that don't know it (the earlier process's record had come back at the start, seen in the log), and the health probe (skipped beside a draining record).

A run that announces itself before a peer has told of a predecessor waits for that, at most for 0.15 s from the start, as the startup probe does; runs without identity don't wait. If the record comes later, the run ends then. The newest record of a predecessor counts, not the last that arrived.

--- a/umberdrum/announcements/_tracker.py
+++ b/umberdrum/announcements/_tracker.py
@@ -34,6 +34,13 @@
 
     While an operator's drain order is in force, the upstream counts as draining,
     whatever it announces.
+
+    Load pattern: a daemon is killed beside an upstream whose responses say that it
+    leaves, while its announcements go on to say that it serves. ``on_run_ended`` is
+    told the mark of each run that ends. The next process of the daemon gets the last of
+    them back from other daemons (``recall_end``). Until then, or for a moment, it holds
+    a run that it can't judge: the run is announced to the listener once ``hold`` is
+    over.
     """
 
     def __init__(
@@ -52,6 +59,9 @@
         # Latest start time of an ended run, by its instance ID.
         self._ended_born_ms: dict[str, int] = {}
         self._announcement_received = trio.Event()
+        self._recalled_mark = 0
+        self._hold: trio.Event | None = None
+        self.on_run_ended: Callable[[int], None] | None = None
         self.is_drain_ordered = False
 
     @property
@@ -89,6 +99,43 @@
         if self._last is not None:
             self._notify_listener(self._last)
 
+    def start_hold(self) -> None:
+        """Announce no serving run to the listener until the hold ends."""
+        self._hold = trio.Event()
+
+    async def end_hold_after(self, seconds: float) -> None:
+        """End the hold after ``seconds``, unless ``recall_end`` has ended it before."""
+        if self._hold is None:
+            return
+        with trio.move_on_after(seconds):
+            await self._hold.wait()
+        self._end_hold()
+
+    def recall_end(self, mark: int) -> None:
+        """Record that other daemons know the run with ``mark`` to have ended.
+
+        ``mark`` is 0 if they know of none.
+        """
+        self._recalled_mark = mark
+        last = self._last
+        if last is not None and mark and last.run_mark == mark:
+            self._log.write(
+                "upstream_leaving",
+                run=f"{last.instance_id}/{last.born_ms}",
+                source="record",
+            )
+            self._hold = None
+            self.end_run()
+        self._end_hold()
+
+    def _end_hold(self) -> None:
+        if self._hold is None:
+            return
+        self._hold.set()
+        self._hold = None
+        if self._last is not None and _is_identified_serving(self._last):
+            self._notify_listener(self._last)
+
     async def expire_announcements(self) -> None:
         """Mark the upstream as absent whenever its announcements time out."""
         while True:
@@ -192,12 +239,16 @@
 
         A ``born_ms`` of 0 means an unknown start time and counts as before any end.
         """
+        if self._recalled_mark and announcement.run_mark == self._recalled_mark:
+            return True
         ended_born_ms = self._ended_born_ms.get(announcement.instance_id)
         return ended_born_ms is not None and announcement.born_ms <= ended_born_ms
 
     def _record_end(self, announcement: callpath.UpstreamAnnouncement) -> None:
         if not announcement.instance_id:
             return
+        if self.on_run_ended is not None and announcement.run_mark:
+            self.on_run_ended(announcement.run_mark)
         born_ms = announcement.born_ms or self._get_unix_ms()
         self._store_end(announcement.instance_id, born_ms)
 
@@ -221,6 +272,8 @@
     def _notify_listener(self, announcement: callpath.UpstreamAnnouncement) -> None:
         if self.is_drain_ordered:
             announcement = announcement._replace(state=callpath.EndpointState.DRAINING)
+        if self._hold is not None and _is_identified_serving(announcement):
+            return
         self._listener.apply_announcement(announcement)
 
     def _build_response(self) -> controlhttp.ControlResponse:
@@ -237,3 +290,7 @@
                 "drain_ordered": self.is_drain_ordered,
             }
         )
+
+
+def _is_identified_serving(announcement: callpath.UpstreamAnnouncement) -> bool:
+    return bool(announcement.run_mark) and announcement.state.is_serving
--- a/umberdrum/announcements/tests/announcements.feature
+++ b/umberdrum/announcements/tests/announcements.feature
@@ -44,3 +44,19 @@
       | a1 1 serving, a1 withdrawn, a0 0 serving  | draining | a0  |
       | a0 0 serving, a0 withdrawn, a1 9 serving  | draining | a1  |
       | a0 0 serving, a1 9 draining, a0 0 serving | draining | a1  |
+      | a1 recalled, a1 1 serving                 | draining | a1  |
+      | a1 1 serving, a1 recalled, a1 2 serving   | draining | a1  |
+      | a1 recalled, a2 1 serving                 | serving  | a2  |
+
+  Scenario Outline: A run that may have ended is held until other daemons have been heard
+    When the upstream sends the announcements "held, <announcements>"
+    Then the listener received "<states>"
+
+    Examples:
+      | announcements                      | states            |
+      | a1 1 serving, a1 recalled          | draining          |
+      | a1 1 serving, a2 recalled          | serving           |
+      | a1 1 serving, over, a1 recalled    | serving, draining |
+      | a1 1 serving, a1 2 draining, over  | draining          |
+      | a1 1 serving, a1 withdrawn, over   | absent            |
+      | a0 1 serving, over                 | serving           |
--- a/umberdrum/announcements/tests/announcements_steps.py
+++ b/umberdrum/announcements/tests/announcements_steps.py
@@ -89,27 +89,40 @@
     assert ", ".join(context.listener.states) == states, context.listener.states
 
 
+def build_announcement(
+    run: str, state: str = "serving", sequence: int = 0
+) -> callpath.UpstreamAnnouncement:
+    return callpath.UpstreamAnnouncement(
+        "cards",
+        settings.parse_address("1.2.3.4:5"),
+        4,
+        callpath.EndpointState(state),
+        "",
+        instance_id=run[0],
+        born_ms=int(run[1]),
+        sequence=sequence,
+    )
+
+
 @behave.when('the upstream sends the announcements "{steps}"')
 def announce_runs(context: runner.Context, steps: str) -> None:
     async def run() -> None:
         tracker = _build_tracker(context)
         for step in steps.split(", "):
             name, *rest = step.split()
+            if step == "held":
+                tracker.start_hold()
+                continue
+            if step == "over":
+                await tracker.end_hold_after(0.15)
+                continue
+            if rest == ["recalled"]:
+                tracker.recall_end(build_announcement(name).run_mark)
+                continue
             if rest == ["withdrawn"]:
                 tracker.withdraw(name[0])
                 continue
-            tracker.record(
-                callpath.UpstreamAnnouncement(
-                    "cards",
-                    settings.parse_address("1.2.3.4:5"),
-                    4,
-                    callpath.EndpointState(rest[1]),
-                    "",
-                    instance_id=name[0],
-                    born_ms=int(name[1]),
-                    sequence=int(rest[0]),
-                )
-            )
+            tracker.record(build_announcement(name, rest[1], int(rest[0])))
         context.announcement = tracker.announcement
 
     harness.run_on_virtual_clock(run)
--- a/umberdrum/callpath/_announcement.py
+++ b/umberdrum/callpath/_announcement.py
@@ -1,10 +1,13 @@
 """State of an endpoint, and the announcement an upstream sends to its daemon."""
 
 import enum
+import hashlib
 from typing import NamedTuple
 
 from umberdrum import settings
 
+MARK_BYTES = 8
+
 
 class EndpointState(enum.Enum):
     """State of an endpoint; it takes new calls only in ``SERVING``."""
@@ -41,3 +44,12 @@
     born_ms: int = 0
     sequence: int = 0
     cold_seconds: float = 0.0
+
+    @property
+    def run_mark(self) -> int:
+        """64-bit mark of the run, 0 if the announcement does not identify it."""
+        if not (self.instance_id and self.born_ms):
+            return 0
+        run = f"{self.instance_id}/{self.born_ms}"
+        digest = hashlib.blake2b(run.encode(), digest_size=MARK_BYTES).digest()
+        return int.from_bytes(digest, "big")
--- a/umberdrum/daemon/_daemon.py
+++ b/umberdrum/daemon/_daemon.py
@@ -17,7 +17,7 @@
     startup,
     supervision,
 )
-from umberdrum.daemon import _integration, _listeners, _parts, _shutdown
+from umberdrum.daemon import _integration, _listeners, _parts, _shutdown, _startup_probe
 
 MAX_CONTROL_CONNECTIONS = 64
 MAX_PEER_CONNECTIONS = 4096
@@ -207,6 +207,11 @@
             )
         keep_running("prober", parts.prober.run)
         keep_running("startup_probe", parts.startup_probe.run)
+        keep_running(
+            "startup_hold",
+            parts.announcement_tracker.end_hold_after,
+            _startup_probe.GOSSIP_WAIT_SECONDS,
+        )
         keep_running("gossip", parts.exchange.run)
         keep_running("contact_manager", parts.contact_manager.run)
         keep_running("announcements", parts.announcement_tracker.expire_announcements)
--- a/umberdrum/daemon/_endpoint_state.py
+++ b/umberdrum/daemon/_endpoint_state.py
@@ -80,6 +80,18 @@
                 announcement.service, announcement.cold_seconds, trio.current_time()
             )
 
+    def mark_ended_run(self, mark: int) -> None:
+        """Name the run with ``mark`` in the own record as the last that has ended.
+
+        The change of the endpoint's state that follows is pushed with it.
+        """
+        if mark == self._state.table.own.ended_run:
+            return
+        record = self._state.table.update_own_record(
+            trio.current_time(), ended_run=mark
+        )
+        self._state.publish_own_record(record)
+
     def apply_absence(self) -> None:
         """Mark the endpoint as absent."""
         if self._has_left:
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -183,6 +183,9 @@
             own_settings.announcement_timeout_ms / MS_PER_SECOND,
             log,
         )
+        self.announcement_tracker.on_run_ended = self.state_updater.mark_ended_run
+        self.announcement_tracker.start_hold()
+        self.state.on_predecessor = self._recall_ended_run
         counter = store.StoreCallCounter()
         counter.on_health_change = self._log_store_health
         self.startup_probe = _startup_probe.StartupProbe(
@@ -333,6 +336,9 @@
             return
         self._log.warn("dependency_lost", name="store", reason=reason)
 
+    def _recall_ended_run(self, predecessor: membership.EndpointRecord) -> None:
+        self.announcement_tracker.recall_end(predecessor.ended_run)
+
     def _mark_misdirected_absent(self) -> None:
         self.announcement_tracker.mark_absent("misdirected")
 
--- a/umberdrum/gossip/_state.py
+++ b/umberdrum/gossip/_state.py
@@ -19,7 +19,8 @@
 
     All input from datagrams, synchronisations and the store passes through
     ``merge_records`` and ``merge_entries``. What they accept is queued as an update,
-    except for records from a synchronisation reply.
+    except for records from a synchronisation reply. ``on_predecessor`` is told the
+    record of an earlier process at this daemon's address, and any newer one.
     """
 
     def __init__(
@@ -35,6 +36,7 @@
         self.updates = _update_queue.UpdateQueue(table.own.endpoint_id)
         self._log = log
         self._catalog_listeners: list[Callable[[classes.Catalog], None]] = []
+        self.on_predecessor: Callable[[membership.EndpointRecord], None] | None = None
         self.updates.add_record(table.own)
 
     def add_catalog_listener(self, listener: Callable[[classes.Catalog], None]) -> None:
@@ -62,12 +64,20 @@
             decoded = membership.decode_record(message)
             if decoded.is_ok():
                 records.append(decoded.ok)
+        known_predecessor = self.table.predecessor
         changed = self.table.merge(records, now)
+        predecessor = self.table.predecessor
+        if predecessor is not None and predecessor != known_predecessor:
+            self._report_predecessor(predecessor)
         for record in changed:
             is_own = record.endpoint_id == self.table.own.endpoint_id
             self._record_change(record, is_disseminated or is_own)
         return len(changed)
 
+    def _report_predecessor(self, record: membership.EndpointRecord) -> None:
+        if self.on_predecessor is not None:
+            self.on_predecessor(record)
+
     def merge_crash_marks(
         self, messages: Iterable[wire.messages.CrashMark], now: float
     ) -> None:
--- a/umberdrum/membership/_codec.py
+++ b/umberdrum/membership/_codec.py
@@ -23,6 +23,7 @@
         n_slots=record.n_slots,
         is_contact=record.is_contact,
         is_final=record.is_final,
+        ended_run=record.ended_run,
     )
 
 
@@ -54,6 +55,7 @@
         n_slots=message.n_slots,
         is_contact=message.is_contact,
         is_final=message.is_final,
+        ended_run=message.ended_run,
     )
     return expression.Ok(record)
 
--- a/umberdrum/membership/_record.py
+++ b/umberdrum/membership/_record.py
@@ -25,6 +25,9 @@
     set; it only lowers the endpoint's routing preference. ``is_contact`` means that the
     daemon reads the store on behalf of its availability zone. ``is_final`` means that
     the daemon has left the cluster; ``state`` is then that of its upstream at the end.
+    ``ended_run`` is the mark of the upstream's last run that has ended or said that it
+    leaves, 0 if none is known. The daemon's next process gets it back from other
+    daemons.
     """
 
     endpoint_id: str
@@ -39,6 +42,7 @@
     n_slots: int
     is_contact: bool
     is_final: bool
+    ended_run: int = 0
 
     @property
     def address(self) -> settings.Address:
--- a/umberdrum/membership/_table.py
+++ b/umberdrum/membership/_table.py
@@ -21,8 +21,9 @@
     publishes a record that is newer than theirs. The table provides no consensus
     between daemons.
 
-    ``predecessor`` is the record that other daemons still hold of an earlier process at
-    this daemon's address. It is None until such a record has been received.
+    ``predecessor`` is the newest record that other daemons still hold of an earlier
+    process at this daemon's address. It is None until such a record has been received.
+    The own record takes over its ``ended_run``, for the process after this one.
 
     Digests cover only live records. Two daemons that remove the record of a dead daemon
     at different times therefore still have equal digests.
@@ -113,6 +114,7 @@
         n_slots: int | None = None,
         is_contact: bool | None = None,
         is_final: bool | None = None,
+        ended_run: int | None = None,
     ) -> _record.EndpointRecord:
         """Store a newer version of this daemon's own record and return it.
 
@@ -133,6 +135,7 @@
             is_contact=own.is_contact if is_contact is None else is_contact,
             is_final=own.is_final if is_final is None else is_final,
             is_suspected=False,
+            ended_run=own.ended_run if ended_run is None else ended_run,
         )
         self._put(changed, now)
         return changed
@@ -187,23 +190,29 @@
     def _refute(
         self, record: _record.EndpointRecord, now: float
     ) -> _record.EndpointRecord | None:
-        """Supersede ``record`` by a new own record if it is newer; else return None.
+        """Supersede ``record`` by a new own record if it has to be; else return None.
 
-        ``record`` has this daemon's id. If it is of another process, it is kept as
-        ``predecessor``.
+        It has to be if it is newer, or names an ended run while the own record names
+        none. ``record`` has this daemon's id. If it is of another process, it is kept
+        as ``predecessor``.
         """
         own = self.own
-        if record.process_id != own.process_id:
+        is_of_other_process = record.process_id != own.process_id
+        if is_of_other_process and (
+            self.predecessor is None or _record.is_newer(record, self.predecessor)
+        ):
             self.predecessor = record
-        if not _record.is_newer(record, own):
+        is_newer = _record.is_newer(record, own)
+        ended_run = own.ended_run or record.ended_run
+        if not is_newer and ended_run == own.ended_run:
             return None
-        incarnation = own.incarnation
+        incarnation = max(own.incarnation, record.incarnation)
         version = max(own.version, record.version) + 1
-        if record.process_id != own.process_id or record.is_final:
+        if is_newer and (is_of_other_process or record.is_final):
             incarnation = record.incarnation + 1
-        elif record.incarnation > own.incarnation:
-            incarnation = record.incarnation
-        refutation = own._replace(incarnation=incarnation, version=version)
+        refutation = own._replace(
+            incarnation=incarnation, version=version, ended_run=ended_run
+        )
         self._put(refutation, now)
         return refutation
 
--- a/umberdrum/membership/tests/membership.feature
+++ b/umberdrum/membership/tests/membership.feature
@@ -15,6 +15,12 @@
       | other process, final  | 4           |
       | older                 | 3           |
 
+  Scenario: A daemon takes over the ended run that an earlier process has recorded
+    Given the own record at incarnation 3 and version 5
+    When the table merges a record with the same id: "earlier process, ended run"
+    Then the own record is live at incarnation 3 and not superseded
+    And it names that run until a later one ends
+
   Scenario: An endpoint that was draining serves again only under a new incarnation
     Given the own record at incarnation 3 and version 5
     When it drains and then serves again
--- a/umberdrum/membership/tests/membership_steps.py
+++ b/umberdrum/membership/tests/membership_steps.py
@@ -117,11 +117,25 @@
         "other process, newer": own._replace(incarnation=7, process_id=9),
         "other process, final": own._replace(process_id=999, is_final=True),
         "older": own._replace(version=2, is_suspected=True),
+        "earlier process, ended run": own._replace(
+            incarnation=2, process_id=9, ended_run=77
+        ),
     }
     context.other_record = other_records[other_record]
     context.membership_table.merge([context.other_record], 1.0)
 
 
+@behave.then("it names that run until a later one ends")
+def check_ended_run(context: runner.Context) -> None:
+    table = context.membership_table
+    decoded = membership.decode_record(membership.encode_record(table.own))
+    assert decoded.ok.ended_run == 77, decoded
+    table.update_own_record(2.0, ended_run=78)
+    table.merge([context.other_record], 3.0)
+    assert table.own.ended_run == 78, table.own
+    assert table.predecessor == context.other_record
+
+
 @behave.when("it drains and then serves again")
 def drain_and_serve(context: runner.Context) -> None:
     draining = membership.RecordState.DRAINING
