Gossip: report a fetch that another one has overtaken as such

What operators saw: fetch_failed, and umberdrum_fetch_failures rising, for each fetch over a silent link although another fetch had brought the document.

Cause: every fetch that had not completed was counted as failed, also those that are cancelled because the document has come.

Change: such a fetch is logged as fetch_overtaken and not counted. It still names the peer that gave no answer.

--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -667,10 +667,12 @@
                 is_completed = result.is_completed
         finally:
             self._fetch_scopes.discard(scope)
-            self._fetch_selector.end_fetch(
-                fetch.peer, is_completed and self._state.catalog.position > position
-            )
-        self._log_fetch(fetch, is_completed, outdated_seconds, now)
+            has_newer = self._state.catalog.position > position
+            self._fetch_selector.end_fetch(fetch.peer, is_completed and has_newer)
+        event = "document_fetched"
+        if not is_completed:
+            event = "fetch_overtaken" if has_newer else "fetch_failed"
+        self._log_fetch(event, fetch, outdated_seconds, now)
         self._fetch_wakeup.set()
 
     def _handle_catalog_change(self, _catalog: classes.Catalog) -> None:
@@ -683,16 +685,16 @@
 
     def _log_fetch(
         self,
+        event: str,
         fetch: _fetch_selector.Fetch,
-        is_completed: bool,
         outdated_seconds: float,
         began_at: float,
     ) -> None:
         """Log a fetch; ``outdated_seconds`` is how long it was due when it began."""
-        if not is_completed:
+        if event == "fetch_failed":
             self.n_failed_fetches += 1
         self._log.write(
-            "document_fetched" if is_completed else "fetch_failed",
+            event,
             peer=str(fetch.peer.address),
             new_link=fetch.needs_new_link,
             revision=self._state.catalog.revision,
