Control servers: end connections whose client reads no response

What clients saw: no answer from the admin, readiness or announcement address, once 64 clients had asked and then read nothing, for example machines that had stopped while they read a metrics page.

Cause: sending a response had no time-out. Each such client kept one of the connections for ever.

Change: a response must be sent within 10 s, as a body must be received.

Readiness responses fit into the kernel's buffer, so that address was safe.

--- a/umberdrum/controlhttp/_server.py
+++ b/umberdrum/controlhttp/_server.py
@@ -16,6 +16,8 @@
 MAX_HEAD_BYTES = 16_384
 BODY_TIMEOUT_SECONDS = 10.0
 IDLE_TIMEOUT_SECONDS = 120.0
+# A client that reads nothing would otherwise hold its connection for ever.
+SEND_TIMEOUT_SECONDS = 10.0
 # A client has connected before it sends its first request.
 FIRST_REQUEST_SECONDS = 0.2
 
@@ -97,7 +99,8 @@
         response to a violation is a ``MALFORMED_REQUEST`` problem.
 
         Raises ``trio.TooSlowError`` when a body is not complete within
-        ``BODY_TIMEOUT_SECONDS``, and ``sockets.ConnectionLostError``.
+        ``BODY_TIMEOUT_SECONDS`` or a response not sent within ``SEND_TIMEOUT_SECONDS``,
+        and ``sockets.ConnectionLostError``.
         """
         http = h11.Connection(h11.SERVER, max_incomplete_event_size=MAX_HEAD_BYTES)
         is_unused = True
@@ -121,7 +124,8 @@
                 )
             if response is None:
                 return
-            await _send_response(connection, http, response, self._is_closing)
+            with trio.fail_after(SEND_TIMEOUT_SECONDS):
+                await _send_response(connection, http, response, self._is_closing)
             if http.our_state is not h11.DONE or http.their_state is not h11.DONE:
                 return
             http.start_next_cycle()
--- /dev/null
+++ b/umberdrum/controlhttp/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the server for the control addresses."""
--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -13,6 +13,7 @@
     "classes",
     "commandline",
     "configuration",
+    "controlhttp",
     "crashes",
     "daemon",
     "errors",
