Endpoint: a call that was answered at its deadline reads no more of its body

A caller whose upload had not arrived by its deadline got 504, and at times a reset in place of it. The daemon logged an error each time.

Cause: a call that may not be repeated runs on after its caller's answer, and went on reading the body, while the close of the connection, or of the peer link, read what was left from the same socket. Either reader fails then, or each takes a part of the body. What would reach the upstream behind the gap was held back only by the length of the body.

Now the call gives up its body when it is answered or its caller leaves. The upstream sees the request end early, at once and not when the connection is closed; the record says that it may have run, as before.

Evidence: proper_requests.feature, two rows. Before: an error in the task of the caller's connection, and in the link's.

--- a/umberdrum/callpath/_body_buffer.py
+++ b/umberdrum/callpath/_body_buffer.py
@@ -1,5 +1,8 @@
-"""Buffering of request bodies before their calls are admitted."""
+"""Buffering of request bodies before their calls are admitted, and their end."""
 
+import trio
+
+from umberdrum import errors
 from umberdrum.callpath import _call
 
 # Most uploads are photos and scans of about 60 KB. The rest of a longer body is relayed
@@ -69,3 +72,32 @@
     async def receive(self) -> bytes:
         """Return the bytes after the buffered part, no bytes at the end."""
         return await self._rest.receive()
+
+
+class DetachableBody:
+    """Request body whose receiving ends once its call has been answered.
+
+    A call may run on after its caller got an answer. Its body can't be completed then:
+    the connection or link that it arrives on belongs to whoever closes it.
+    """
+
+    def __init__(self, body: _call.RequestBody) -> None:
+        self._body = body
+        self._is_detached = False
+        self._receive_scope = trio.CancelScope()
+        self.initial = body.initial
+        self.is_complete = body.is_complete
+        self.can_be_sent_again = body.can_be_sent_again
+
+    def detach(self) -> None:
+        """End a receive in progress, and all later ones, as lost."""
+        self._is_detached = True
+        self._receive_scope.cancel()
+
+    async def receive(self) -> bytes:
+        """Return the next bytes after ``initial``; raises ``BodyLostError``."""
+        if not self._is_detached:
+            with trio.CancelScope() as self._receive_scope:
+                return await self._body.receive()
+        detail = "the call was answered before its body was received"
+        raise _call.BodyLostError(errors.fail(errors.ErrorKind.CALLER_GONE, detail))
--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -40,7 +40,8 @@
 class _DetachedCall:
     """Non-idempotent call that runs to its end even if its caller has gone."""
 
-    def __init__(self) -> None:
+    def __init__(self, body: _body_buffer.DetachableBody) -> None:
+        self.body = body
         self.done = trio.Event()
         self.result: CallResult | None = None
 
@@ -310,10 +311,10 @@
             self.gate.release(ticket, is_observed=False)
             return expression.Error(begun.error)
         recording = _recording.RecordingSink(sink)
-        detached = _DetachedCall()
+        detached = _DetachedCall(_body_buffer.DetachableBody(body))
         queue_seconds = ticket.began_at - queued_at
         self._tasks.start_soon(
-            self._run_detached, call, body, recording, ticket, queue_seconds, detached
+            self._run_detached, call, recording, ticket, queue_seconds, detached
         )
         return await self._await_detached(call, recording, detached)
 
@@ -333,6 +334,7 @@
         finally:
             if not detached.done.is_set():
                 recording.detach()
+                detached.body.detach()
         if detached.result is not None:
             return detached.result
         detail = f"request {call.request_id} was started and still runs at the upstream"
@@ -347,7 +349,6 @@
     async def _run_detached(
         self,
         call: _call.Call,
-        body: _call.RequestBody,
         recording: _recording.RecordingSink,
         ticket: admission.SlotTicket,
         queue_seconds: float,
@@ -360,7 +361,7 @@
                 call.deadline + _upstream_relay.RESPONSE_GRACE_SECONDS
             ):
                 result = await self._run_with_ticket(
-                    call, body, recording, ticket, queue_seconds
+                    call, detached.body, recording, ticket, queue_seconds
                 )
             if result is None:
                 result = expression.Error(_upstream_relay.build_overdue_failure(call))
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -110,3 +110,14 @@
       | half a body of 200000 bytes    | entry    | 502    | caller-gone/may-have-run |
       | half a body of 800000 bytes    | endpoint | 502    | caller-gone/may-have-run |
       | half a chunk of 200000 bytes   | entry    | 502    | caller-gone/may-have-run |
+
+  # Two tasks read from the connection: the call that ran on, and the close that lingers.
+  Scenario Outline: The deadline of an upload that was still arriving raised an error
+    When a caller sends half of <n_bytes> body bytes to the <place> daemon and drips on past its deadline
+    Then its request fails with 504 as "deadline-exceeded/may-have-run"
+    And the upstream gets no more of its body, and later requests are served
+
+    Examples:
+      | n_bytes | place    |
+      | 800000  | endpoint |
+      | 800000  | entry    |
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -1,5 +1,6 @@
 """Steps for proper requests whose form or timing is unusual."""
 
+import contextlib
 import json
 import socket
 
@@ -22,6 +23,8 @@
 END_AFTER_SECONDS = 0.12
 REQUEST = b"GET /look HTTP/1.1\r\nHost: pay\r\nx-nonce: second\r\n\r\n"
 HALF_BYTES = len(REQUEST) // 2
+UPLOAD_DEADLINE_MS = 1000
+N_DRIPS = 30
 MARKERS = (b'"nonce": "first"', b'"nonce": "second"')
 
 
@@ -331,3 +334,47 @@
     assert head.startswith(b"HTTP/1.1 %d " % status), context.raw
     problem = json.loads(body)
     assert f"{problem['kind']}/{problem['execution']}" == result, problem
+
+
+@behave.when(
+    "a caller sends half of {n_bytes:d} body bytes to the {place} daemon and drips on "
+    "past its deadline"
+)
+def drip_past_deadline(context: runner.Context, n_bytes: int, place: str) -> None:
+    head = (
+        b"POST /pay HTTP/1.1\r\nHost: pay\r\nx-nonce: first\r\n"
+        b"umberdrum-deadline-ms: %d\r\nContent-Length: %d\r\n\r\n"
+    )
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        at = node if place == "endpoint" else entry
+        connection = await sockets.connect(at.settings.caller_listen, 1.0)
+
+        async def send() -> None:
+            data = head % (UPLOAD_DEADLINE_MS, n_bytes) + bytes(n_bytes // 2)
+            with contextlib.suppress(sockets.ConnectionLostError):
+                await connection.send(data)
+                for _ in range(N_DRIPS):
+                    await trio.sleep(PART_INTERVAL_SECONDS)
+                    await connection.send(bytes(100))
+
+        context.raw = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            with contextlib.suppress(sockets.ConnectionLostError):
+                while received := await connection.receive():
+                    context.raw += received
+            context.n_running = node.upstream.n_running
+        connection.close()
+        context.ended = list(node.upstream.ended)
+        context.begun = list(node.upstream.begun)
+        context.answer = await site.call(at, "pay", "n2", "/look")
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the upstream gets no more of its body, and later requests are served")
+def check_upload_ended(context: runner.Context) -> None:
+    assert context.begun == ["first"] and not context.ended, context.ended
+    assert context.n_running == 0, context.n_running
+    assert context.answer.status == 200, context.answer
