Caller: the limit on a head holds for its target and for its fields

A caller whose fields were within the operator's limit was refused with 431 if its target was long as well.

Cause: one limit bounded the sum of the two, while the limit is stated for header bytes, which a caller counts without the target. 431 itself is defined for fields (RFC 6585, section 5).

Now each of the two may have up to the limit.

--- a/umberdrum/callpath/_caller_exchange.py
+++ b/umberdrum/callpath/_caller_exchange.py
@@ -162,14 +162,19 @@
     def _check_head_size(
         self, event: h11.Request, headers: _headers.HeaderFields
     ) -> None:
-        """Raise ``BodyLostError`` for a complete head that exceeds the size limit."""
-        n_bytes = len(event.target) + sum(
+        """Raise ``BodyLostError`` for a complete head that exceeds the size limit.
+
+        It holds for the target and for the fields, each on its own.
+        """
+        n_field_bytes = sum(
             len(name) + len(value) + FIELD_OVERHEAD_BYTES for name, value in headers
         )
-        if n_bytes > self._limits.max_head_bytes:
+        for part, n_bytes in (("target", len(event.target)), ("fields", n_field_bytes)):
+            if n_bytes <= self._limits.max_head_bytes:
+                continue
             raise _build_body_error(
                 errors.ErrorKind.HEAD_TOO_LARGE,
-                f"expected at most {self._limits.max_head_bytes} bytes, "
+                f"{part}: expected at most {self._limits.max_head_bytes} bytes, "
                 f"found {n_bytes}",
             )
 
@@ -433,8 +438,11 @@
 
 
 def _build_parser(limits: CallerLimits) -> h11.Connection:
-    """Return a parser that holds an incomplete head of the largest allowed size."""
-    n_bytes = limits.max_head_bytes + MAX_UNCOUNTED_HEAD_BYTES
+    """Return a parser that holds an incomplete head of the largest allowed size.
+
+    That is a target and fields of ``max_head_bytes`` each.
+    """
+    n_bytes = 2 * limits.max_head_bytes + MAX_UNCOUNTED_HEAD_BYTES
     return h11.Connection(h11.SERVER, max_incomplete_event_size=n_bytes)
 
 
--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -53,6 +53,29 @@
       | 1       |
       | 2       |
 
+  # The target counted against the limit of the fields.
+  Scenario Outline: A request was refused because its target and its fields were both long
+    When fields of <n_fields> bytes follow a target of <n_target> bytes in <n_parts> parts, under a limit of 9000 bytes
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_target | n_fields | n_parts |
+      | 6        | 9000     | 1       |
+      | 3000     | 9000     | 1       |
+      | 9000     | 9000     | 2       |
+
+  Scenario Outline: A target, or fields, above the limit in force are refused
+    When fields of <n_fields> bytes follow a target of <n_target> bytes in <n_parts> parts, under a limit of 9000 bytes
+    Then its second response has the status 431
+
+    Examples:
+      | n_target | n_fields | n_parts |
+      | 9001     | 100      | 1       |
+      | 9001     | 100      | 2       |
+      | 6        | 9001     | 1       |
+      | 6        | 9001     | 2       |
+      | 100000   | 100      | 2       |
+
   Scenario Outline: An empty line was refused as a malformed request
     When a caller sends a request after <bytes>
     Then it gets both responses of the upstream
