--- a/umberdrum/callpath/tests/proper_requests.feature
+++ b/umberdrum/callpath/tests/proper_requests.feature
@@ -53,6 +53,29 @@
       | 1       |
       | 2       |
 
+  # The target counted against the limit of the fields.
+  Scenario Outline: A request was refused because its target and its fields were both long
+    When fields of <n_fields> bytes follow a target of <n_target> bytes in <n_parts> parts, under a limit of 9000 bytes
+    Then it gets both responses of the upstream
+
+    Examples:
+      | n_target | n_fields | n_parts |
+      | 6        | 9000     | 1       |
+      | 3000     | 9000     | 1       |
+      | 9000     | 9000     | 2       |
+
+  Scenario Outline: A target, or fields, above the limit in force are refused
+    When fields of <n_fields> bytes follow a target of <n_target> bytes in <n_parts> parts, under a limit of 9000 bytes
+    Then its second response has the status 431
+
+    Examples:
+      | n_target | n_fields | n_parts |
+      | 9001     | 100      | 1       |
+      | 9001     | 100      | 2       |
+      | 6        | 9001     | 1       |
+      | 6        | 9001     | 2       |
+      | 100000   | 100      | 2       |
+
   Scenario Outline: An empty line was refused as a malformed request
     When a caller sends a request after <bytes>
     Then it gets both responses of the upstream
@@ -110,3 +133,14 @@
       | half a body of 200000 bytes    | entry    | 502    | caller-gone/may-have-run |
       | half a body of 800000 bytes    | endpoint | 502    | caller-gone/may-have-run |
       | half a chunk of 200000 bytes   | entry    | 502    | caller-gone/may-have-run |
+
+  # Two tasks read from the connection: the call that ran on, and the close that lingers.
+  Scenario Outline: The deadline of an upload that was still arriving raised an error
+    When a caller sends half of <n_bytes> body bytes to the <place> daemon and drips on past its deadline
+    Then its request fails with 504 as "deadline-exceeded/may-have-run"
+    And the upstream gets no more of its body, and later requests are served
+
+    Examples:
+      | n_bytes | place    |
+      | 800000  | endpoint |
+      | 800000  | entry    |
--- a/umberdrum/callpath/tests/proper_requests_steps.py
+++ b/umberdrum/callpath/tests/proper_requests_steps.py
@@ -1,5 +1,6 @@
 """Steps for proper requests whose form or timing is unusual."""
 
+import contextlib
 import json
 import socket
 
@@ -22,6 +23,8 @@
 END_AFTER_SECONDS = 0.12
 REQUEST = b"GET /look HTTP/1.1\r\nHost: pay\r\nx-nonce: second\r\n\r\n"
 HALF_BYTES = len(REQUEST) // 2
+UPLOAD_DEADLINE_MS = 1000
+N_DRIPS = 30
 MARKERS = (b'"nonce": "first"', b'"nonce": "second"')
 
 
@@ -99,14 +102,16 @@
     return callpath.CallerLimits(max_head_bytes, HEAD_TIMEOUT_SECONDS, 3.0, 15.0)
 
 
-def _build_long_request(n_head_bytes: int) -> bytes:
-    """Return a look-up whose target and fields have ``n_head_bytes``.
+def _build_long_request(n_field_bytes: int, n_target_bytes: int = 0) -> bytes:
+    """Return a look-up whose fields have ``n_field_bytes``.
 
     Each field counts with the four bytes that separate its name and value and end it.
     """
-    n_others = len("/look") + len("host: pay\r\n") + len("x-nonce: second\r\n")
-    n_long = n_head_bytes - n_others - len("x-long: \r\n")
-    return REQUEST.removesuffix(b"\r\n") + b"x-long: " + b"x" * n_long + b"\r\n\r\n"
+    n_others = len("host: pay\r\n") + len("x-nonce: second\r\n")
+    n_long = max(0, n_field_bytes - n_others - len("x-long: \r\n"))
+    query = b"?" + b"q" * (n_target_bytes - len("/look?")) if n_target_bytes else b""
+    request = REQUEST.replace(b"/look", b"/look" + query)
+    return request.removesuffix(b"\r\n") + b"x-long: " + b"x" * n_long + b"\r\n\r\n"
 
 
 @behave.when(
@@ -137,6 +142,27 @@
     callpath_steps.run_with_upstream(test)
 
 
+@behave.when(
+    "fields of {n_fields:d} bytes follow a target of {n_target:d} bytes in {n_parts:d} "
+    "parts, under a limit of 9000 bytes"
+)
+def send_long_target(
+    context: runner.Context, n_fields: int, n_target: int, n_parts: int
+) -> None:
+    request = _build_long_request(n_fields, n_target)
+    parts = [REQUEST.replace(b"second", b"first"), request]
+    if n_parts == 2:
+        parts[1:] = [request[:-1], request[-1:]]
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        assert entry.daemon.parts is not None
+        limits = _build_limits(MAX_HEAD_BYTES)
+        entry.daemon.parts.caller_server._get_limits = lambda: limits
+        context.raw = await _exchange(entry.settings.caller_listen, parts)
+
+    callpath_steps.run_with_upstream(test)
+
+
 @behave.then("its second response has the status {status:d}")
 def check_second_status(context: runner.Context, status: int) -> None:
     _, _, second = context.raw.partition(MARKERS[0])
@@ -331,3 +357,47 @@
     assert head.startswith(b"HTTP/1.1 %d " % status), context.raw
     problem = json.loads(body)
     assert f"{problem['kind']}/{problem['execution']}" == result, problem
+
+
+@behave.when(
+    "a caller sends half of {n_bytes:d} body bytes to the {place} daemon and drips on "
+    "past its deadline"
+)
+def drip_past_deadline(context: runner.Context, n_bytes: int, place: str) -> None:
+    head = (
+        b"POST /pay HTTP/1.1\r\nHost: pay\r\nx-nonce: first\r\n"
+        b"umberdrum-deadline-ms: %d\r\nContent-Length: %d\r\n\r\n"
+    )
+
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        at = node if place == "endpoint" else entry
+        connection = await sockets.connect(at.settings.caller_listen, 1.0)
+
+        async def send() -> None:
+            data = head % (UPLOAD_DEADLINE_MS, n_bytes) + bytes(n_bytes // 2)
+            with contextlib.suppress(sockets.ConnectionLostError):
+                await connection.send(data)
+                for _ in range(N_DRIPS):
+                    await trio.sleep(PART_INTERVAL_SECONDS)
+                    await connection.send(bytes(100))
+
+        context.raw = b""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send)
+            with contextlib.suppress(sockets.ConnectionLostError):
+                while received := await connection.receive():
+                    context.raw += received
+            context.n_running = node.upstream.n_running
+        connection.close()
+        context.ended = list(node.upstream.ended)
+        context.begun = list(node.upstream.begun)
+        context.answer = await site.call(at, "pay", "n2", "/look")
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the upstream gets no more of its body, and later requests are served")
+def check_upload_ended(context: runner.Context) -> None:
+    assert context.begun == ["first"] and not context.ended, context.ended
+    assert context.n_running == 0, context.n_running
+    assert context.answer.status == 200, context.answer
