--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -40,6 +40,7 @@
       | routes   | 1.9 | 9.0  | nothing was disturbed               | the older version       | none      |
       | routes   | 2.1 | 9.0  | nothing was disturbed               | the older version       | spread    |
       | routes   | 2.1 | 9.0  | nothing was disturbed               | the newer version       | none      |
+      | routes   | 9.0 | 9.0  | nothing was disturbed               | no version yet          | none      |
       | routes   | 2.1 | 3.1  | its process was disturbed           | the older version       | spread    |
       | routes   | 2.1 | 2.9  | its process was disturbed           | the older version       | none      |
       | routes   | 9.0 | 0.0  | its process was disturbed           | the older version       | none      |
