Entry: no final 401 while newer accounts are known and not received

What callers would see: 401, on which they give up, for a request with a key that the operator had just added, at a daemon that had heard of the newer configuration and was still fetching it.

Cause: the account was looked up after the wait for newer routes, by itself, and its failure was final.

Ruled out: withdrawn keys; they are served until the newer table is in force, as before, within the bound for a change.

Change: class and account are found in one step, and a failure of either is `routes-outdated` while a newer document is known.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -64,6 +64,16 @@
     received_at: float
 
 
+class _CallTarget(NamedTuple):
+    """Class and client account of a request; the account is None if it needs none."""
+
+    class_with_policy: classes.ClassWithPolicy
+    account: accounts.Account | None
+
+
+_TargetResult = expression.Result[_CallTarget, errors.Failure]
+
+
 class EntryOutcome(NamedTuple):
     """Result of a call at its entry daemon."""
 
@@ -125,14 +135,10 @@
         that was started before the failure stays incomplete.
         """
         request_id = request.fields.request_id or secrets.token_hex(REQUEST_ID_BYTES)
-        matched = await self._match(request)
-        if matched.is_error():
-            return self._refuse(request_id, matched.error)
-        class_with_policy = matched.ok
-        identified = self._identify(request, class_with_policy)
-        if identified.is_error():
-            return self._refuse(request_id, identified.error)
-        account = identified.ok
+        found = await self._find_target(request)
+        if found.is_error():
+            return self._refuse(request_id, found.error)
+        class_with_policy, account = found.ok
         call = self._build_call(request, request_id, class_with_policy, account)
         guard = self._endpoint.crash_guard
         if guard.has_suspects:
@@ -168,40 +174,42 @@
         )
         return EntryOutcome(result, request_id)
 
-    async def _match(self, request: IncomingRequest) -> _matching.MatchResult:
-        """Return the class of the request.
+    async def _find_target(self, request: IncomingRequest) -> _TargetResult:
+        """Return the class and the client account of the request.
 
         Right after a start, wait for routes; later, wait for newer ones that are known
-        if those in force match nothing.
+        if those in force match nothing or have no account with the request's key.
         """
-
-        def match() -> _matching.MatchResult:
-            method = request.method.decode("ascii")
-            return self._matcher.match(request.fields, method, request.target)
-
-        matched = match()
+        found = self._match(request)
         deadline = request.received_at + _get_timeout_seconds(request.fields)
-        if _has_failed_as(matched, errors.ErrorKind.NO_ROUTES_YET):
+        if _has_failed_as(found, errors.ErrorKind.NO_ROUTES_YET):
             await self._startup_period.wait_until(self._has_routes, deadline)
-        elif _has_failed_as(matched, errors.ErrorKind.ROUTES_OUTDATED):
+        elif _has_failed_as(found, errors.ErrorKind.ROUTES_OUTDATED):
             outdated = errors.ErrorKind.ROUTES_OUTDATED
             await _route_wait.wait_until(
-                lambda: not _has_failed_as(match(), outdated), deadline
+                lambda: not _has_failed_as(self._match(request), outdated), deadline
             )
         else:
-            return matched
-        return match()
+            return found
+        return self._match(request)
 
-    def _identify(
-        self, request: IncomingRequest, class_with_policy: classes.ClassWithPolicy
-    ) -> _account_check.IdentifyResult:
-        """Return the client account of the request, None if it needs none."""
+    def _match(self, request: IncomingRequest) -> _TargetResult:
+        """Return the class and the account of the request by the routes in force."""
+        method = request.method.decode("ascii")
+        matched = self._matcher.match(request.fields, method, request.target)
+        if matched.is_error():
+            return expression.Error(matched.error)
         table = self._matcher.accounts
         if table is None:
-            return expression.Ok(None)
-        return _account_check.identify_account(
-            table, request.headers, class_with_policy.policy.is_public
+            return expression.Ok(_CallTarget(matched.ok, None))
+        identified = _account_check.identify_account(
+            table, request.headers, matched.ok.policy.is_public
         )
+        if identified.is_error():
+            return expression.Error(
+                _matching.explain_mismatch(identified.error, self._matcher.is_outdated)
+            )
+        return expression.Ok(_CallTarget(matched.ok, identified.ok))
 
     async def _take_allotment(
         self, account: accounts.Account | None, deadline: float
@@ -507,8 +515,8 @@
     return result.error.execution is errors.Execution.NOT_RUN
 
 
-def _has_failed_as(matched: _matching.MatchResult, kind: errors.ErrorKind) -> bool:
-    return matched.is_error() and matched.error.kind is kind
+def _has_failed_as(found: _TargetResult, kind: errors.ErrorKind) -> bool:
+    return found.is_error() and found.error.kind is kind
 
 
 def _get_timeout_seconds(fields: _headers.CallFields) -> float:
--- a/umberdrum/callpath/_matching.py
+++ b/umberdrum/callpath/_matching.py
@@ -31,6 +31,10 @@
     def accounts(self) -> accounts.AccountTable | None:
         """Client accounts in force, None if requests belong to none."""
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer document is known and not received yet."""
+
     def match(
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
@@ -46,7 +50,7 @@
 
     def __init__(self, is_outdated: OutdatedCheck) -> None:
         self.catalog = classes.Catalog()
-        self._is_outdated = is_outdated
+        self._check_outdated = is_outdated
 
     @property
     def version(self) -> int:
@@ -58,6 +62,11 @@
         """None, since classes know no client accounts."""
         return None
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer class is known and not received yet."""
+        return self._check_outdated()
+
     def match(
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
@@ -74,7 +83,9 @@
         if not self.catalog.has_service(service):
             kind = errors.ErrorKind.UNKNOWN_SERVICE
             detail = f"no class names the service {service!r}"
-        return expression.Error(_explain_mismatch(kind, detail, self._is_outdated()))
+        return expression.Error(
+            explain_mismatch(errors.fail(kind, detail), self.is_outdated)
+        )
 
 
 class RouteMatcher:
@@ -95,7 +106,7 @@
     ) -> None:
         self._source = source
         self._rng = rng
-        self._is_outdated = is_outdated
+        self._check_outdated = is_outdated
         self._table: routetable.RouteTable | None = None
         self._route_classes: dict[routetable.Route, list[classes.ClassWithPolicy]] = {}
 
@@ -109,6 +120,11 @@
         """Client accounts of the route table in force, None if it has none."""
         return self._source.table.accounts if self._source.table is not None else None
 
+    @property
+    def is_outdated(self) -> bool:
+        """Whether a newer route table is known and not received yet."""
+        return self._check_outdated()
+
     def match(
         self, fields: _headers.CallFields, method: str, target: bytes
     ) -> MatchResult:
@@ -126,9 +142,8 @@
             detail = (
                 f"version {table.version} has no route for {fields.service}{path[:200]}"
             )
-            kind = errors.ErrorKind.UNKNOWN_ROUTE
-            failure = _explain_mismatch(kind, detail, self._is_outdated())
-            return expression.Error(failure)
+            failure = errors.fail(errors.ErrorKind.UNKNOWN_ROUTE, detail)
+            return expression.Error(explain_mismatch(failure, self.is_outdated))
         route_classes = self._route_classes.get(route)
         if route_classes is None:
             route_classes = self._route_classes[route] = _build_route_classes(route)
@@ -147,20 +162,20 @@
     )
 
 
-def _explain_mismatch(
-    kind: errors.ErrorKind, detail: str, is_outdated: bool
-) -> errors.Failure:
-    """Return the failure of a call that nothing matches; it is final if not outdated.
+def explain_mismatch(failure: errors.Failure, is_outdated: bool) -> errors.Failure:
+    """Return the failure of a call that matches no route, or whose key is unknown.
+
+    It is ``failure`` unless a newer document is known, which may say otherwise.
 
-    Load pattern: a route is added, and calls for it reach daemons that have heard of
-    the newer table while they still fetch it.
+    Load pattern: a route or a key is added, and calls for it reach daemons that have
+    heard of the newer table while they still fetch it.
     """
     if not is_outdated:
-        return errors.fail(kind, detail)
+        return failure
     return errors.Failure(
         errors.ErrorKind.ROUTES_OUTDATED,
         errors.Execution.NOT_RUN,
-        f"{detail}; a newer document is being fetched",
+        f"{failure.detail}; a newer document is being fetched",
         OUTDATED_RETRY_MS,
     )
 
