Planned stop: end a response that stalls with the grace period, not with its deadline

Cause: a short response (up to 64 KiB) that had started was read in a shielded scope, up to 0.25 s after the deadline of its call. The shield was meant for the deadline, but it also kept out the end of the daemon and the caller's leaving. An upstream that sent its head and then stalled held the daemon until the deadline of the call.

Evidence, on the code before this change (grace period of 2 s, deadline of 30 s): 4 of the 6 rows of "A response that never ends held a daemon beyond its grace period" failed. A daemon that is entry and endpoint ended 30.15 s after the stop, and the caller of a look-up got nothing from it; the endpoint's daemon ended 30.15 s after the stop as well, and the entry daemon told "link-broke" 2.65 s after it. Rows that passed before: a daemon that is only the entry, which relays frames without a shield.

The relay now moves the deadline of the call's own scope when a short response has started, and shields nothing. Only the deadline is put off by that.

Ruled out by reading as a wait of this kind: the check whether an upstream has ended (crash guard) is shielded too, but each of its connections has 0.1 s.

--- a/umberdrum/callpath/_endpoint.py
+++ b/umberdrum/callpath/_endpoint.py
@@ -265,8 +265,8 @@
         self, call: _call.Call, body: _call.RequestBody, sink: _call.ResponseSink
     ) -> CallResult:
         """Run an idempotent call; its request is cancelled at the deadline."""
-        with trio.move_on_at(call.deadline):
-            return await self._run_admitted(call, body, sink)
+        with trio.move_on_at(call.deadline) as scope:
+            return await self._run_admitted(call, body, sink, scope)
         detail = f"request {call.request_id} was cancelled at its deadline"
         return expression.Error(
             errors.fail(
@@ -277,7 +277,11 @@
         )
 
     async def _run_admitted(
-        self, call: _call.Call, body: _call.RequestBody, sink: _call.ResponseSink
+        self,
+        call: _call.Call,
+        body: _call.RequestBody,
+        sink: _call.ResponseSink,
+        scope: trio.CancelScope,
     ) -> CallResult:
         queued_at = trio.current_time()
         acquired = await self._admit(call)
@@ -285,7 +289,9 @@
             return expression.Error(acquired.error)
         ticket = acquired.ok
         queue_seconds = ticket.began_at - queued_at
-        return await self._run_with_ticket(call, body, sink, ticket, queue_seconds)
+        return await self._run_with_ticket(
+            call, body, sink, ticket, queue_seconds, scope
+        )
 
     async def _run_recorded(
         self, call: _call.Call, body: _call.RequestBody, sink: _call.ResponseSink
@@ -359,9 +365,9 @@
         try:
             with trio.move_on_at(
                 call.deadline + _upstream_relay.RESPONSE_GRACE_SECONDS
-            ):
+            ) as scope:
                 result = await self._run_with_ticket(
-                    call, detached.body, recording, ticket, queue_seconds
+                    call, detached.body, recording, ticket, queue_seconds, scope
                 )
             if result is None:
                 result = expression.Error(_upstream_relay.build_overdue_failure(call))
@@ -396,10 +402,13 @@
         sink: _call.ResponseSink,
         ticket: admission.SlotTicket,
         queue_seconds: float,
+        scope: trio.CancelScope,
     ) -> CallResult:
         is_observed = False
         try:
-            result = await self.relay.run(call, body, sink, ticket, queue_seconds)
+            result = await self.relay.run(
+                call, body, sink, ticket, queue_seconds, scope
+            )
             is_observed = result.is_ok() and result.ok.status < MIN_SERVER_ERROR
             if is_observed:
                 self.crash_guard.record_answer(call)
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -66,8 +66,14 @@
         sink: _call.ResponseSink,
         ticket: admission.SlotTicket,
         queue_seconds: float,
+        scope: trio.CancelScope,
     ) -> CallResult:
-        """Send one request and write the response to ``sink``."""
+        """Send one request and write the response to ``sink``.
+
+        ``scope`` is the caller's scope with the deadline of the call. A short response
+        that has started moves it to the end of its own time, so that only the deadline
+        is put off: the end of the daemon, or of the caller, still cancels the call.
+        """
         try:
             upstream = await self._pool.acquire(call.is_idempotent, call.request_id)
         except _upstream.UpstreamFailureError as fault:
@@ -75,7 +81,7 @@
         is_clean = False
         try:
             result = await self._relay(
-                call, body, sink, ticket, queue_seconds, upstream
+                call, body, sink, ticket, queue_seconds, scope, upstream
             )
             is_clean = True
             return result
@@ -112,6 +118,7 @@
         sink: _call.ResponseSink,
         ticket: admission.SlotTicket,
         queue_seconds: float,
+        scope: trio.CancelScope,
         upstream: _upstream.UpstreamConnection,
     ) -> CallResult:
         sent_at = trio.current_time()
@@ -165,18 +172,14 @@
             self._notices.get_notice(),
         )
         await sink.start(head, report)
-        if not _fits_buffer(head):
-            await upstream.relay_body(sink)
-            await sink.finish()
-            return expression.Ok(report)
-        # A short response that has started is delivered even if its end arrives up to
-        # RESPONSE_GRACE_SECONDS after the deadline.
-        relay_until = get_response_deadline(call, now)
-        with trio.CancelScope(shield=True, deadline=relay_until):
-            await upstream.relay_body(sink, is_buffered=True)
-            await sink.finish()
-            return expression.Ok(report)
-        return expression.Error(build_overdue_failure(call))
+        is_short = _fits_buffer(head)
+        if is_short:
+            # A short response that has started is delivered even if its end arrives up
+            # to RESPONSE_GRACE_SECONDS after the deadline.
+            scope.deadline = max(scope.deadline, get_response_deadline(call, now))
+        await upstream.relay_body(sink, is_buffered=is_short)
+        await sink.finish()
+        return expression.Ok(report)
 
     def _lacks_signature(self, head: _call.HttpResponseHead) -> bool:
         """Return whether a response may not be the application's.
--- a/umberdrum/callpath/tests/late_requests.feature
+++ b/umberdrum/callpath/tests/late_requests.feature
@@ -46,6 +46,20 @@
       | entry | pay   |
       | both  | pay   |
 
+  Scenario Outline: A response that never ends held a daemon beyond its grace period
+    When a <class> call gets the head of its response only, and the <role> daemon stops
+    Then the caller gets a whole response of "<result>" within 2.2 s, after 1 runs
+    And the daemon has ended within 2.5 s
+
+    Examples:
+      | role     | class | result                        |
+      | entry    | look  | outcome-unknown/may-have-run  |
+      | entry    | pay   | outcome-unknown/may-have-run  |
+      | endpoint | look  | endpoint-leaving/may-have-run |
+      | endpoint | pay   | endpoint-leaving/may-have-run |
+      | both     | look  | outcome-unknown/may-have-run  |
+      | both     | pay   | outcome-unknown/may-have-run  |
+
   Scenario Outline: Callers send requests through a whole stop of the <role> daemon
     When callers send requests on <connections> connections until the <role> daemon has ended
     Then every request got a whole response, or was not run
--- a/umberdrum/callpath/tests/late_requests_steps.py
+++ b/umberdrum/callpath/tests/late_requests_steps.py
@@ -199,6 +199,33 @@
     assert context.n_runs == 0, context.n_runs
 
 
+@behave.when(
+    "a {cls} call gets the head of its response only, and the {role} daemon stops"
+)
+def stop_during_response(context: runner.Context, cls: str, role: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        stopping = _prepare_stop(node, entry, "entry" if role == "entry" else "both")
+        node.upstream.constant_fault = "stalled-body"
+        caller = await _connect(node if role == "both" else entry)
+        await caller.send(_build_request(cls, "late", 30_000))
+        await trio.sleep(FIRST_PART_SECONDS)
+        stopped_at = trio.current_time()
+        stopping.daemon.stop()
+        context.response = await caller.receive()
+        context.seconds = trio.current_time() - stopped_at
+        caller.close()
+        await stopping.daemon.wait_stopped()
+        context.end_seconds = trio.current_time() - stopped_at
+        context.n_runs = node.upstream.begun.count("late")
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the daemon has ended within {limit:g} s")
+def check_end(context: runner.Context, limit: float) -> None:
+    assert context.end_seconds <= limit, context.end_seconds
+
+
 class _Load:
     """Callers that send requests until the daemon takes no more.
 
--- a/umberdrum/tests/upstreams.py
+++ b/umberdrum/tests/upstreams.py
@@ -11,6 +11,7 @@
 
 N_MISSING_LONG_BYTES = 1 << 20
 LATE_BODY_SECONDS = 0.1
+HANG_SECONDS = 100_000.0
 
 
 class FakeUpstream:
@@ -18,10 +19,11 @@
 
     The header ``x-fault`` of a request selects the fault: ``hang``,
     ``close-before-answer``, ``close-in-answer``, ``close-in-long`` (an answer too long
-    to be buffered whole), ``late-body`` (0.1 s after the head), ``garbage``, ``slow``
-    (two seconds), ``error`` or ``shed``. A ``constant_fault`` overrides the header for
-    all requests. ``idle_timeout_seconds`` closes a connection that was idle for longer,
-    but only when the next request arrives, without an answer.
+    to be buffered whole), ``late-body`` (0.1 s after the head), ``stalled-body`` (never
+    sent after the head), ``garbage``, ``slow`` (two seconds), ``error`` or ``shed``. A
+    ``constant_fault`` overrides the header for all requests. ``idle_timeout_seconds``
+    closes a connection that was idle for longer, but only when the next request
+    arrives, without an answer.
     """
 
     def __init__(self, address: settings.Address) -> None:
@@ -90,7 +92,7 @@
         fault = self.constant_fault or request_headers.get("x-fault", "")
         seconds = 2.0 if fault == "slow" else self.service_seconds
         if fault == "hang":
-            seconds = 100_000.0
+            seconds = HANG_SECONDS
         if not await self._wait_service_time(connection, seconds):
             self.cancelled.append(nonce)
             return False
@@ -116,6 +118,10 @@
             await connection.send(data)
             await trio.sleep(LATE_BODY_SECONDS)
             data = b""
+        if fault == "stalled-body":
+            await connection.send(data)
+            await self._wait_service_time(connection, HANG_SECONDS)
+            return False
         data += http.send(h11.Data(data=body)) or b""
         if fault in n_missing:
             await connection.send(data)
