Route table: an invalid document has no version of its own

What callers would see: once a document that can't be used had been stored, 503 for all calls at every daemon that started after it, for as long as it was the newest; and 404 for routes added later, for good, if its version was above theirs.

Cause: a document was placed by the version that it stated, whether or not the rest of it could be used. An invalid one therefore replaced the last valid one in the catalog of every daemon, and came before later ones with lower versions.

Ruled out: an invalid document in force; the table was kept, as "A configuration that can't be used changes nothing" shows.

Change: the version is read from the decoded table, so that an invalid document has version 0 and replaces nothing. `RouteTableSource.read_version` takes the place of the integration's; each document is decoded once instead of twice.

--- a/umberdrum/daemon/_integration.py
+++ b/umberdrum/daemon/_integration.py
@@ -8,7 +8,6 @@
     callpath,
     configuration,
     controlhttp,
-    gossip,
     routetable,
     settings,
     store,
@@ -26,14 +25,12 @@
 class RoutesDocument(NamedTuple):
     """Location of the route table in the store, and its decoder.
 
-    The key of the document is ``keys_prefix`` followed by ``name``. ``read_version``
-    returns the version that the operator gave to a document below the prefix.
+    The key of the document is ``keys_prefix`` followed by ``name``.
     """
 
     keys_prefix: str
     name: str
     read: routetable.RouteTableDecoder
-    read_version: gossip.VersionReader
 
 
 class Integration(NamedTuple):
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -70,9 +70,9 @@
         self.table = membership.MembershipTable(
             _build_own_record(own_settings, identity)
         )
-        routes_document = integration.routes
+        self.routes = _build_routes(integration, log)
         self.state = gossip.SharedState(
-            self.table, log, routes_document.read_version if routes_document else None
+            self.table, log, self.routes.read_version if self.routes else None
         )
         self.peer_pool = peerlink.PeerLinkPool(identity, key)
         self.synchronizer = gossip.PeerSynchronizer(self.state, self.peer_pool)
@@ -117,7 +117,6 @@
             self.state.crashes,
         )
         self.endpoint.crash_guard.on_marks = self._publish_crash_marks
-        self.routes = _build_routes(integration, log)
         self._class_matcher = callpath.ClassMatcher(self.exchange.expects_documents)
         self.matcher: callpath.CallMatcher = self._class_matcher
         if self.routes is not None:
--- a/umberdrum_bench/route_document.py
+++ b/umberdrum_bench/route_document.py
@@ -49,16 +49,6 @@
     return routetable.build_table(version, BOUNDS, routes, {})
 
 
-def read_version(name: str, document: bytes) -> int:
-    """Return the version of a table, 0 for other documents."""
-    if name != DOCUMENT_NAME:
-        return 0
-    try:
-        return int(json.loads(document)["version"])
-    except (ValueError, KeyError, TypeError):
-        return 0
-
-
 def _build_route(route: DocumentRoute) -> routetable.Route:
     return routetable.Route(
         name=route.service + route.path_prefix,
--- a/umberdrum_bench/routed_daemon.py
+++ b/umberdrum_bench/routed_daemon.py
@@ -25,7 +25,6 @@
             configuration.build_documents_prefix(route_document.STORE_PREFIX),
             route_document.DOCUMENT_NAME,
             route_document.decode_table,
-            route_document.read_version,
         )
     )
 
