Planned stop: refuse an upload whose end arrives too late, rather than pass it on

In a planned stop, an upload that a daemon had begun to receive before was passed on when its end arrived late in the grace period, and cut at the end of it: the caller got 504 "outcome-unknown" for a request that may not be repeated and that had just begun.

Cause: the entry daemon decides before an attempt whether its call may begin (_stop_period.py). A call with a body above 64 KiB makes its attempt while the body still arrives; it begins at the endpoint only when the body is complete there, without another decision.

Evidence, on the code before this change: the row "an end" at 1.9 s of late_requests.feature (grace period of 2 s, 0.5 s of work) ended as "outcome-unknown/may-have-run" after 1 run, and stated that so far. The row now states "endpoint-leaving/not-run" after 0 runs, which is stricter. It failed before this change.

While less of the body was sent on than an endpoint reads ahead (256 KiB), the entry daemon refuses the call if it can't be expected to end in time: neither its deadline nor its latency target, counted from now, lies within the grace period. The latency target counts here because the caller has already sent most of its request. The link to the endpoint is closed, and the outcome is then queried as for a broken link: the endpoint tells that the request has not run, and bars it. The refusal as not run is thus true. The same query serves bodies that are lost for other reasons, unless the caller has gone; such calls were always reported as if they may have run.

Ruled out by new rows, which pass before and after: a call whose deadline lies within the period; an upload of 400,000 bytes, which the upstream has begun to receive, is passed on.

Open: such a long upload is still cut at the end of the period if it is at work then.

--- a/umberdrum/callpath/_attempt_sequence.py
+++ b/umberdrum/callpath/_attempt_sequence.py
@@ -6,7 +6,15 @@
 import trio
 
 from umberdrum import classes, errors, retries, routing
-from umberdrum.callpath import _call, _endpoint, _hedging, _sinks, _statistics
+from umberdrum.callpath import (
+    _body_buffer,
+    _call,
+    _endpoint,
+    _hedging,
+    _sinks,
+    _statistics,
+    _stop_period,
+)
 
 MS_PER_SECOND = 1000.0
 # After a power failure, daemons announce their endpoints 0.3 to 0.5 s after they start.
@@ -35,6 +43,7 @@
 
     hedge_scheduler: _hedging.HedgeScheduler
     statistics: _statistics.CallStatistics
+    stop_period: _stop_period.StopPeriod | None
 
     def get_budget(self, service: str) -> retries.RetryBudget:
         """Return the retry budget towards ``service``."""
@@ -85,6 +94,8 @@
         self._class_with_policy = class_with_policy
         self._call = call
         self._body = body
+        if not body.is_complete:
+            self._body = _body_buffer.RefusableBody(body, self._find_upload_refusal)
         self._sink = sink
         self._service = class_with_policy.request_class.service
         self._budget = entry.get_budget(self._service)
@@ -118,6 +129,15 @@
                 return result
             last_result = result
 
+    def _find_upload_refusal(self) -> errors.Failure | None:
+        """Return why the call must not begin while its body arrives, or None."""
+        period = self._entry.stop_period
+        if period is None:
+            return None
+        expected_seconds = self._call.target_latency_ms / MS_PER_SECOND
+        now = trio.current_time()
+        return period.find_upload_refusal(self._call.deadline, expected_seconds, now)
+
     def _choose(self) -> routing.RoutingDecision | None:
         excluded = frozenset(self._tried)
         attributes = routing.CallAttributes(
--- a/umberdrum/callpath/_body_buffer.py
+++ b/umberdrum/callpath/_body_buffer.py
@@ -1,5 +1,7 @@
 """Buffering of request bodies before their calls are admitted, and their end."""
 
+from collections.abc import Callable
+
 import trio
 
 from umberdrum import errors
@@ -74,6 +76,45 @@
         return await self._rest.receive()
 
 
+class RefusableBody:
+    """Request body whose receiving ends once its call can't be served any more.
+
+    Load pattern: uploads whose end arrives shortly before their entry daemon ends. An
+    endpoint that has got less than ``MAX_BUFFERED_BODY_BYTES`` has not begun the call,
+    which is then refused rather than passed on and cut.
+    """
+
+    is_complete = False
+
+    def __init__(
+        self,
+        body: _call.RequestBody,
+        find_refusal: Callable[[], errors.Failure | None],
+    ) -> None:
+        self._body = body
+        self._find_refusal = find_refusal
+        self._n_bytes = len(body.initial)
+        self.initial = body.initial
+
+    @property
+    def can_be_sent_again(self) -> bool:
+        """Whether nothing after ``initial`` was received yet."""
+        return self._body.can_be_sent_again
+
+    async def receive(self) -> bytes:
+        """Return the next bytes after ``initial``, empty at the end.
+
+        Raises ``BodyLostError``, also with the refusal of the call.
+        """
+        data = await self._body.receive()
+        if self._n_bytes < MAX_BUFFERED_BODY_BYTES:
+            refusal = self._find_refusal()
+            if refusal is not None:
+                raise _call.BodyLostError(refusal)
+        self._n_bytes += len(data)
+        return data
+
+
 class DetachableBody:
     """Request body whose receiving ends once its call has been answered.
 
--- a/umberdrum/callpath/_peer_client.py
+++ b/umberdrum/callpath/_peer_client.py
@@ -30,8 +30,9 @@
     """Sends calls to endpoint daemons over peer links.
 
     An attempt whose link breaks or goes silent has an unknown outcome. For a
-    non-idempotent call the client then queries the same process over a new link. The
-    query also prevents the request from being started later. The client never sends the
+    non-idempotent call the client then queries the same process over a new link, and
+    likewise when the body of its request can't be sent to its end. The query also
+    prevents the request from being started later. The client never sends the
     request a second time. The liveness watch closes links that go silent, so that a
     fast call needs no timer of its own.
     """
@@ -89,14 +90,18 @@
         )
         number = self._watch.add_link(watched)
         is_clean = False
+        body_failure: errors.Failure | None = None
         try:
             result = await self._exchange(call, link, body, sink)
             is_clean = True
         except (sockets.ConnectionLostError, peerlink.FrameError) as fault:
             result = self._build_loss_result(call, link.peer, watched, str(fault))
         except _call.BodyLostError as fault:
-            failure = fault.failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
-            return expression.Error(failure)
+            body_failure = fault.failure
+            failure = body_failure._replace(execution=errors.Execution.MAY_HAVE_RUN)
+            result = expression.Error(failure)
+            if body_failure.kind is errors.ErrorKind.CALLER_GONE:
+                return result
         except _call.SinkLostError as fault:
             return expression.Error(
                 errors.fail(
@@ -114,7 +119,12 @@
         if watched.is_past_deadline:
             return result
         self.n_outcome_resolutions += 1
-        return await self._resolve_outcome(call, link, sink)
+        resolved = await self._resolve_outcome(call, link, sink)
+        if body_failure is None or resolved.is_ok():
+            return resolved
+        return expression.Error(
+            body_failure._replace(execution=resolved.error.execution)
+        )
 
     def _build_loss_result(
         self,
--- a/umberdrum/callpath/_stop_period.py
+++ b/umberdrum/callpath/_stop_period.py
@@ -28,6 +28,16 @@
         detail = "the daemon may end before the deadline"
         return errors.fail(errors.ErrorKind.ENDPOINT_LEAVING, detail)
 
+    def find_upload_refusal(
+        self, deadline: float, expected_seconds: float, now: float
+    ) -> errors.Failure | None:
+        """Return why a call whose body is still arriving must not begin, or None.
+
+        Its caller has already sent a part of the body. The call may therefore begin
+        later than others, as long as it can be expected to end within the period.
+        """
+        return self.find_refusal(min(deadline, now + expected_seconds), now)
+
 
 def build_stop_period(now: float, grace_seconds: float) -> StopPeriod:
     """Return the times of a stop that begins now."""
--- a/umberdrum/callpath/tests/late_requests.feature
+++ b/umberdrum/callpath/tests/late_requests.feature
@@ -15,7 +15,10 @@
       | entry | look  | the head | 1.9     | 5000     | 0.5     | endpoint-leaving/not-run       | 0    |
       | entry | pay   | the body | 1.99    | 5000     | 0.5     | endpoint-leaving/not-run       | 0    |
       | entry | pay   | an end   | 1.5     | 5000     | 0.1     | 200                            | 1    |
-      | entry | pay   | an end   | 1.9     | 5000     | 0.5     | outcome-unknown/may-have-run   | 1    |
+      | entry | pay   | an end   | 1.9     | 5000     | 0.5     | endpoint-leaving/not-run       | 0    |
+      | entry | pay   | an end   | 1.5     | 1900     | 1.0     | deadline-exceeded/may-have-run | 1    |
+      | entry | pay   | a long end | 1.9   | 5000     | 0.5     | outcome-unknown/may-have-run   | 1    |
+      | entry | pay   | a long end | 1.5   | 5000     | 0.1     | 200                            | 1    |
       | entry | pay   | the head | 1.5     | 1900     | 0.1     | 200                            | 1    |
       | entry | look  | the head | 1.5     | 1900     | 0.1     | 200                            | 1    |
       | entry | pay   | the head | 1.5     | 1900     | 1.0     | deadline-exceeded/may-have-run | 1    |
--- a/umberdrum/callpath/tests/late_requests_steps.py
+++ b/umberdrum/callpath/tests/late_requests_steps.py
@@ -21,6 +21,9 @@
 # More than the entry daemon reads before it routes a request.
 UPLOAD_BYTES = 100_000
 UPLOAD_PART_BYTES = 80_000
+# More than the endpoint daemon buffers before it sends the request to the upstream.
+LONG_UPLOAD_BYTES = 400_000
+LONG_UPLOAD_PART_BYTES = 300_000
 N_CALLERS = 6
 N_AHEAD = 3
 LOAD_SERVICE_SECONDS = 0.3
@@ -101,6 +104,9 @@
     if part == "the body":
         raw = _build_request(cls, "late", deadline_ms, 10)
         return raw[:-5], raw[-5:]
+    if part == "a long end":
+        raw = _build_request(cls, "late", deadline_ms, LONG_UPLOAD_BYTES)
+        return raw[:LONG_UPLOAD_PART_BYTES], raw[LONG_UPLOAD_PART_BYTES:]
     raw = _build_request(cls, "late", deadline_ms, UPLOAD_BYTES)
     return raw[:UPLOAD_PART_BYTES], raw[UPLOAD_PART_BYTES:]
 
