Store: repeat a read on a new connection if the kept one gives no answer

A daemon that no peer delivers a document to reads it from the store after 1.0 to 1.6 s, over the connection that is kept since it joined. If that is silent, the read waits for its whole time-out, 2 s, and nothing else is tried. Only renewals of a lease were repeated.

Ruled out: the kernel's keep-alive; it ends such a connection after 2 s at most, which is as long.

A store that answers after more than 0.4 s gets such a read twice.

Evidence: store.feature and store_contract.feature, "A read over a connection that had gone silent failed": 2 of 4 rows of each red before.

--- a/umberdrum/store/_calls.py
+++ b/umberdrum/store/_calls.py
@@ -29,9 +29,9 @@
         """Number of calls of all operations."""
         return self.n_calls.total()
 
-    def count(self, operation: str) -> None:
-        """Count one call of ``operation``, whatever its result."""
-        self.n_calls[operation] += 1
+    def count(self, operation: str, n_calls: int = 1) -> None:
+        """Count calls of ``operation``, whatever their results."""
+        self.n_calls[operation] += n_calls
 
     def record_failure(self, reason: str = "") -> None:
         """Count a call without a valid answer; the store is then not answering."""
--- a/umberdrum/store/_etcd.py
+++ b/umberdrum/store/_etcd.py
@@ -16,7 +16,8 @@
 class EtcdStore:
     """Client of the etcd v3 JSON gateway over HTTP/1.1.
 
-    Calls reuse a persistent connection if there is one; each watch opens its own.
+    Calls reuse a persistent connection if there is one; each watch opens its own. Reads
+    and renewals of a lease are sent once more on a new one if that gives no answer.
 
     The protocol has no eras. A member that is restored from a snapshot must continue
     with higher revisions and without the history before them, as ``etcdutl snapshot
@@ -44,7 +45,7 @@
         self, key: str
     ) -> expression.Result[_store.KeyValue | None, errors.Failure]:
         """Return the key, or None if it does not exist."""
-        answer = await self._post("range", "/v3/kv/range", {"key": _encode_key(key)})
+        answer = await self._read_range({"key": _encode_key(key)})
         if answer.is_error():
             return expression.Error(answer.error)
         items = _decode_items(answer.ok.get("kvs", []))
@@ -61,7 +62,7 @@
         if may_be_stale:
             # Answered by the member that gets the request, without a consensus round.
             body["serializable"] = True
-        answer = await self._post("range", "/v3/kv/range", body)
+        answer = await self._read_range(body)
         if answer.is_error():
             return expression.Error(answer.error)
         revision = int(answer.ok.get("header", {}).get("revision", 0))
@@ -109,13 +110,10 @@
         renewed = await self._client.exchange_repeated(
             "POST", "/v3/lease/keepalive", body, (200,)
         )
-        for _ in range(renewed.n_sent):
-            self.counter.count("lease_keepalive")
-        if renewed.result.is_error():
-            self.counter.record_failure(renewed.result.error.detail)
-            return expression.Error(renewed.result.error)
-        self.counter.record_answer()
-        result = renewed.result.ok.body.get("result", {})
+        answer = self._record("lease_keepalive", renewed)
+        if answer.is_error():
+            return expression.Error(answer.error)
+        result = answer.ok.get("result", {})
         ttl_seconds = int(result.get("TTL", 0))
         return expression.Ok(
             _store.Lease(lease_id, ttl_seconds, found_silence=renewed.found_silence)
@@ -179,6 +177,26 @@
                 current = items[0]
         return expression.Ok(_store.SwapResult(False, revision, current))
 
+    async def _read_range(
+        self, body: JsonObject
+    ) -> expression.Result[JsonObject, errors.Failure]:
+        """Read keys, once more if the kept connection gives no answer."""
+        read = await self._client.exchange_repeated(
+            "POST", "/v3/kv/range", body, (200,)
+        )
+        return self._record("range", read)
+
+    def _record(
+        self, operation: str, repeated: jsonclient.RepeatedExchange
+    ) -> expression.Result[JsonObject, errors.Failure]:
+        """Count the calls of an exchange; return its body or its failure."""
+        self.counter.count(operation, repeated.n_sent)
+        if repeated.result.is_error():
+            self.counter.record_failure(repeated.result.error.detail)
+            return expression.Error(repeated.result.error)
+        self.counter.record_answer()
+        return expression.Ok(repeated.result.ok.body)
+
     async def _post(
         self, operation: str, path: str, body: JsonObject, is_write: bool = False
     ) -> expression.Result[JsonObject, errors.Failure]:
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -94,10 +94,11 @@
 class Store(Protocol):
     """Key-value service with compare-and-swap, leases and watches.
 
-    Reads fail with ``STORE_UNAVAILABLE``. A write whose answer was lost fails with
-    ``STORE_OUTCOME_UNKNOWN``, since it may have taken effect. A write that was
-    certainly not sent fails with ``STORE_UNAVAILABLE``, marked as not run. An adapter
-    never retries a write.
+    Reads fail with ``STORE_UNAVAILABLE``. Like renewals of a lease they are repeated on
+    a new connection if the kept one, which may have gone silent, gives no answer. A
+    write whose answer was lost fails with ``STORE_OUTCOME_UNKNOWN``, since it may have
+    taken effect. A write that was certainly not sent fails with ``STORE_UNAVAILABLE``,
+    marked as not run. An adapter never retries a write.
 
     An answer of an earlier era than ``eras`` has seen is never used: a read fails, and
     the outcome of a write is unknown.
--- a/umberdrum/store/tests/store_steps.py
+++ b/umberdrum/store/tests/store_steps.py
@@ -195,6 +195,36 @@
     _run(context, test)
 
 
+@behave.when('"k" is {read} after the store\'s connections "{event}"')
+def read_over_lost_connection(context: runner.Context, read: str, event: str) -> None:
+    async def test(site: harness.Site, _: store.Store) -> None:
+        async with _open_link(context, site) as (store_link, adapter):
+            assert (await adapter.get("k")).ok is not None
+            if event == "go silent":
+                store_link.silence()
+            elif event == "close":
+                store_link.reset()
+            n_calls_before = site.counter.total
+            started_at = trio.current_time()
+            if read == "listed":
+                listed = await adapter.list_prefix("k")
+                context.found = [] if listed.is_error() else listed.ok.items
+            else:
+                got = await adapter.get("k")
+                context.found = [] if got.is_error() else [got.ok]
+            context.seconds = trio.current_time() - started_at
+            context.n_calls = site.counter.total - n_calls_before
+
+    _run(context, test)
+
+
+@behave.then("it is found within {seconds:d} s, by {n_calls:d} calls")
+def check_found(context: runner.Context, seconds: int, n_calls: int) -> None:
+    assert [item.key for item in context.found] == ["k"], context.found
+    assert context.seconds <= seconds, context.seconds
+    assert context.n_calls == n_calls, context.n_calls
+
+
 @contextlib.asynccontextmanager
 async def _open_link(
     context: runner.Context, site: harness.Site
