Soak: the time in which a daemon gets no processor is not held against it

Whose time it is: the machine's. A start needs 0.51 s of processor time. Meanwhile requests wait in the kernel, and no code of the daemon runs that could refuse them earlier; they are refused as not run as soon as it does. Ruled out: waiting for files or for other processes, which would leave a rest.

Change: for each call the soak reads the wait of its entry daemon's main thread before and after. A call counts as late only if it is later than that wait explains. No bound is moved; `starved=` in the result counts the calls that this excuses. Where the kernel keeps no such statistics nothing is excused. Calls without an answer are judged as before.

--- a/umberdrum_bench/soak/_load.py
+++ b/umberdrum_bench/soak/_load.py
@@ -5,7 +5,7 @@
 import trio
 
 from umberdrum_bench import caller, checker
-from umberdrum_bench.soak import _checker, _documents, _environment
+from umberdrum_bench.soak import _checker, _documents, _environment, _processor
 
 DEADLINE_SECONDS = 2.0
 CALL_TIMEOUT_SECONDS = 20.0
@@ -70,6 +70,7 @@
         has_disconnected = self._rng.random() < EARLY_DISCONNECT_SHARE
         timeout = EARLY_DISCONNECT_SECONDS if has_disconnected else CALL_TIMEOUT_SECONDS
         began_at = trio.current_time()
+        wait_before = self._read_wait(entry.position)
         answer = await self._pool.call(entry.caller, request, timeout)
         now = trio.current_time()
         record = checker.CallRecord(
@@ -89,9 +90,17 @@
                 DEADLINE_SECONDS,
                 has_disconnected,
                 self._get_max_lag(now),
+                _processor.count_starved_seconds(
+                    wait_before, self._read_wait(entry.position)
+                ),
             )
         )
 
+    def _read_wait(self, position: int) -> _processor.ProcessorWait:
+        """Return how long the daemon that runs now has waited for a processor."""
+        process = self._environment.cluster.endpoints[position].daemon_process
+        return _processor.read_wait(process.pid)
+
     def _get_max_lag(self, now: float) -> float:
         """Return the largest timer lag in the ``LAG_WINDOW_SECONDS`` before ``now``."""
         max_lag = 0.0
--- a/umberdrum_bench/soak/_run.py
+++ b/umberdrum_bench/soak/_run.py
@@ -199,7 +199,8 @@
         f"soak seed={result.seed} faults={result.n_faults} judged={result.n_judged} "
         f"calls={found.n_calls} "
         f"answered={found.n_answered} refused={found.n_refused} "
-        f"unknown={found.n_unknown} recovery_s={result.recovery_seconds:.1f} "
+        f"unknown={found.n_unknown} starved={found.n_starved} "
+        f"recovery_s={result.recovery_seconds:.1f} "
         f"broken={len(found.violations)}\n"
     )
     for line in found.violations:
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -28,6 +28,20 @@
       | payment | 0      | no answer                  | killed later | lost          |
       | lookup  | 1      | a late answer              | undisturbed  | late          |
       | lookup  | 1      | a late answer              | paused       | none          |
+      | lookup  | 1      | a late answer              | starved long | none          |
+      | lookup  | 1      | a late answer              | starved      | late          |
+      | payment | 1      | no answer                  | starved long | lost          |
+
+  Scenario Outline: Only the time without a processor is excused
+    Given a process that had waited <before> s for a processor before a call
+    When <process> has waited <after> s after it
+    Then the call's daemon was without a processor for <starved> s
+
+    Examples:
+      | before | process           | after | starved |
+      | 1.5    | the same process  | 3.75  | 2.25    |
+      | 1.5    | a process started | 0.5   | 0.5     |
+      | 1.5    | an ended process  | 0.0   | 0.0     |
 
   Scenario Outline: A change of <document> that is not in force, <age> s after its acceptance
     Given a daemon whose <document> had changed <age> s before it was asked
