Soak: all contacts are lost shortly before a change, in half of the seeds

Change: all daemons that say that they are contacts are killed, paused or cut off from the store at once, and a document changes up to 0.8 s later. Seeds that drain a zone lose the contacts while it is drained. The choices are drawn apart, so that the other faults of earlier seeds stay as they were.

Evidence: soak.feature draws 200 plans: each loss has its change, and all three kinds occur while a zone is drained.

--- a/umberdrum_bench/soak/_injector.py
+++ b/umberdrum_bench/soak/_injector.py
@@ -48,8 +48,17 @@
         _plan.FaultKind.CHANGE_DOCUMENT,
         _plan.FaultKind.SILENCE_ALL_LINKS,
         _plan.FaultKind.TURN_AWAY_ZONE,
+        _plan.FaultKind.KILL_CONTACTS,
+        _plan.FaultKind.PAUSE_CONTACTS,
+        _plan.FaultKind.CUT_OFF_CONTACTS,
     )
 )
+# What strikes each contact in a loss of all contacts.
+CONTACT_FAULT_KINDS = {
+    _plan.FaultKind.KILL_CONTACTS: _plan.FaultKind.KILL_DAEMON,
+    _plan.FaultKind.PAUSE_CONTACTS: _plan.FaultKind.PAUSE_DAEMON,
+    _plan.FaultKind.CUT_OFF_CONTACTS: _plan.FaultKind.CUT_STORE_LINK,
+}
 
 _Action = Callable[[_plan.SoakFault], Awaitable[None]]
 
@@ -94,6 +103,9 @@
             kinds.SILENCE_ALL_LINKS: self._silence_all_links,
             kinds.KILL_CONTACT: self._kill_daemon,
             kinds.TURN_AWAY_ZONE: self._turn_away_zone,
+            kinds.KILL_CONTACTS: self._lose_contacts,
+            kinds.PAUSE_CONTACTS: self._lose_contacts,
+            kinds.CUT_OFF_CONTACTS: self._lose_contacts,
         }
 
     async def run(self, plan: tuple[_plan.SoakFault, ...]) -> None:
@@ -102,15 +114,15 @@
         async with trio.open_nursery() as nursery:
             for fault in plan:
                 await trio.sleep_until(began_at + fault.at_seconds)
-                print(
-                    f"time={_environment.format_time()} event=fault "
-                    f"at={fault.at_seconds:.2f} kind={fault.kind.value} "
-                    f"position={fault.position} seconds={fault.seconds:.2f}",
-                    flush=True,
-                )
                 nursery.start_soon(self._inject, fault)
 
     async def _inject(self, fault: _plan.SoakFault) -> None:
+        print(
+            f"time={_environment.format_time()} event=fault "
+            f"at={fault.at_seconds:.2f} kind={fault.kind.value} "
+            f"position={fault.position} seconds={fault.seconds:.2f}",
+            flush=True,
+        )
         if fault.kind is _plan.FaultKind.KILL_CONTACT:
             fault = fault._replace(position=self._choose_contact(fault.position))
         positions = self._list_struck(fault)
@@ -394,6 +406,15 @@
         for link in links:
             link.is_refusing = False
 
+    async def _lose_contacts(self, fault: _plan.SoakFault) -> None:
+        """Strike all daemons that last reported to be contacts, at the same time."""
+        kind = CONTACT_FAULT_KINDS[fault.kind]
+        async with trio.open_nursery() as nursery:
+            for position in self._environment.spread.list_contacts():
+                nursery.start_soon(
+                    self._inject, fault._replace(kind=kind, position=position)
+                )
+
     async def _cut_link(self, fault: _plan.SoakFault) -> None:
         link = self._environment.peer_links[fault.position]
         link.pause(
--- a/umberdrum_bench/soak/_plan.py
+++ b/umberdrum_bench/soak/_plan.py
@@ -14,6 +14,9 @@
 TROUBLE_SHARE = 0.7
 MAX_TROUBLE_LEAD_SECONDS = 0.2
 MAX_TROUBLE_DELAY_SECONDS = 0.15
+CONTACT_LOSS_SHARE = 0.5
+MAX_CONTACT_LOSS_LEAD_SECONDS = 0.8
+MAX_SECONDS_SINCE_ZONE_DRAIN = 3.0
 # Every third seed uses request classes, the others a route table.
 CLASS_SEED_INTERVAL = 3
 
@@ -53,6 +56,9 @@
     SILENCE_ALL_LINKS = "silence-all-links"
     KILL_CONTACT = "kill-contact"
     TURN_AWAY_ZONE = "turn-away-zone"
+    KILL_CONTACTS = "kill-contacts"
+    PAUSE_CONTACTS = "pause-contacts"
+    CUT_OFF_CONTACTS = "cut-off-contacts"
 
 
 class _FaultProfile(NamedTuple):
@@ -106,6 +112,13 @@
     _FaultProfile(FaultKind.STOP_STORE, 0.4, 0.3, 1.5),
 )
 
+# Ways to lose the contacts of all zones at the same time.
+_CONTACT_LOSS_PROFILES = (
+    _FaultProfile(FaultKind.KILL_CONTACTS, 1.0, 0.2, 2.0),
+    _FaultProfile(FaultKind.PAUSE_CONTACTS, 1.0, 1.0, 4.0),
+    _FaultProfile(FaultKind.CUT_OFF_CONTACTS, 1.0, 1.0, 4.0),
+)
+
 
 class SoakOptions(NamedTuple):
     """Options of one soak: seed, size, time under faults, directory and base port."""
@@ -154,6 +167,7 @@
         at_seconds += rng.expovariate(1.0 / MEAN_FAULT_INTERVAL_SECONDS)
     faults += _draw_zone_drain(options)
     faults += _draw_changes(options)
+    faults += _draw_contact_loss(options)
     return tuple(sorted(faults, key=_get_start))
 
 
@@ -201,5 +215,28 @@
     return faults
 
 
+def _draw_contact_loss(options: SoakOptions) -> list[SoakFault]:
+    """Return at most one loss of all contacts, with a change shortly after it.
+
+    Load pattern: nobody who reads the store is left when a document changes, while a
+    zone is drained if the seed drains one. It has random choices of its own.
+    """
+    rng = random.Random(f"contacts {options.seed}")
+    if rng.random() >= CONTACT_LOSS_SHARE:
+        return []
+    at_seconds = rng.uniform(0.0, options.seconds)
+    for drain in _draw_zone_drain(options):
+        at_seconds = drain.at_seconds + rng.uniform(0.0, MAX_SECONDS_SINCE_ZONE_DRAIN)
+    position = rng.randrange(options.n_endpoints)
+    weights = [row.weight for row in _CONTACT_LOSS_PROFILES]
+    row = rng.choices(_CONTACT_LOSS_PROFILES, weights)[0]
+    seconds = rng.uniform(row.min_seconds, row.max_seconds)
+    change_at = at_seconds + rng.uniform(0.0, MAX_CONTACT_LOSS_LEAD_SECONDS)
+    return [
+        SoakFault(at_seconds, row.kind, position, seconds),
+        SoakFault(change_at, FaultKind.CHANGE_DOCUMENT, position, 0.0),
+    ]
+
+
 def _get_start(fault: SoakFault) -> float:
     return fault.at_seconds
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -3,6 +3,8 @@
   Scenario: The seed determines the fault plan
     Then a seed gives the same plan twice and another seed gives a different plan
     And the plans of 200 seeds have every kind of fault, with series and overlaps
+    And in 200 seeds a document changes within 0.8 s after each loss of all contacts
+    And in 200 seeds all contacts are lost in every way while a zone is drained
 
   Scenario Outline: Only violated guarantees are reported
     Given a <kind> call that ran <n_runs> times and ended with <end>
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -45,6 +45,11 @@
 STARVED_SECONDS = {"starved": 0.05, "starved long": 0.15}
 PROCESS_IDS = {"the same process": 7, "a process started": 8, "an ended process": 9}
 NS_PER_SECOND = 1e9
+CONTACT_LOSS_KINDS = {
+    soak.FaultKind.KILL_CONTACTS,
+    soak.FaultKind.PAUSE_CONTACTS,
+    soak.FaultKind.CUT_OFF_CONTACTS,
+}
 ASKED_AT = 100.0
 # Versions in force, one after the other; the zone is drained with version 2.
 STATES = {
@@ -84,6 +89,44 @@
     assert has_series and has_overlap
 
 
+@behave.then(
+    "in {n_seeds:d} seeds a document changes within {seconds:g} s "
+    "after each loss of all contacts"
+)
+def check_changes_after_losses(
+    context: runner.Context, n_seeds: int, seconds: float
+) -> None:
+    for seed in range(n_seeds):
+        plan = soak.draw_plan(_build_options(seed))
+        changes = [row for row in plan if row.kind is soak.FaultKind.CHANGE_DOCUMENT]
+        for loss in _list_contact_losses(plan):
+            leads = [row.at_seconds - loss.at_seconds for row in changes]
+            assert any(0.0 <= lead <= seconds for lead in leads), (seed, leads)
+
+
+@behave.then(
+    "in {n_seeds:d} seeds all contacts are lost in every way while a zone is drained"
+)
+def check_losses_in_drains(context: runner.Context, n_seeds: int) -> None:
+    kinds: set[soak.FaultKind] = set()
+    for seed in range(n_seeds):
+        plan = soak.draw_plan(_build_options(seed))
+        for drain in plan:
+            if drain.kind is not soak.FaultKind.DRAIN_ZONE:
+                continue
+            ends_at = drain.at_seconds + _spread.ZONE_DRAIN_SECONDS + drain.seconds
+            kinds |= {
+                loss.kind
+                for loss in _list_contact_losses(plan)
+                if drain.at_seconds <= loss.at_seconds < ends_at
+            }
+    assert kinds == CONTACT_LOSS_KINDS, kinds
+
+
+def _list_contact_losses(plan: tuple[soak.SoakFault, ...]) -> list[soak.SoakFault]:
+    return [row for row in plan if row.kind in CONTACT_LOSS_KINDS]
+
+
 @behave.given("a {kind} call that ran {n_runs:d} times and ended with {end}")
 def build_call(context: runner.Context, kind: str, n_runs: int, end: str) -> None:
     answer = ENDS[end]
