Soak: callers send proper requests in many forms, and no 4xx is right

The soak's callers sent one form, and a refusal with 400 counted like any other.

Change: bodies in chunks, hosts with a port, absolute targets, deadlines with fractions and of 1 to 3 ms, and up to two requests behind an upload on its connection without waiting. Any status from 300 to 499 is a violation, as all requests are proper and the upstreams give none. A call that was not sent and has run is a violation, too. A call behind another one may end without an answer only if the daemon announced the close in the answer before, was killed, or stopped and had not run it.

Evidence: soak.feature: a 400 and a 408 are reported as "denied"; the earlier check found nothing wrong with either, nor with a call that was not sent and had run.

--- a/umberdrum_bench/soak/_checker.py
+++ b/umberdrum_bench/soak/_checker.py
@@ -10,6 +10,9 @@
 # Requirement: a stopping daemon may close a connection without an answer only within
 # this time after the request was sent.
 CLOSE_WITHOUT_ANSWER_SECONDS = 0.2
+# Every request of the soak is proper, so that none is refused as a fault of its caller.
+MIN_DENIED_STATUS = 300
+MAX_DENIED_STATUS = 499
 
 
 class DaemonOutage(NamedTuple):
@@ -27,6 +30,8 @@
 class SoakCall(NamedTuple):
     """One call with the position of its entry daemon and its times.
 
+    ``deadline_seconds`` is the longest deadline among this call and those that it has
+    to wait for, if it was sent behind them on their connection (``is_pipelined``).
     ``has_disconnected`` tells whether the caller chose to disconnect early.
     ``lag_seconds`` is the largest lag of the caller's own timers shortly before the end
     of the call. ``starved_seconds`` is the time during the call for which the process
@@ -41,6 +46,7 @@
     has_disconnected: bool
     lag_seconds: float
     starved_seconds: float
+    is_pipelined: bool = False
 
 
 class SoakFindings(NamedTuple):
@@ -66,8 +72,8 @@
 
     A call may end without an answer if its entry daemon was killed during the call. It
     may also do so if its entry daemon was stopped, but only at once and if the call did
-    not reach an upstream. The time in which the entry daemon got no processor is not
-    held against it.
+    not reach an upstream; one that waits behind another on its connection may do so
+    later. The time in which the entry daemon got no processor is not held against it.
     """
     violations: list[str] = []
     n_answered = 0
@@ -83,6 +89,8 @@
             violations.append(f"doubled: {name} ran {n_begun} times")
         if call.has_disconnected:
             continue
+        if MIN_DENIED_STATUS <= answer.status <= MAX_DENIED_STATUS:
+            violations.append(f"denied: {name} got {answer.status} ({answer.kind})")
         outage_kinds = _list_outage_kinds(call, outages)
         late_seconds = answer.seconds - (
             call.deadline_seconds + LATE_ANSWER_GRACE_SECONDS + call.lag_seconds
@@ -97,12 +105,14 @@
                 n_starved += 1
         if answer.status == 0:
             n_unknown += 1
-            is_excused = "kill" in outage_kinds or not answer.is_sent
-            if not is_excused and "stop" in outage_kinds:
+            is_excused = "kill" in outage_kinds
+            if not answer.is_sent:
+                is_excused |= n_begun == 0
+            elif "stop" in outage_kinds:
                 has_waited = (
                     answer.seconds > CLOSE_WITHOUT_ANSWER_SECONDS + call.lag_seconds
                 )
-                is_excused = n_begun == 0 and not has_waited
+                is_excused |= n_begun == 0 and (call.is_pipelined or not has_waited)
             if not is_excused:
                 violations.append(
                     f"lost: {name} got no answer, it ended after {answer.seconds:.2f} s"
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -33,6 +33,27 @@
       | lookup  | 1      | a late answer              | starved long | none          |
       | lookup  | 1      | a late answer              | starved      | late          |
       | payment | 1      | no answer                  | starved long | lost          |
+      | payment | 0      | a refusal with 400         | undisturbed  | denied        |
+      | payment | 0      | a refusal with 408         | undisturbed  | denied        |
+      | payment | 0      | no connection              | undisturbed  | none          |
+      | payment | 1      | no connection              | undisturbed  | lost          |
+
+  Scenario Outline: A call that waits behind another one when its daemon stops
+    Given a payment call that ran <n_runs> times and ended with <end>
+    But it was sent behind another call
+    When its entry daemon was <entry> during the call
+    Then the reported violation is "<violation>"
+
+    Examples:
+      | n_runs | end                   | entry       | violation |
+      | 0      | no answer after 0.4 s | stopped     | none      |
+      | 1      | no answer after 0.4 s | stopped     | lost      |
+      | 0      | no answer after 0.4 s | undisturbed | lost      |
+
+  Scenario: Callers send proper requests in many forms
+    When 500 uploads and the requests behind them are drawn
+    Then some have a body in chunks, a port, an absolute target, fractions of milliseconds
+    And some deadlines are 1 to 3 ms and some requests follow 2 others
 
   Scenario Outline: Only the time without a processor is excused
     Given a process that had waited <before> s for a processor before a call
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -10,7 +10,7 @@
 from behave import runner
 
 from umberdrum_bench import caller, checker, soak
-from umberdrum_bench.soak import _processor, _spread
+from umberdrum_bench.soak import _documents, _processor, _requests, _spread
 
 BASE_PORT = 32_400
 DEADLINE_SECONDS = 2.0
@@ -29,6 +29,13 @@
         502, "may-have-run", "broke", "", "", 0.1, True
     ),
     "no answer after 0.4 s": caller.CallerAnswer(0, "", "", "", "", 0.4, True),
+    "a refusal with 400": caller.CallerAnswer(
+        400, "not-run", "malformed-request", "", "", 0.1, True
+    ),
+    "a refusal with 408": caller.CallerAnswer(
+        408, "not-run", "caller-too-slow", "", "", 0.1, True
+    ),
+    "no connection": caller.CallerAnswer(0, "", "", "", "", 0.1, False),
     "no answer": caller.CallerAnswer(0, "", "", "", "", 0.1, True),
 }
 OUTAGES = {
@@ -144,6 +151,11 @@
     )
 
 
+@behave.given("it was sent behind another call")
+def send_behind(context: runner.Context) -> None:
+    context.call = context.call._replace(is_pipelined=True)
+
+
 @behave.when("its entry daemon was {entry} during the call")
 def check_call(context: runner.Context, entry: str) -> None:
     call = context.call._replace(starved_seconds=STARVED_SECONDS.get(entry, 0.0))
@@ -151,6 +163,33 @@
     context.violations = [line.partition(":")[0] for line in found.violations]
 
 
+@behave.when("{n_uploads:d} uploads and the requests behind them are drawn")
+def draw_requests(context: runner.Context, n_uploads: int) -> None:
+    uploads = [row for row in _documents.CLASS_PLANS if row.name == "uploads"]
+    source = _requests.RequestSource(1, _documents.CLASS_PLANS)
+    drawn = [source.draw_pipeline(uploads[0]) for _ in range(n_uploads)]
+    context.lengths = {len(row) for row in drawn}
+    context.requests = [request for row in drawn for _, request in row]
+
+
+@behave.then(
+    "some have a body in chunks, a port, an absolute target, fractions of milliseconds"
+)
+def check_forms(context: runner.Context) -> None:
+    requests: list[caller.CallerRequest] = context.requests
+    assert any(row.chunk_bytes for row in requests)
+    assert {row.host_suffix for row in requests} == {"", *_requests.HOST_PORTS}
+    assert {row.is_absolute for row in requests} == {False, True}
+    assert any(row.deadline_ms % 1.0 for row in requests)
+
+
+@behave.then("some deadlines are 1 to 3 ms and some requests follow 2 others")
+def check_deadlines(context: runner.Context) -> None:
+    short = [row.deadline_ms for row in context.requests if row.deadline_ms <= 3.0]
+    assert short and min(short) >= 1.0, short
+    assert context.lengths == {1, 2, 3}, context.lengths
+
+
 @behave.given("a process that had waited {seconds:g} s for a processor before a call")
 def start_waiting(context: runner.Context, seconds: float) -> None:
     context.wait_before = _read_wait(PROCESS_IDS["the same process"], seconds)
