Stopped daemons ignore signals until their process has ended

What an operator saw: a daemon that had been stopped with SIGTERM, and had written `stopped`, ended with code -15 instead of 0 when a second SIGTERM came; with SIGHUP, -1. Its calls had all ended by then.

Cause: closing trio's signal receiver restores the default actions, while the interpreter still takes some tens of milliseconds to end.

Blocking the signals instead would not do: worker threads don't share the mask.

Change: a handler that does nothing is in place below the receiver, also for signals that the receiver raises again; after the event loop they are ignored, which the end of the interpreter leaves as it is.

--- a/umberdrum/daemon/main.py
+++ b/umberdrum/daemon/main.py
@@ -6,6 +6,7 @@
 import pathlib
 import signal
 import sys
+import types
 from collections.abc import Sequence
 
 import trio
@@ -21,6 +22,7 @@
 STDOUT_FD = 1
 SETTINGS_POLL_SECONDS = 2.0
 GC_THRESHOLDS = (50_000, 20, 50)
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 EXAMPLES = """examples:
   umberdrumd --settings /etc/umberdrum.ini
@@ -68,6 +70,7 @@
         sys.stderr.write(f"umberdrumd: {faults.exceptions[0]}\n")
         exit_code = EXIT_FAILED
     finally:
+        _ignore_signals()
         writer.flush()
     return exit_code
 
@@ -98,10 +101,13 @@
 
 async def _handle_signals(daemon: _daemon.Daemon, path: pathlib.Path) -> None:
     """Stop the daemon on SIGTERM and SIGINT, and reload its settings on SIGHUP."""
-    handled = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-    with trio.open_signal_receiver(*handled) as received:
+    # In force again when the receiver has closed, which then raises those signals once
+    # more that it has not returned.
+    for handled in HANDLED_SIGNALS:
+        signal.signal(handled, _discard_signal)
+    with trio.open_signal_receiver(*HANDLED_SIGNALS) as received:
         # The ``startup`` package has blocked SIGTERM and SIGHUP until here.
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, handled)
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, HANDLED_SIGNALS)
         async for number in received:
             if number != signal.SIGHUP:
                 daemon.stop()
@@ -109,6 +115,19 @@
             _reload(daemon, path)
 
 
+def _discard_signal(number: int, frame: types.FrameType | None) -> None:
+    """Do nothing: the daemon has stopped already."""
+
+
+def _ignore_signals() -> None:
+    """Ignore signals until the end of the process, which removes other handlers.
+
+    The default action would end the process with another exit code.
+    """
+    for number in HANDLED_SIGNALS:
+        signal.signal(number, signal.SIG_IGN)
+
+
 async def _watch_settings_file(daemon: _daemon.Daemon, path: pathlib.Path) -> None:
     """Poll the settings file and reload it when it has changed."""
     last_modified_ns = _get_modified_ns(path)
