--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -3,6 +3,8 @@
   Scenario: The seed determines the fault plan
     Then a seed gives the same plan twice and another seed gives a different plan
     And the plans of 200 seeds have every kind of fault, with series and overlaps
+    And in 200 seeds a document changes within 0.8 s after each loss of all contacts
+    And in 200 seeds all contacts are lost in every way while a zone is drained
 
   Scenario Outline: Only violated guarantees are reported
     Given a <kind> call that ran <n_runs> times and ended with <end>
@@ -28,6 +30,41 @@
       | payment | 0      | no answer                  | killed later | lost          |
       | lookup  | 1      | a late answer              | undisturbed  | late          |
       | lookup  | 1      | a late answer              | paused       | none          |
+      | lookup  | 1      | a late answer              | starved long | none          |
+      | lookup  | 1      | a late answer              | starved      | late          |
+      | payment | 1      | no answer                  | starved long | lost          |
+      | payment | 0      | a refusal with 400         | undisturbed  | denied        |
+      | payment | 0      | a refusal with 408         | undisturbed  | denied        |
+      | payment | 0      | no connection              | undisturbed  | none          |
+      | payment | 1      | no connection              | undisturbed  | lost          |
+
+  Scenario Outline: A call that waits behind another one when its daemon stops
+    Given a payment call that ran <n_runs> times and ended with <end>
+    But it was sent behind another call
+    When its entry daemon was <entry> during the call
+    Then the reported violation is "<violation>"
+
+    Examples:
+      | n_runs | end                   | entry       | violation |
+      | 0      | no answer after 0.4 s | stopped     | none      |
+      | 1      | no answer after 0.4 s | stopped     | lost      |
+      | 0      | no answer after 0.4 s | undisturbed | lost      |
+
+  Scenario: Callers send proper requests in many forms
+    When 500 uploads and the requests behind them are drawn
+    Then some have a body in chunks, a port, an absolute target, fractions of milliseconds
+    And some deadlines are 1 to 3 ms and some requests follow 2 others
+
+  Scenario Outline: Only the time without a processor is excused
+    Given a process that had waited <before> s for a processor before a call
+    When <process> has waited <after> s after it
+    Then the call's daemon was without a processor for <starved> s
+
+    Examples:
+      | before | process           | after | starved |
+      | 1.5    | the same process  | 3.75  | 2.25    |
+      | 1.5    | a process started | 0.5   | 0.5     |
+      | 1.5    | an ended process  | 0.0   | 0.0     |
 
   Scenario Outline: A change of <document> that is not in force, <age> s after its acceptance
     Given a daemon whose <document> had changed <age> s before it was asked
