Entry: a lowered time-out of a route makes none of its calls late

What callers would see: once the operator had lowered the time-out of a route below the deadlines that its callers send, calls of that route run last, are refused first under load, and leave their zone, until the daemon starts again. Other daemons that start later treat the same calls as in time. Changes of time-outs are common on the users' platform.

Cause: the time that a repeated call has used before is estimated as the longest deadline seen for the route less that of the call. The longest was kept from the earlier version, while the deadline of each new call is cut to the new time-out, so that a first try seemed to be a repetition.

Ruled out: raised time-outs; calls without a deadline.

Change: the longest deadline is cut to the time-out in force.

What it gains under load was not measured.

--- a/umberdrum/callpath/_entry.py
+++ b/umberdrum/callpath/_entry.py
@@ -473,14 +473,17 @@
 
         A caller that repeats a refused request has less time left than for its first
         try, while its latency target counts from that first try. The longest deadline
-        seen for the class is taken as the initial one. The difference to the deadline
-        of this request is the time that has already passed.
+        seen for the class is taken as the initial one, as far as the time-out of the
+        class allows it now. The difference to the deadline of this request is the time
+        that has already passed.
         """
-        name = class_with_policy.request_class.name
+        request_class, policy = class_with_policy
+        name = request_class.name
         longest_ms = max(deadline_ms, self._longest_deadline_ms.get(name, 0))
         self._longest_deadline_ms[name] = longest_ms
-        target_ms = class_with_policy.request_class.target.latency_ms
-        remaining_ms = target_ms - (longest_ms - deadline_ms)
+        if policy.timeout_ms:
+            longest_ms = min(longest_ms, policy.timeout_ms)
+        remaining_ms = request_class.target.latency_ms - (longest_ms - deadline_ms)
         return request.received_at + remaining_ms / MS_PER_SECOND
 
 
