--- a/umberdrum/configuration/__init__.py
+++ b/umberdrum/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Operators' configuration: kept in the store, distributed by a few contacts."""
 
 from umberdrum.configuration._claim_delay import ClaimDelay
+from umberdrum.configuration._contact_watch import ContactWatch
 from umberdrum.configuration._contacts import ContactKeys, ContactManager
 from umberdrum.configuration._documents import (
     ZONE_DRAINS_NAME_PREFIX,
@@ -32,6 +33,7 @@
     "ConfigurationWatcher",
     "ContactKeys",
     "ContactManager",
+    "ContactWatch",
     "Difference",
     "DifferenceKind",
     "RestoreReport",
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -9,6 +9,7 @@
 from umberdrum import gossip, logs, membership, settings, store
 from umberdrum.configuration import (
     _claim_delay,
+    _contact_watch,
     _introduction,
     _member_list,
     _overdue_reads,
@@ -94,8 +95,8 @@
     configuration in the store. It also lists the other contacts periodically, which
     reconnects partitions of the cluster. Two simultaneous holders cost a few extra
     store calls and are harmless, so there is no fencing. Daemons that are not contacts
-    call the store only to join, to claim a free key, and to read a document that they
-    know of and that no peer delivers.
+    call the store only to join, to claim a free key, and to read documents: one that
+    they know of and that no peer delivers, or all while no contact answers them.
 
     A contact that cannot renew its lease clears ``is_contact`` in its membership record
     but keeps its key; another daemon of the zone then claims an additional key.
@@ -160,6 +161,7 @@
             nursery.start_soon(self._load_initial_documents)
             nursery.start_soon(self._resign_on_leaving)
             nursery.start_soon(self._read_overdue_documents)
+            nursery.start_soon(self._read_while_contacts_are_silent)
             await self._join()
             nursery.start_soon(self._repeat_introductions)
             await self._act_as_contact_when_needed()
@@ -206,6 +208,44 @@
                 is_current=not self._exchange.expects_documents(),
             )
 
+    async def _read_while_contacts_are_silent(self) -> None:
+        """Read the documents in place of contacts that answer no probes."""
+        watch = _contact_watch.ContactWatch(self._rng)
+        while True:
+            await trio.sleep(_contact_watch.CHECK_INTERVAL_SECONDS)
+            heard_at = self._list_heard_contacts()
+            now = trio.current_time()
+            for contact in watch.take_probes(heard_at, self._count_zone_members(), now):
+                await self._exchange.probe(contact)
+            if not watch.take_read(heard_at, now):
+                continue
+            digest = self._state.catalog.digest
+            listed = await self._watcher.read_documents()
+            if listed is not None:
+                self._state.merge_entries(listed.entries)
+            has_changed = self._state.catalog.digest != digest
+            self._log.write(
+                "contacts_silent", n_contacts=len(heard_at), has_changed=has_changed
+            )
+            if has_changed:
+                await self._push_to_zone()
+
+    def _list_heard_contacts(self) -> dict[str, float]:
+        """Return when each contact of the zone was last heard, none for a contact.
+
+        Suspected contacts are included: until they are replaced nobody else reads.
+        """
+        own = self._state.table.own
+        if own.is_contact:
+            return {}
+        return {
+            record.endpoint_id: self._exchange.get_heard_at(record.endpoint_id)
+            for record in self._state.table.records
+            if record.is_contact
+            and record.availability_zone == own.availability_zone
+            and not record.is_final
+        }
+
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
 
--- a/umberdrum/configuration/tests/configuration.feature
+++ b/umberdrum/configuration/tests/configuration.feature
@@ -75,3 +75,21 @@
       | fault  |
       | down   |
       | silent |
+
+  # Until gossip suspected the contacts and others had claimed their keys, nobody read.
+  Scenario Outline: A daemon reads in place of the contacts if none of them answers, <silent> of <n>
+    When <silent> of <n> contacts leave probes unanswered for 60 s
+    Then the first read is within <first> s of when they were last heard
+    And there are between <min> and <max> reads
+
+    Examples:
+      | silent | n | first | min | max |
+      | 1      | 1 | 1.2   | 5   | 12  |
+      | 2      | 2 | 1.2   | 5   | 12  |
+      | 1      | 2 | 0     | 0   | 0   |
+      | 0      | 1 | 0     | 0   | 0   |
+      | 0      | 0 | 0     | 0   | 0   |
+
+  Scenario: A large zone probes a contact no more often than a small one
+    When 100 daemons of a zone hear its contact only by probes, for 10 s
+    Then it gets at most 13 probes a second, and nobody reads
--- a/umberdrum/configuration/tests/configuration_steps.py
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -18,6 +18,8 @@
 OUTAGE_STEP_SECONDS = 0.26
 POLL_SECONDS = 0.02
 LIMIT_SECONDS = 10.0
+CHECKS_PER_SECOND = 5
+ANSWERED_AFTER_SECONDS = 0.1
 
 
 def build_class(name: str, ms: int) -> classes.RequestClass:
@@ -305,3 +307,58 @@
 @behave.then("no revision decreased")
 def check_revisions(context: runner.Context) -> None:
     assert context.watcher_run.n_revision_decreases == 0
+
+
+@behave.when(
+    "{n_silent:d} of {n_contacts:d} contacts leave probes unanswered for {seconds:d} s"
+)
+def leave_unanswered(
+    context: runner.Context, n_silent: int, n_contacts: int, seconds: int
+) -> None:
+    watch = configuration.ContactWatch(random.Random(1))
+    heard_at = {f"c{index}": 0.0 for index in range(n_contacts)}
+    silent = set(list(heard_at)[:n_silent])
+    context.read_at = []
+    for check in range(1, seconds * CHECKS_PER_SECOND):
+        now = check / CHECKS_PER_SECOND
+        for contact in watch.take_probes(heard_at, 2, now):
+            if contact not in silent:
+                heard_at[contact] = now + ANSWERED_AFTER_SECONDS
+        if watch.take_read(heard_at, now):
+            context.read_at.append(now)
+
+
+@behave.then("the first read is within {seconds:g} s of when they were last heard")
+def check_first_read(context: runner.Context, seconds: float) -> None:
+    assert not context.read_at or context.read_at[0] <= seconds, context.read_at
+
+
+@behave.then("there are between {n_min:d} and {n_max:d} reads")
+def check_read_count(context: runner.Context, n_min: int, n_max: int) -> None:
+    assert n_min <= len(context.read_at) <= n_max, context.read_at
+
+
+@behave.when(
+    "{n_daemons:d} daemons of a zone hear its contact only by probes, for {seconds:d} s"
+)
+def probe_in_large_zone(context: runner.Context, n_daemons: int, seconds: int) -> None:
+    watches = [
+        configuration.ContactWatch(random.Random(index)) for index in range(n_daemons)
+    ]
+    heard_at = [{"c0": 0.0} for _ in watches]
+    context.n_probes = 0
+    context.n_reads = 0
+    for check in range(1, seconds * CHECKS_PER_SECOND):
+        now = check / CHECKS_PER_SECOND
+        for watch, heard in zip(watches, heard_at, strict=True):
+            if watch.take_probes(heard, n_daemons, now):
+                context.n_probes += 1
+                heard["c0"] = now + ANSWERED_AFTER_SECONDS
+            context.n_reads += watch.take_read(heard, now)
+    context.probes_per_second = context.n_probes / seconds
+
+
+@behave.then("it gets at most {limit:d} probes a second, and nobody reads")
+def check_probe_rate(context: runner.Context, limit: int) -> None:
+    assert 0 < context.probes_per_second <= limit, context.probes_per_second
+    assert context.n_reads == 0, context.n_reads
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -1,5 +1,6 @@
 """Periodic gossip with random peers and failure detection by probes."""
 
+import math
 import random
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
@@ -142,6 +143,7 @@
         self.n_bytes_received = 0
         self.n_failed_fetches = 0
         self.last_received_at: float | None = None
+        self._heard_at: dict[str, float] = {}
         self._n_endpoints_told = 0
         self._n_endpoints_told_at = 0.0
 
@@ -190,6 +192,16 @@
             self._urgent_probe_ids.add(endpoint_id)
             self._wakeup.set()
 
+    async def probe(self, endpoint_id: str) -> None:
+        """Probe a daemon at once, if it is known."""
+        record = self._state.table.get(endpoint_id)
+        if record is not None:
+            await self._send_probe(record)
+
+    def get_heard_at(self, endpoint_id: str) -> float:
+        """Return when a daemon was last heard, minus infinity if it never was."""
+        return self._heard_at.get(endpoint_id, -math.inf)
+
     async def introduce(self, address: settings.Address) -> None:
         """Send the own record and updates to a daemon that may not know this one."""
         message = self._build_message(0)
@@ -419,6 +431,7 @@
     ) -> None:
         now = trio.current_time()
         self.last_received_at = now
+        self._heard_at[message.sender_id] = now
         self._record_cluster_size(message.n_endpoints, now)
         # The sender's record may replace that of an earlier process at its address. The
         # sender must still be told of it.
@@ -707,4 +720,5 @@
             await trio.sleep(EXPIRY_INTERVAL_SECONDS)
             for endpoint_id in self._state.table.remove_expired(trio.current_time()):
                 self._change_reminders.forget(endpoint_id)
+                self._heard_at.pop(endpoint_id, None)
                 self._log.write("endpoint_forgotten", endpoint=endpoint_id)
