--- a/umberdrum/configuration/_contact_watch.py
+++ b/umberdrum/configuration/_contact_watch.py
@@ -4,75 +4,108 @@
 import random
 from collections.abc import Mapping
 
+from umberdrum import gossip
+
 CHECK_INTERVAL_SECONDS = 0.2
-PROBE_AFTER_SECONDS = 0.4
+# A contact renews its lease every 0.5 s.
+MAX_STORE_AGE_SECONDS = 0.9
+PROBE_AFTER_SECONDS = 0.6
 ANSWER_SECONDS = 0.4
-# Of all daemons of a zone together, to each contact.
-MEAN_PROBES_PER_CHECK = 2.0
+# Of all daemons of a zone together.
+MEAN_STARTS_PER_CHECK = 1.0
 MIN_BACKOFF_SECONDS = 0.6
 MAX_BACKOFF_SECONDS = 15.0
+BACKOFF_GROWTH = 1.5
 
 
 class ContactWatch:
     """Decides when to probe the contacts of the zone, and when to read the store.
 
-    Load pattern: all contacts of a zone end, or lose the store and each other, at the
-    moment of a change. Gossip suspects them after more than a second, and one that
-    replaces them has to claim a key first. Users require a change to be in force within
-    2 s. A daemon that has not heard a contact for ``PROBE_AFTER_SECONDS`` probes it,
-    and reads the documents itself if none of the contacts answers within
-    ``ANSWER_SECONDS``. A large zone sends no more probes than a small one.
+    Load pattern: at the moment of a change, all contacts of a zone have ended, or have
+    lost the store while they still answer their peers. Gossip suspects ended ones after
+    more than a second, a call to the store times out after 2 s, and a daemon that
+    replaces a contact has to claim a key first. Users require a change to be in force
+    within 2 s.
+
+    Contacts tell in their messages when the store last answered them. A daemon that
+    knows of no answer within ``PROBE_AFTER_SECONDS`` probes them. It reads the
+    documents itself if each leaves the probe unanswered for ``ANSWER_SECONDS`` or tells
+    of no answer within ``MAX_STORE_AGE_SECONDS``, or if the zone has no contact for
+    ``ANSWER_SECONDS``. A large zone probes and reads no more often than a small one.
 
-    ``heard_at`` gives the contacts of the zone and when each was last heard, in seconds
-    of this daemon's monotonic clock.
+    ``signs`` gives the last sign of each contact of the zone, ``n_readers`` the number
+    of its other daemons, and ``now`` is in seconds of this daemon's monotonic clock.
 
-    Example: two contacts were heard 0.5 s ago. Both are probed, and one answers, so
-    that nothing is read.
+    Example: two contacts are probed. One gives no answer, the other one answers that
+    the store did so 0.3 s ago. Nothing is read.
     """
 
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._probed_at: dict[str, float] = {}
-        self._backoff_seconds = MIN_BACKOFF_SECONDS
+        self._without_contact_since = math.inf
+        self._backoff_seconds = 0.0
         self._next_read_at = -math.inf
 
     def take_probes(
-        self, heard_at: Mapping[str, float], n_zone_members: int, now: float
+        self, signs: Mapping[str, gossip.ContactSign], n_readers: int, now: float
     ) -> list[str]:
         """Return the ids of the contacts to probe now."""
         self._probed_at = {
             contact: probed_at
             for contact, probed_at in self._probed_at.items()
-            if heard_at.get(contact, math.inf) < probed_at
+            if contact in signs
+            and signs[contact].store_answered_at < probed_at - MAX_STORE_AGE_SECONDS
         }
-        share = MEAN_PROBES_PER_CHECK / max(1, n_zone_members)
-        chosen: list[str] = []
-        for contact, last_heard_at in heard_at.items():
-            if contact in self._probed_at or now - last_heard_at < PROBE_AFTER_SECONDS:
-                continue
-            if self._rng.random() >= share:
-                continue
+        for sign in signs.values():
+            if now - sign.store_answered_at < PROBE_AFTER_SECONDS:
+                return []
+        chosen = [contact for contact in signs if contact not in self._probed_at]
+        if not chosen or not self._draw_start(n_readers):
+            return []
+        for contact in chosen:
             self._probed_at[contact] = now
-            chosen.append(contact)
         return chosen
 
-    def take_read(self, heard_at: Mapping[str, float], now: float) -> bool:
+    def take_read(
+        self, signs: Mapping[str, gossip.ContactSign], n_readers: int, now: float
+    ) -> bool:
         """Return whether to read the store now, and set the time of the next read."""
-        if not self._are_silent(heard_at, now):
-            self._backoff_seconds = MIN_BACKOFF_SECONDS
+        if signs:
+            self._without_contact_since = math.inf
+        else:
+            self._without_contact_since = min(self._without_contact_since, now)
+        if not self._are_silent(signs, now):
+            self._backoff_seconds = 0.0
             self._next_read_at = -math.inf
             return False
         if now < self._next_read_at:
             return False
+        # Probes begin at times of their own already.
+        is_first = self._next_read_at == -math.inf
+        if is_first and not signs and not self._draw_start(n_readers):
+            return False
+        grown_seconds = self._backoff_seconds * BACKOFF_GROWTH
+        lowest = max(MIN_BACKOFF_SECONDS, n_readers * CHECK_INTERVAL_SECONDS)
+        highest = max(MAX_BACKOFF_SECONDS, lowest)
+        self._backoff_seconds = min(max(grown_seconds, lowest), highest)
         self._next_read_at = now + self._backoff_seconds * self._rng.uniform(0.5, 1.5)
-        self._backoff_seconds = min(MAX_BACKOFF_SECONDS, self._backoff_seconds * 2)
         return True
 
-    def _are_silent(self, heard_at: Mapping[str, float], now: float) -> bool:
-        """Return whether every contact has left a probe unanswered."""
-        if not heard_at:
-            return False
-        for contact in heard_at:
-            if now - self._probed_at.get(contact, now) < ANSWER_SECONDS:
+    def _draw_start(self, n_readers: int) -> bool:
+        """Return whether this daemon is one of the few that begin at this check."""
+        return self._rng.random() < MEAN_STARTS_PER_CHECK / max(1, n_readers)
+
+    def _are_silent(self, signs: Mapping[str, gossip.ContactSign], now: float) -> bool:
+        """Return whether no contact has shown that it follows the store."""
+        if not signs:
+            return now - self._without_contact_since >= ANSWER_SECONDS
+        for contact, sign in signs.items():
+            probed_at = self._probed_at.get(contact, math.inf)
+            has_answered = sign.heard_at >= probed_at
+            is_outdated = now - sign.store_answered_at >= MAX_STORE_AGE_SECONDS
+            if has_answered and is_outdated:
+                continue
+            if now - probed_at < ANSWER_SECONDS:
                 return False
         return True
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -20,9 +20,11 @@
 LEASE_TTL_SECONDS = 10
 # A contact detects the loss of the store within this interval plus one call timeout of
 # 2 s, so that another daemon can take over within the 7 s that users require. A renewal
-# also detects silent connections, and users require a change to be in force within 3 s
-# of that.
-MAX_KEEP_ALIVE_INTERVAL_SECONDS = 2.0
+# also shows that connections are silent. Users require a change to be in force within
+# 2 s, and other daemons read it if no contact has been answered for about half of that.
+MAX_KEEP_ALIVE_INTERVAL_SECONDS = 0.5
+# While the store does not answer.
+MAX_RETRY_INTERVAL_SECONDS = 2.0
 MIN_KEEP_ALIVE_INTERVAL_SHARE = 0.8
 MIN_RENEWAL_PAUSE_SECONDS = 0.05
 CONTACT_CHECK_INTERVAL_SECONDS = 0.5
@@ -88,6 +90,17 @@
         return f"{self.zone_prefix}{index}"
 
 
+class _ZoneView(NamedTuple):
+    """Contacts of a zone and number of its other daemons, as of a table's generation.
+
+    The table is large and seldom changes, so that the view is kept.
+    """
+
+    generation: int
+    contacts: tuple[str, ...]
+    n_readers: int
+
+
 class ContactManager:
     """Makes this daemon a contact when its zone has too few, and keeps the role.
 
@@ -96,7 +109,7 @@
     reconnects partitions of the cluster. Two simultaneous holders cost a few extra
     store calls and are harmless, so there is no fencing. Daemons that are not contacts
     call the store only to join, to claim a free key, and to read documents: one that
-    they know of and that no peer delivers, or all while no contact answers them.
+    they know of and that no peer delivers, or all while no contact follows the store.
 
     A contact that cannot renew its lease clears ``is_contact`` in its membership record
     but keeps its key; another daemon of the zone then claims an additional key.
@@ -148,6 +161,9 @@
         # Held while a lease is granted, bound to a key or revoked.
         self._lease_lock = trio.Lock()
         self._started_at = 0.0
+        self._renewed_at = -math.inf
+        self._retry_at = -math.inf
+        exchange.get_store_age = self._get_store_age
         self._claim_delay = _claim_delay.ClaimDelay(rng)
         # Key holders when this daemon joined: of the own zone, and of all zones.
         self._initial_zone_holders: frozenset[str] = frozenset()
@@ -209,42 +225,72 @@
             )
 
     async def _read_while_contacts_are_silent(self) -> None:
-        """Read the documents in place of contacts that answer no probes."""
+        """Read the documents in place of contacts that do not follow the store."""
         watch = _contact_watch.ContactWatch(self._rng)
+        view = self._build_zone_view()
         while True:
             await trio.sleep(_contact_watch.CHECK_INTERVAL_SECONDS)
-            heard_at = self._list_heard_contacts()
+            if self._watcher.is_running or not self._is_discovery_over():
+                continue
+            if view.generation != self._state.table.generation:
+                view = self._build_zone_view()
+            signs = {
+                contact: self._exchange.get_contact_sign(contact)
+                for contact in view.contacts
+            }
             now = trio.current_time()
-            for contact in watch.take_probes(heard_at, self._count_zone_members(), now):
+            for contact in watch.take_probes(signs, view.n_readers, now):
                 await self._exchange.probe(contact)
-            if not watch.take_read(heard_at, now):
+            if now < self._retry_at:
                 continue
-            digest = self._state.catalog.digest
-            listed = await self._watcher.read_documents()
-            if listed is not None:
-                self._state.merge_entries(listed.entries)
-            has_changed = self._state.catalog.digest != digest
-            self._log.write(
-                "contacts_silent", n_contacts=len(heard_at), has_changed=has_changed
-            )
-            if has_changed:
-                await self._push_to_zone()
+            if watch.take_read(signs, view.n_readers, now):
+                await self._read_in_place_of_contacts(len(signs))
+
+    async def _read_in_place_of_contacts(self, n_contacts: int) -> None:
+        digest = self._state.catalog.digest
+        listed = await self._watcher.read_documents()
+        if listed is None:
+            self._postpone_store_calls()
+        else:
+            self._state.merge_entries(listed.entries)
+        has_changed = self._state.catalog.digest != digest
+        self._log.write(
+            "contacts_silent",
+            n_contacts=n_contacts,
+            is_answered=listed is not None,
+            has_changed=has_changed,
+        )
+        if has_changed:
+            await self._push_to_zone()
+
+    def _postpone_store_calls(self) -> None:
+        """Set when this daemon may claim a key or read in place of contacts again."""
+        seconds = self._claim_delay.draw_retry_seconds(self._count_zone_members())
+        self._retry_at = trio.current_time() + seconds
 
-    def _list_heard_contacts(self) -> dict[str, float]:
-        """Return when each contact of the zone was last heard, none for a contact.
+    def _build_zone_view(self) -> _ZoneView:
+        """Return the contacts of the zone and the number of its other daemons.
 
         Suspected contacts are included: until they are replaced nobody else reads.
         """
-        own = self._state.table.own
-        if own.is_contact:
-            return {}
-        return {
-            record.endpoint_id: self._exchange.get_heard_at(record.endpoint_id)
-            for record in self._state.table.records
-            if record.is_contact
-            and record.availability_zone == own.availability_zone
-            and not record.is_final
-        }
+        own_zone = self._state.table.own.availability_zone
+        contacts: list[str] = []
+        n_readers = 0
+        for record in self._state.table.records:
+            if record.availability_zone != own_zone or record.is_final:
+                continue
+            if record.is_contact:
+                contacts.append(record.endpoint_id)
+            elif record.is_live:
+                n_readers += 1
+        return _ZoneView(self._state.table.generation, tuple(contacts), n_readers)
+
+    def _get_store_age(self) -> float | None:
+        """Return the seconds since the store has answered this contact."""
+        if not self._watcher.is_running:
+            return None
+        answered_at = max(self._renewed_at, self._watcher.last_answer_at or -math.inf)
+        return trio.current_time() - answered_at
 
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
@@ -276,10 +322,10 @@
     async def _act_as_contact_when_needed(self) -> None:
         """Act as a contact whenever the zone needs one, until cancelled."""
         while True:
+            await trio.sleep_until(self._retry_at)
             await self._wait_until_contact_needed()
             if not await self._claim_key():
-                n_members = self._count_zone_members()
-                await trio.sleep(self._claim_delay.draw_retry_seconds(n_members))
+                self._postpone_store_calls()
                 continue
             self._claim_delay.record_success()
             try:
@@ -388,6 +434,7 @@
                 self._count_zone_members(), was_holder, bool(self._initial_zone_holders)
             )
             await trio.sleep(delay)
+            await trio.sleep_until(self._retry_at)
             if self._leaving.is_set():
                 continue
             if self._count_contacts() < self._count_wanted_contacts():
@@ -482,6 +529,7 @@
             )
             if swapped.is_ok() and swapped.ok.is_applied:
                 self._lease_id = lease_id
+                self._renewed_at = trio.current_time()
                 self._key_index = index
                 self._log.write("contact_claimed", key=key)
                 return True
@@ -513,7 +561,9 @@
         began_at = trio.current_time()
         while True:
             if not self._is_reclaim_due:
-                await self._sleep_until_new_era(self._draw_renewal_pause(began_at))
+                await self._sleep_until_new_era(
+                    self._draw_renewal_pause(began_at, is_answered)
+                )
             began_at = trio.current_time()
             if self._leaving.is_set():
                 await trio.sleep_forever()
@@ -532,8 +582,9 @@
                 continue
             was_answered, is_answered = is_answered, renewed.is_ok()
             if renewed.is_error():
-                self._publish_contact_flag(False)
+                await self._withdraw_role()
                 continue
+            self._renewed_at = trio.current_time()
             if renewed.ok.found_silence:
                 self._watcher.reopen("silent connections")
             elif not was_answered:
@@ -553,11 +604,21 @@
         self._publish_contact_flag(True)
         await self._push_to_zone()
 
-    def _draw_renewal_pause(self, began_at: float) -> float:
+    async def _withdraw_role(self) -> None:
+        """Push to most of the zone that this daemon has lost the store.
+
+        Another one then reads in place of it, and claims a key.
+        """
+        if self._state.table.own.is_contact:
+            self._publish_contact_flag(False)
+            await self._push_to_zone()
+
+    def _draw_renewal_pause(self, began_at: float, is_answered: bool) -> float:
         """Return the seconds until the renewal after the one that began then."""
-        interval = MAX_KEEP_ALIVE_INTERVAL_SECONDS * self._rng.uniform(
-            MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0
-        )
+        longest = MAX_RETRY_INTERVAL_SECONDS
+        if is_answered:
+            longest = MAX_KEEP_ALIVE_INTERVAL_SECONDS
+        interval = longest * self._rng.uniform(MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0)
         seconds = trio.current_time() - began_at
         return max(interval - seconds, MIN_RENEWAL_PAUSE_SECONDS)
 
--- a/umberdrum/gossip/__init__.py
+++ b/umberdrum/gossip/__init__.py
@@ -1,6 +1,7 @@
 """Gossip protocol that disseminates membership and configuration over UDP."""
 
 from umberdrum.gossip._change_reminders import ChangeReminders
+from umberdrum.gossip._contact_sign import NO_SIGN, ContactSign
 from umberdrum.gossip._datagram import MAX_DATAGRAM_BYTES, DatagramCodec
 from umberdrum.gossip._entry_codec import decode_entry, encode_entry
 from umberdrum.gossip._exchange import GossipExchange
@@ -14,7 +15,9 @@
 
 __all__ = [
     "MAX_DATAGRAM_BYTES",
+    "NO_SIGN",
     "ChangeReminders",
+    "ContactSign",
     "DatagramCodec",
     "FetchPeerSelector",
     "GossipExchange",
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -1,6 +1,5 @@
 """Periodic gossip with random peers and failure detection by probes."""
 
-import math
 import random
 from collections.abc import Sequence
 from typing import NamedTuple, Protocol
@@ -20,6 +19,7 @@
 )
 from umberdrum.gossip import (
     _change_reminders,
+    _contact_sign,
     _datagram,
     _fetch_selector,
     _peer_selector,
@@ -82,6 +82,13 @@
         """Take over the load of the endpoint ``key``."""
 
 
+class StoreAgeSource(Protocol):
+    """Function that tells when the store last answered this daemon."""
+
+    def __call__(self) -> float | None:
+        """Return the seconds since then, None if this daemon is no contact."""
+
+
 class _PendingAsk:
     """Ask for allotments that was sent and not answered yet."""
 
@@ -143,7 +150,8 @@
         self.n_bytes_received = 0
         self.n_failed_fetches = 0
         self.last_received_at: float | None = None
-        self._heard_at: dict[str, float] = {}
+        self._contact_signs: dict[str, _contact_sign.ContactSign] = {}
+        self.get_store_age: StoreAgeSource | None = None
         self._n_endpoints_told = 0
         self._n_endpoints_told_at = 0.0
 
@@ -198,9 +206,9 @@
         if record is not None:
             await self._send_probe(record)
 
-    def get_heard_at(self, endpoint_id: str) -> float:
-        """Return when a daemon was last heard, minus infinity if it never was."""
-        return self._heard_at.get(endpoint_id, -math.inf)
+    def get_contact_sign(self, endpoint_id: str) -> _contact_sign.ContactSign:
+        """Return when a daemon was last heard, and when the store last answered it."""
+        return self._contact_signs.get(endpoint_id, _contact_sign.NO_SIGN)
 
     async def introduce(self, address: settings.Address) -> None:
         """Send the own record and updates to a daemon that may not know this one."""
@@ -370,6 +378,7 @@
         table = self._state.table
         own = table.own
         load = self.get_load() if self.get_load is not None else None
+        age = self.get_store_age() if self.get_store_age is not None else None
         return wire.messages.Gossip(
             load=load,
             protocol_version=_datagram.PROTOCOL_VERSION,
@@ -383,6 +392,7 @@
             catalog_era=self._state.catalog.position.era,
             catalog_version=self._state.catalog.position.version,
             target_process_id=process_id,
+            store_age_ms=_contact_sign.encode_store_age(age),
         )
 
     async def _send(
@@ -431,7 +441,9 @@
     ) -> None:
         now = trio.current_time()
         self.last_received_at = now
-        self._heard_at[message.sender_id] = now
+        self._contact_signs[message.sender_id] = _contact_sign.update_sign(
+            self.get_contact_sign(message.sender_id), message.store_age_ms, now
+        )
         self._record_cluster_size(message.n_endpoints, now)
         # The sender's record may replace that of an earlier process at its address. The
         # sender must still be told of it.
@@ -720,5 +732,5 @@
             await trio.sleep(EXPIRY_INTERVAL_SECONDS)
             for endpoint_id in self._state.table.remove_expired(trio.current_time()):
                 self._change_reminders.forget(endpoint_id)
-                self._heard_at.pop(endpoint_id, None)
+                self._contact_signs.pop(endpoint_id, None)
                 self._log.write("endpoint_forgotten", endpoint=endpoint_id)
