--- a/umberdrum/tests/feature_run.py
+++ b/umberdrum/tests/feature_run.py
@@ -19,8 +19,10 @@
 GROUP_VARIABLE = "UMBERDRUM_TEST_GROUP"
 # Packages whose features run whole daemons, with the index of their group.
 WHOLE_DAEMON_PACKAGES = {"callpath": 1, "daemon": 2}
-# Short features of the adapter, which share one process.
-JOINT_FEATURES = frozenset(("adapter", "late_routes", "store_contract"))
+# Features of the adapter that share one process.
+JOINT_FEATURES = frozenset(
+    ("adapter", "faulty_responses", "late_routes", "store_contract")
+)
 # The slowest group takes about 100 s on a busy machine.
 TIMEOUT_SECONDS = 900
 _COUNTS = re.compile(r"^(\d+) scenarios? passed, (\d+) failed(?:, (\d+) error)?", re.M)
