--- a/umberdrum/callpath/tests/cut_response.feature
+++ b/umberdrum/callpath/tests/cut_response.feature
@@ -22,6 +22,10 @@
       | ends with its connection    | resets | pay   | 1.1     | entry    |
       | ends with its connection    | resets | look  | 1.1     | endpoint |
       | ends with its connection    | resets | look  | 1.0     | entry    |
+      | has no body                 | closes | pay   | 1.1     | entry    |
+      | has no body                 | resets | look  | 1.0     | endpoint |
+      | speaks HTTP/1.0             | resets | pay   | 1.1     | entry    |
+      | speaks HTTP/1.0             | resets | look  | 1.0     | endpoint |
       | has a length over 64 KiB    | closes | pay   | 1.1     | entry    |
       | has a length over 64 KiB    | resets | look  | 1.0     | endpoint |
 
@@ -36,6 +40,8 @@
       | 1.0     | is chunked               |
       | 1.0     | ends with its connection |
       | 1.1     | ends with its connection |
+      | 1.0     | speaks HTTP/1.0          |
+      | 1.1     | speaks HTTP/1.0          |
 
   Scenario Outline: A peer link breaks inside the frames of a response to a <class> call
     Given responses to a <class> call over HTTP/<version> at the entry daemon
--- a/umberdrum/callpath/tests/cut_response_steps.py
+++ b/umberdrum/callpath/tests/cut_response_steps.py
@@ -29,6 +29,8 @@
     "is chunked": HEAD
     + b"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n7\r\n answer\r\n0\r\n\r\n",
     "ends with its connection": HEAD + b"Connection: close\r\n\r\nwhole answer",
+    "has no body": HEAD.replace(b"200 OK", b"204 No Content") + b"\r\n",
+    "speaks HTTP/1.0": HEAD.replace(b"/1.1", b"/1.0") + b"\r\nwhole answer",
     "has a length over 64 KiB": HEAD
     + b"Content-Length: %d\r\n\r\n" % LONG_BYTES
     + bytes(LONG_BYTES),
--- a/umberdrum/callpath/tests/repeated_refusal.feature
+++ b/umberdrum/callpath/tests/repeated_refusal.feature
@@ -8,18 +8,21 @@
     Then the payment got the response to its only run, or may have run
 
     Examples:
-      | status | id     | moment                  | second  |
-      | 503    | its id | at once                 | another |
-      | 503    | its id | while idle              | another |
-      | 503    | its id | after the next request  | another |
-      | 429    | its id | after the next request  | another |
-      | 421    | its id | after the next request  | another |
-      | 400    | its id | after the next request  | another |
-      | 503    | no id  | after the next request  | another |
-      | 421    | no id  | after the next request  | another |
-      | 503    | its id | inside the next request | another |
-      | 421    | its id | inside the next request | another |
-      | 503    | no id  | inside the next request | another |
+      | status | id     | moment                             | second  |
+      | 503    | its id | at once                            | another |
+      | 503    | its id | while idle                         | another |
+      | 503    | its id | after the next request             | another |
+      | 429    | its id | after the next request             | another |
+      | 421    | its id | after the next request             | another |
+      | 400    | its id | after the next request             | another |
+      | 503    | no id  | after the next request             | another |
+      | 421    | no id  | after the next request             | another |
+      | 503    | its id | three times after the next request | another |
+      | 503    | no id  | three times at once                | another |
+      | 421    | its id | three times while idle             | another |
+      | 503    | its id | inside the next request            | another |
+      | 421    | its id | inside the next request            | another |
+      | 503    | no id  | inside the next request            | another |
 
   Scenario Outline: A refused request is sent again to an upstream that repeats refusals
     Given an upstream that repeats its refusal with status <status> and its id, <moment>
@@ -27,14 +30,15 @@
     Then the payment got the response to its only run, or may have run
 
     Examples:
-      | status | moment                  |
-      | 503    | at once                 |
-      | 503    | while idle              |
-      | 503    | after the next request  |
-      | 429    | after the next request  |
-      | 421    | after the next request  |
-      | 400    | after the next request  |
-      | 503    | inside the next request |
+      | status | moment                             |
+      | 503    | at once                            |
+      | 503    | while idle                         |
+      | 503    | after the next request             |
+      | 429    | after the next request             |
+      | 421    | after the next request             |
+      | 400    | after the next request             |
+      | 503    | inside the next request            |
+      | 421    | three times after the next request |
 
   Scenario Outline: An upstream that has echoed no id yet repeats its refusal
     Given an upstream that repeats its refusal with status 503 and <id>, <moment>
--- a/umberdrum/callpath/tests/repeated_refusal_steps.py
+++ b/umberdrum/callpath/tests/repeated_refusal_steps.py
@@ -41,7 +41,8 @@
     def __init__(self, status: int, has_id: bool, moment: str) -> None:
         self._status = status
         self._has_id = has_id
-        self._moment = moment
+        self._n_copies = 3 if moment.startswith("three times") else 1
+        self._moment = moment.removeprefix("three times ")
         self.echoes = True
         self.begun: list[str] = []
         self.n_connections = 0
@@ -90,7 +91,7 @@
         lines = data.split(b"\r\n")
         if not self._has_id:
             lines = [row for row in lines if not row.startswith(b"umberdrum-request")]
-        copy = b"\r\n".join(lines)
+        copy = self._n_copies * b"\r\n".join(lines)
         if self._moment == "at once":
             data += copy
         await connection.send(data)
