--- a/umberdrum/classes/_catalog.py
+++ b/umberdrum/classes/_catalog.py
@@ -8,6 +8,9 @@
 
 _DIGESTED_FIELDS = struct.Struct(">Q?")
 _DIGESTED_ERA = struct.Struct(">Q")
+# Above the sum of the revisions of all entries.
+ERA_SHIFT = 44
+MAX_TOTAL = (1 << 64) - 1
 
 
 class EntryPosition(NamedTuple):
@@ -15,11 +18,16 @@
 
     The operator's own version comes first, because a store that is restored from an
     older copy may hold an old document at a new revision. Catalogs are ordered alike.
+
+    ``total`` is 0 for an entry. For a catalog it rises with each change of any entry,
+    so that of two catalogs with the same latest change, the one that lacks an earlier
+    change has the lower position.
     """
 
     version: int
     era: int
     revision: int
+    total: int = 0
 
 
 NO_POSITION = EntryPosition(0, 0, 0)
@@ -57,9 +65,9 @@
     """Classes known to one daemon, each at the highest position seen.
 
     A class is active when it is not deleted and its document is valid. ``position``
-    has the highest version of all entries and the era and revision of the latest change
-    of any entry, so that a catalog which lacks that change has a lower one. It is
-    ``NO_POSITION`` for an empty catalog.
+    has the highest version of all entries, the era and revision of the latest change of
+    any entry, and a total of all changes, so that a catalog which lacks any change has
+    a lower one. It is ``NO_POSITION`` for an empty catalog.
     ``digest`` covers the names, eras, revisions and deletions of all entries, for
     comparison with other daemons.
 
@@ -154,7 +162,12 @@
     def _compute_position(self) -> EntryPosition:
         positions = [entry.position for entry in self._entries.values()]
         era, revision = max((row.era, row.revision) for row in positions)
-        return EntryPosition(max(row.version for row in positions), era, revision)
+        version = max(row.version for row in positions)
+        total = 0
+        for row in positions:
+            # The version decides, whatever the era and revision are.
+            total += row.version or (row.era << ERA_SHIFT) + row.revision
+        return EntryPosition(version, era, revision, total & MAX_TOTAL)
 
     def _compute_digest(self) -> int:
         hasher = hashlib.blake2b(digest_size=8)
--- a/umberdrum/classes/tests/classes.feature
+++ b/umberdrum/classes/tests/classes.feature
@@ -51,6 +51,8 @@
       | its latest document without a version |
       | the latest change of that document    |
       | its versioned document                |
+      | an earlier document without a version |
+      | a change of that earlier document     |
 
   Scenario Outline: The call policy is derived from the target
     When a class that is "<kind>" has a target of <ms> ms
--- a/umberdrum/classes/tests/classes_steps.py
+++ b/umberdrum/classes/tests/classes_steps.py
@@ -154,10 +154,13 @@
 @behave.then("the same catalog without {lacked} has a lower position")
 def check_lower_position(context: runner.Context, lacked: str) -> None:
     entries = context.entries
+    earlier = entries[1]._replace(revision=1, document=b"o")
     kept = {
         "its versioned document": entries[1:],
         "its latest document without a version": entries[:2],
         "the latest change of that document": entries[:3],
+        "an earlier document without a version": [entries[0], *entries[2:]],
+        "a change of that earlier document": [entries[0], earlier, *entries[2:]],
     }[lacked]
     complete = classes.Catalog().merge(entries)
     incomplete = classes.Catalog().merge(kept)
--- a/umberdrum/gossip/_exchange.py
+++ b/umberdrum/gossip/_exchange.py
@@ -391,6 +391,7 @@
             catalog_revision=self._state.catalog.position.revision,
             catalog_era=self._state.catalog.position.era,
             catalog_version=self._state.catalog.position.version,
+            catalog_total=self._state.catalog.position.total,
             target_process_id=process_id,
             store_age_ms=_contact_sign.encode_store_age(age),
         )
@@ -605,7 +606,10 @@
         record = self._state.table.get(message.sender_id)
         own_zone = self._state.table.own.availability_zone
         position = classes.EntryPosition(
-            message.catalog_version, message.catalog_era, message.catalog_revision
+            message.catalog_version,
+            message.catalog_era,
+            message.catalog_revision,
+            message.catalog_total,
         )
         self._change_reminders.record_position(
             message.sender_id, message.sender_process_id, position
