Zone spill: spread calls over endpoints that are equally good

Seen: found by running the rows of routing.feature with the router zone_spill, which were run with finish_time only. With four equal endpoints and little load, one of them gets 7,272 of 8,000 calls, and one that has recovered gets none of the next 400.

Cause: zone_spill takes the lowest of the estimates, without finish_time's tolerance for ties. While nothing waits, estimates differ by the last responses alone, and the endpoint with the lowest keeps it, since the others have no new responses.

Change: of the estimates within the tolerance of finish_time, one is taken at random.

--- a/umberdrum/routing/_zone_spill.py
+++ b/umberdrum/routing/_zone_spill.py
@@ -193,14 +193,22 @@
         typical_seconds: float,
         now: float,
     ) -> "_Estimate":
-        best: _Estimate | None = None
+        """Return one of the nearly best of a few candidates, chosen at random.
+
+        Without a tolerance, endpoints that are equal but for their last response would
+        leave all calls to one of them while there are few.
+        """
+        estimates: list[_Estimate] = []
         for row in self._rng.sample(candidates, min(n_sampled, len(candidates))):
             seconds = self._estimate_finish_seconds(row, typical_seconds, now)
-            if best is None or seconds < best.seconds:
-                best = _Estimate(row, seconds)
-        if best is None:
-            raise ValueError("expected a candidate, found none")
-        return best
+            estimates.append(_Estimate(row, seconds))
+        threshold_seconds = (
+            min(estimate.seconds for estimate in estimates)
+            * _finish_time.TIE_TOLERANCE_FACTOR
+            + _finish_time.TIE_TOLERANCE_SECONDS
+        )
+        # The sample is in random order, so taking the first match is unbiased.
+        return next(row for row in estimates if row.seconds <= threshold_seconds)
 
     def _update_share(
         self, class_name: str, candidates: Sequence[_router.Candidate], now: float
--- a/umberdrum/routing/tests/routing.feature
+++ b/umberdrum/routing/tests/routing.feature
@@ -8,34 +8,44 @@
     Examples:
       | policy            |
       | finish_time       |
+      | zone_spill        |
       | least_outstanding |
       | two_choices       |
       | round_robin       |
       | random            |
 
   Scenario Outline: Slow, stalled and failing endpoints get few calls until they recover
-    Given the router "finish_time" over 4 endpoints that answer in 5 ms
+    Given the router "<policy>" over 4 endpoints that answer in 5 ms
     When endpoint 0 <behaviour>, for 4 s at 200 calls a second
     Then endpoint 0 gets at most <share> % of the calls of the last 2 s
     And after 20 s of fast answers it gets at least 10 % again
 
     Examples:
-      | behaviour                  | share |
-      | answers in 100 ms          | 5     |
-      | never answers              | 3     |
-      | fails in 0 ms              | 3     |
-      | reports an empty queue but answers in 100 ms | 5 |
+      | policy      | behaviour         | share |
+      | finish_time | answers in 100 ms | 5     |
+      | finish_time | never answers     | 3     |
+      | finish_time | fails in 0 ms     | 3     |
+      | finish_time | reports an empty queue but answers in 100 ms | 5 |
+      | zone_spill  | answers in 100 ms | 5     |
+      | zone_spill  | never answers     | 3     |
+      | zone_spill  | fails in 0 ms     | 3     |
+      | zone_spill  | reports an empty queue but answers in 100 ms | 5 |
 
   Scenario: A stalled endpoint is avoided within milliseconds, before it answers
     Given the router "finish_time" over 4 endpoints that answer in 5 ms
     When endpoint 0 stalls while 1 call is outstanding for 20 ms
     Then the next 50 choices avoid endpoint 0
 
-  Scenario: A steady load is spread evenly
-    Given the router "finish_time" over 4 endpoints that answer in 5 ms
-    When it receives calls for 4 s at 200 calls a second
+  Scenario Outline: A steady load is spread evenly
+    Given the router "<policy>" over 4 endpoints that answer in 5 ms
+    When it receives calls for <seconds> s at 200 calls a second
     Then each endpoint gets 15 to 35 % of the calls
 
+    Examples:
+      | policy      | seconds |
+      | finish_time | 4       |
+      | zone_spill  | 40      |
+
   Scenario: A new endpoint gets fewer calls at first
     Given the router "finish_time" over 4 endpoints that answer in 5 ms
     When it receives calls for 10 s at 200 calls a second
