--- a/umberdrum/tests/steps/all_steps.py
+++ b/umberdrum/tests/steps/all_steps.py
@@ -41,6 +41,7 @@
     importlib.import_module(f"umberdrum.{package}.tests.{package}_steps")
 importlib.import_module("umberdrum.configuration.tests.snapshot_steps")
 importlib.import_module("umberdrum_bench.soak.tests.soak_steps")
+importlib.import_module("umberdrum.daemon.tests.partial_catalog_steps")
 importlib.import_module("umberdrum.daemon.tests.stop_signals_steps")
 importlib.import_module("umberdrum.admission.tests.rate_limit_steps")
 importlib.import_module("umberdrum.admission.tests.cold_limit_steps")
