--- a/umberdrum/callpath/tests/late_requests_steps.py
+++ b/umberdrum/callpath/tests/late_requests_steps.py
@@ -21,6 +21,9 @@
 # More than the entry daemon reads before it routes a request.
 UPLOAD_BYTES = 100_000
 UPLOAD_PART_BYTES = 80_000
+# More than the endpoint daemon buffers before it sends the request to the upstream.
+LONG_UPLOAD_BYTES = 400_000
+LONG_UPLOAD_PART_BYTES = 300_000
 N_CALLERS = 6
 N_AHEAD = 3
 LOAD_SERVICE_SECONDS = 0.3
@@ -101,6 +104,9 @@
     if part == "the body":
         raw = _build_request(cls, "late", deadline_ms, 10)
         return raw[:-5], raw[-5:]
+    if part == "a long end":
+        raw = _build_request(cls, "late", deadline_ms, LONG_UPLOAD_BYTES)
+        return raw[:LONG_UPLOAD_PART_BYTES], raw[LONG_UPLOAD_PART_BYTES:]
     raw = _build_request(cls, "late", deadline_ms, UPLOAD_BYTES)
     return raw[:UPLOAD_PART_BYTES], raw[UPLOAD_PART_BYTES:]
 
@@ -199,6 +205,33 @@
     assert context.n_runs == 0, context.n_runs
 
 
+@behave.when(
+    "a {cls} call gets the head of its response only, and the {role} daemon stops"
+)
+def stop_during_response(context: runner.Context, cls: str, role: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        stopping = _prepare_stop(node, entry, "entry" if role == "entry" else "both")
+        node.upstream.constant_fault = "stalled-body"
+        caller = await _connect(node if role == "both" else entry)
+        await caller.send(_build_request(cls, "late", 30_000))
+        await trio.sleep(FIRST_PART_SECONDS)
+        stopped_at = trio.current_time()
+        stopping.daemon.stop()
+        context.response = await caller.receive()
+        context.seconds = trio.current_time() - stopped_at
+        caller.close()
+        await stopping.daemon.wait_stopped()
+        context.end_seconds = trio.current_time() - stopped_at
+        context.n_runs = node.upstream.begun.count("late")
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the daemon has ended within {limit:g} s")
+def check_end(context: runner.Context, limit: float) -> None:
+    assert context.end_seconds <= limit, context.end_seconds
+
+
 class _Load:
     """Callers that send requests until the daemon takes no more.
 
