Soak: records of an earlier soak in the same folder are not counted

What was seen: `--keep FOLDER` with seeds 980 and 981 that had been played into that folder before: 89 and 61 calls "doubled", "false not-run" or "lost".

Cause: upstreams append to their records, and the same seed names its requests alike.

--- a/umberdrum_bench/main.py
+++ b/umberdrum_bench/main.py
@@ -130,7 +130,7 @@
         with tempfile.TemporaryDirectory() as temporary:
             directory = pathlib.Path(temporary)
             if options.keep:
-                directory = pathlib.Path(options.keep) / f"seed-{seed}"
+                directory = soak.choose_directory(pathlib.Path(options.keep), seed)
             measure_options = soak.SoakOptions(
                 seed, options.endpoints, options.seconds, directory, options.base_port
             )
--- a/umberdrum_bench/soak/__init__.py
+++ b/umberdrum_bench/soak/__init__.py
@@ -12,6 +12,7 @@
 from umberdrum_bench.soak._plan import FaultKind, SoakFault, SoakOptions, draw_plan
 from umberdrum_bench.soak._run import (
     SoakResult,
+    choose_directory,
     print_result,
     read_regressions,
     run_seed,
@@ -26,6 +27,7 @@
     "SoakOptions",
     "SoakResult",
     "check_calls",
+    "choose_directory",
     "draw_plan",
     "print_result",
     "read_regressions",
--- a/umberdrum_bench/soak/_run.py
+++ b/umberdrum_bench/soak/_run.py
@@ -189,6 +189,23 @@
                 )
 
 
+def choose_directory(parent: pathlib.Path, seed: int) -> pathlib.Path:
+    """Return a folder for a seed that no earlier soak has used.
+
+    Records of an earlier soak would count as executions, since the same seed sends
+    requests of the same names.
+
+    Example: ``choose_directory(path, 7)`` gives ``path / "seed-7"``, and
+    ``path / "seed-7-2"`` if there is one of that name already.
+    """
+    directory = parent / f"seed-{seed}"
+    number = 1
+    while directory.exists():
+        number += 1
+        directory = parent / f"seed-{seed}-{number}"
+    return directory
+
+
 def read_regressions(path: pathlib.Path = REGRESSIONS_PATH) -> list[Regression]:
     """Return the seeds of past failures; each line has a seed and its cause."""
     found: list[Regression] = []
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -94,6 +94,10 @@
   Scenario: Seeds of past failures are listed with their causes
     Then every regression seed has a cause
 
+  Scenario: Executions of an earlier soak of the same seed are not counted
+    Given a folder with the records of 2 soaks of seed 7
+    Then another soak of seed 7 uses a new folder "seed-7-3", and seed 8 "seed-8"
+
   Scenario: A short soak violates no guarantee
     When 4 endpoints run for 6 s under the faults of seed 1
     Then no guarantee is violated and at least 100 calls were answered
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -274,6 +274,26 @@
     assert context.violations == expected, context.violations
 
 
+@behave.given("a folder with the records of {n_soaks:d} soaks of seed {seed:d}")
+def keep_records(context: runner.Context, n_soaks: int, seed: int) -> None:
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.keep = pathlib.Path(directory.name)
+    for _ in range(n_soaks):
+        soak.choose_directory(context.keep, seed).mkdir()
+
+
+@behave.then(
+    'another soak of seed {seed:d} uses a new folder "{name}", '
+    'and seed {other:d} "{other_name}"'
+)
+def check_folders(
+    context: runner.Context, seed: int, name: str, other: int, other_name: str
+) -> None:
+    assert soak.choose_directory(context.keep, seed) == context.keep / name
+    assert soak.choose_directory(context.keep, other) == context.keep / other_name
+
+
 @behave.then("every regression seed has a cause")
 def check_regressions(context: runner.Context) -> None:
     for row in soak.read_regressions():
