Soak: a call that a kill cuts off does not end before the kill

Cause: since calls are sent behind one another, the end of a call was computed from its start and the time that its answer took. Those begin some microseconds apart, with a read of /proc between them, so that the end could lie before the kill that cut the call off, which then excused nothing.

Change: ends are counted back from the time at which the last one was noticed.

Evidence: soak.feature (new row): "lost" with the earlier computation, none now.

--- a/umberdrum_bench/soak/_load.py
+++ b/umberdrum_bench/soak/_load.py
@@ -1,6 +1,7 @@
 """Load generator of a soak; its callers reuse connections while their daemon runs."""
 
 import hashlib
+from collections.abc import Sequence
 
 import trio
 
@@ -68,13 +69,14 @@
         entry = self._rng.choice(self._environment.cluster.endpoints)
         has_disconnected = self._rng.random() < EARLY_DISCONNECT_SHARE
         timeout = EARLY_DISCONNECT_SECONDS if has_disconnected else CALL_TIMEOUT_SECONDS
-        began_at = trio.current_time()
         wait_before = self._read_wait(entry.position)
+        began_at = trio.current_time()
         answers = await self._pool.call_pipelined(entry.caller, requests, timeout)
         now = trio.current_time()
         starved_seconds = _processor.count_starved_seconds(
             wait_before, self._read_wait(entry.position)
         )
+        ends = list_ends(answers, now)
         deadline_ms = 0.0
         for index, (row, request) in enumerate(drawn):
             # Its answer has to wait for those of the calls before it.
@@ -92,7 +94,7 @@
                     record,
                     entry.position,
                     began_at,
-                    began_at + answers[index].seconds,
+                    ends[index],
                     deadline_ms / MS_PER_SECOND,
                     has_disconnected,
                     self._get_max_lag(now),
@@ -114,3 +116,14 @@
                 break
             max_lag = max(max_lag, seconds)
         return max_lag
+
+
+def list_ends(answers: Sequence[caller.CallerAnswer], now: float) -> list[float]:
+    """Return when the calls of a connection ended, of which the last one ended now.
+
+    They count from the end, since a call that is cut off may not seem to have ended
+    before the fault that did it.
+
+    Example: calls that took 0.4 and 1.0 s ended at 10.9 and 11.5 s, if it is 11.5 s.
+    """
+    return [now - (answers[-1].seconds - answer.seconds) for answer in answers]
--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -50,6 +50,12 @@
       | 1      | no answer after 0.4 s | stopped     | lost      |
       | 0      | no answer after 0.4 s | undisturbed | lost      |
 
+  Scenario: A call that a kill cuts off ends no earlier than the kill
+    Given a payment call that ran 1 times and ended with no answer
+    And its caller noticed the end 0.1 s after 10.0 s
+    When its daemon was killed at 10.1 s
+    Then the reported violation is "none"
+
   Scenario: Callers send proper requests in many forms
     When 500 uploads and the requests behind them are drawn
     Then some have a body in chunks, a port, an absolute target, fractions of milliseconds
--- a/umberdrum_bench/soak/tests/soak_steps.py
+++ b/umberdrum_bench/soak/tests/soak_steps.py
@@ -10,7 +10,7 @@
 from behave import runner
 
 from umberdrum_bench import caller, checker, soak
-from umberdrum_bench.soak import _documents, _processor, _requests, _spread
+from umberdrum_bench.soak import _documents, _load, _processor, _requests, _spread
 
 BASE_PORT = 32_400
 DEADLINE_SECONDS = 2.0
@@ -52,6 +52,7 @@
 STARVED_SECONDS = {"starved": 0.05, "starved long": 0.15}
 PROCESS_IDS = {"the same process": 7, "a process started": 8, "an ended process": 9}
 NS_PER_SECOND = 1e9
+CLOCK_GAP_SECONDS = 0.0005
 CONTACT_LOSS_KINDS = {
     soak.FaultKind.KILL_CONTACTS,
     soak.FaultKind.PAUSE_CONTACTS,
@@ -163,6 +164,21 @@
     context.violations = [line.partition(":")[0] for line in found.violations]
 
 
+@behave.given("its caller noticed the end {seconds:g} s after {began_at:g} s")
+def notice_end(context: runner.Context, seconds: float, began_at: float) -> None:
+    now = began_at + seconds
+    # The answer's own clock began a little later.
+    answer = ENDS["no answer"]._replace(seconds=seconds - CLOCK_GAP_SECONDS)
+    context.call = context.call._replace(ended_at=_load.list_ends([answer], now)[-1])
+
+
+@behave.when("its daemon was killed at {began_at:g} s")
+def kill_daemon(context: runner.Context, began_at: float) -> None:
+    outages = (soak.DaemonOutage(0, "kill", began_at, began_at + 1.0),)
+    found = soak.check_calls([context.call], context.runs, outages)
+    context.violations = [line.partition(":")[0] for line in found.violations]
+
+
 @behave.when("{n_uploads:d} uploads and the requests behind them are drawn")
 def draw_requests(context: runner.Context, n_uploads: int) -> None:
     uploads = [row for row in _documents.CLASS_PLANS if row.name == "uploads"]
