--- a/umberdrum_bench/soak/tests/soak.feature
+++ b/umberdrum_bench/soak/tests/soak.feature
@@ -50,6 +50,12 @@
       | 1      | no answer after 0.4 s | stopped     | lost      |
       | 0      | no answer after 0.4 s | undisturbed | lost      |
 
+  Scenario: A call that a kill cuts off ends no earlier than the kill
+    Given a payment call that ran 1 times and ended with no answer
+    And its caller noticed the end 0.1 s after 10.0 s
+    When its daemon was killed at 10.1 s
+    Then the reported violation is "none"
+
   Scenario: Callers send proper requests in many forms
     When 500 uploads and the requests behind them are drawn
     Then some have a body in chunks, a port, an absolute target, fractions of milliseconds
@@ -94,6 +100,10 @@
   Scenario: Seeds of past failures are listed with their causes
     Then every regression seed has a cause
 
+  Scenario: Executions of an earlier soak of the same seed are not counted
+    Given a folder with the records of 2 soaks of seed 7
+    Then another soak of seed 7 uses a new folder "seed-7-3", and seed 8 "seed-8"
+
   Scenario: A short soak violates no guarantee
     When 4 endpoints run for 6 s under the faults of seed 1
     Then no guarantee is violated and at least 100 calls were answered
