Tests: one failing test for each mechanism that could be taken out unnoticed

Each mechanism against repeated refusals, cut responses and lost late requests was taken out on a scratch copy, one at a time. Eight could be taken out without a failing test:

- an upstream connection with bytes behind a response, or on it while idle, is not reused;
- neither is a peer link with unread bytes;
- a connection is closed after 256 refusals, whose ids have to be remembered;
- a peer's response with the id of another call is rejected;
- a short response is held until it is complete, so that a cut one becomes a failure;
- the first response after the beginning of a stop announces that its connection closes.

Each has a test now, which passes on the code as it is and fails without the mechanism. So has the last write of the log, which begins nothing beside an earlier one.

One could be taken out and has no test, because no response reaches it: relay_body's failure for an event that is neither data nor the end.

--- a/umberdrum/callpath/tests/cut_response.feature
+++ b/umberdrum/callpath/tests/cut_response.feature
@@ -29,6 +29,16 @@
       | has a length over 64 KiB    | closes | pay   | 1.1     | entry    |
       | has a length over 64 KiB    | resets | look  | 1.0     | endpoint |
 
+  Scenario Outline: A short response that is cut is replaced by a failure at the <place> daemon
+    Given responses to a <class> call over HTTP/1.1 at the <place> daemon
+    When an upstream stops at every byte of a response that has a length, and closes
+    Then each caller gets a whole response with status 502
+
+    Examples:
+      | class | place    |
+      | pay   | entry    |
+      | look  | endpoint |
+
   Scenario Outline: A caller of HTTP/<version> gets a whole response that <framing>
     Given responses to a look call over HTTP/<version> at the entry daemon
     When an upstream sends a whole response that <framing>, and closes
--- a/umberdrum/callpath/tests/cut_response_steps.py
+++ b/umberdrum/callpath/tests/cut_response_steps.py
@@ -203,6 +203,13 @@
         assert row.status != 503 and b"not-run" not in row.raw, row
 
 
+@behave.then("each caller gets a whole response with status {status:d}")
+def check_replaced(context: runner.Context, status: int) -> None:
+    assert context.received
+    for row in context.received:
+        assert (row.is_complete, row.status) == (True, status), row
+
+
 @behave.when("an upstream sends a whole response that {framing}, and closes")
 def send_whole_response(context: runner.Context, framing: str) -> None:
     async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
--- a/umberdrum/callpath/tests/late_requests.feature
+++ b/umberdrum/callpath/tests/late_requests.feature
@@ -49,6 +49,15 @@
       | entry | pay   |
       | both  | pay   |
 
+  Scenario Outline: A kept connection is closed with its first response in a stop
+    When a <class> request follows on a kept connection 0.1 s after the entry daemon stops
+    Then its response announces the close, and the one before it does not
+
+    Examples:
+      | class |
+      | pay   |
+      | look  |
+
   Scenario Outline: A response that never ends held a daemon beyond its grace period
     When a <class> call gets the head of its response only, and the <role> daemon stops
     Then the caller gets a whole response of "<result>" within 2.2 s, after 1 runs
@@ -63,6 +72,19 @@
       | both     | look  | outcome-unknown/may-have-run  |
       | both     | pay   | outcome-unknown/may-have-run  |
 
+  Scenario Outline: A caller that reads nothing of a long response holds no daemon
+    When the <role> daemon stops while a <class> call's caller reads nothing of its response
+    Then the daemon has ended within 2.4 s
+
+    Examples:
+      | role     | class |
+      | entry    | look  |
+      | entry    | pay   |
+      | endpoint | look  |
+      | endpoint | pay   |
+      | both     | look  |
+      | both     | pay   |
+
   Scenario Outline: Callers send requests through a whole stop of the <role> daemon
     When callers send requests on <connections> connections until the <role> daemon has ended
     Then every request got a whole response, or was not run
--- a/umberdrum/callpath/tests/late_requests_steps.py
+++ b/umberdrum/callpath/tests/late_requests_steps.py
@@ -24,6 +24,7 @@
 # More than the endpoint daemon buffers before it sends the request to the upstream.
 LONG_UPLOAD_BYTES = 400_000
 LONG_UPLOAD_PART_BYTES = 300_000
+LONG_RESPONSE_BYTES = 64 << 20
 N_CALLERS = 6
 N_AHEAD = 3
 LOAD_SERVICE_SECONDS = 0.3
@@ -205,6 +206,35 @@
     assert context.n_runs == 0, context.n_runs
 
 
+@behave.when(
+    "a {cls} request follows on a kept connection {seconds:g} s after the entry daemon "
+    "stops"
+)
+def send_after_stop(context: runner.Context, cls: str, seconds: float) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        stopping = _prepare_stop(node, entry, "entry")
+        daemon = stopping.daemon
+        # The daemon accepts callers for some time after the request.
+        daemon._settings = daemon._settings._replace(leave_accept_ms=GRACE_MS)
+        caller = await _connect(stopping)
+        await caller.send(_build_request(cls, "early", LOAD_DEADLINE_MS))
+        context.responses = [await caller.receive()]
+        stopping.daemon.stop()
+        await trio.sleep(seconds)
+        await caller.send(_build_request(cls, "late", LOAD_DEADLINE_MS))
+        context.responses.append(await caller.receive())
+        caller.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("its response announces the close, and the one before it does not")
+def check_announcements(context: runner.Context) -> None:
+    assert [row.status for row in context.responses] == [200, 200]
+    found = [row.headers.get("connection") for row in context.responses]
+    assert found == [None, "close"], found
+
+
 @behave.when(
     "a {cls} call gets the head of its response only, and the {role} daemon stops"
 )
@@ -227,6 +257,35 @@
     callpath_steps.run_with_upstream(test)
 
 
+async def _send_long_response(connection: sockets.Connection) -> None:
+    """Answer one request with more than all buffers on the way hold."""
+    await connection.receive()
+    head = f"HTTP/1.1 200 OK\r\nContent-Length: {LONG_RESPONSE_BYTES}\r\n\r\n"
+    with contextlib.suppress(sockets.ConnectionLostError):
+        await connection.send(head.encode())
+        await connection.send(bytes(LONG_RESPONSE_BYTES))
+    connection.close()
+
+
+@behave.when(
+    "the {role} daemon stops while a {cls} call's caller reads nothing of its response"
+)
+def stop_with_unread_response(context: runner.Context, role: str, cls: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        stopping = _prepare_stop(node, entry, "entry" if role == "entry" else "both")
+        node.upstream.serve_connection = _send_long_response
+        caller = await _connect(node if role == "both" else entry)
+        await caller.send(_build_request(cls, "late", 30_000))
+        await trio.sleep(FIRST_PART_SECONDS)
+        stopped_at = trio.current_time()
+        stopping.daemon.stop()
+        await stopping.daemon.wait_stopped()
+        context.end_seconds = trio.current_time() - stopped_at
+        caller.close()
+
+    callpath_steps.run_with_upstream(test)
+
+
 @behave.then("the daemon has ended within {limit:g} s")
 def check_end(context: runner.Context, limit: float) -> None:
     assert context.end_seconds <= limit, context.end_seconds
--- a/umberdrum/callpath/tests/repeated_refusal.feature
+++ b/umberdrum/callpath/tests/repeated_refusal.feature
@@ -52,6 +52,27 @@
       | no id  | after the next request |
       | no id  | while idle             |
 
+  Scenario Outline: A connection with bytes that belong to no request is not used again
+    Given an upstream that repeats its refusal with status 503 and <id> id, <moment>
+    When a payment with another id follows the refused one
+    Then the upstream got them on 2 connections
+
+    Examples:
+      | id  | moment              |
+      | its | at once             |
+      | no  | at once             |
+      | its | while idle          |
+      | no  | three times at once |
+
+  Scenario: A connection is closed after 256 refusals, whose ids have to be remembered
+    Given an upstream that repeats its refusal with status 503 and its id, never
+    When 260 payments are refused
+    Then the upstream got them on 2 connections
+
+  Scenario: A peer link with bytes that belong to no call is not used again
+    When an endpoint daemon repeats the refusal of a look call at once, and another call follows
+    Then the other call got its response on a new link
+
   Scenario: A probe on a connection with a repeated refusal
     Given an upstream that repeats its refusal with status 503 and its id, after the next request
     When a probe follows the refused payment
@@ -67,6 +88,15 @@
       | pay   | after the next call |
       | look  | after the next call |
 
+  Scenario Outline: A peer sends the response to another call
+    When an endpoint daemon answers a <class> call with the id of another one
+    Then the call got the response to its only run, or may have run
+
+    Examples:
+      | class |
+      | pay   |
+      | look  |
+
   Scenario: Responses to pipelined requests keep their order behind a refusal
     When the second of three pipelined requests is refused before the first is answered
     Then the caller gets 200, 503 and 200, each for its own request
--- a/umberdrum/callpath/tests/repeated_refusal_steps.py
+++ b/umberdrum/callpath/tests/repeated_refusal_steps.py
@@ -3,6 +3,7 @@
 import contextlib
 import json
 import re
+from unittest import mock
 
 import behave
 import h11
@@ -153,6 +154,25 @@
     callpath_steps.run_with_upstream(test)
 
 
+@behave.when("{n_calls:d} payments are refused")
+def refuse_payments(context: runner.Context, n_calls: int) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        _use_upstream(node, context.upstream)
+        for number in range(n_calls):
+            request_id = f"id-{number}"
+            found = await site.call(
+                entry, "pay", "refused", "/pay", body=b"x", request_id=request_id
+            )
+            assert (found.status, found.execution) == (503, "not-run"), found
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the upstream got them on {n_connections:d} connections")
+def check_connections(context: runner.Context, n_connections: int) -> None:
+    assert context.upstream.n_connections == n_connections
+
+
 async def _upload_in_halves(entry: harness.Node, request_id: str) -> bytes:
     """Send a payment whose body arrives in two parts; return the response."""
     caller = await sockets.connect(entry.settings.caller_listen, 1.0)
@@ -241,8 +261,38 @@
         refused = await _call_peer(node, entry, cls, "refused")
         assert refused.is_error(), refused
         await site.announce(node, "pay", 4, "serving")
+        peer_pool = peer_stop_steps.get_parts(entry).peer_pool
+        n_opened = peer_pool.n_opened
         context.result = await _call_peer(node, entry, cls, "next")
         context.n_runs = node.upstream.begun.count("next")
+        context.n_new_links = peer_pool.n_opened - n_opened
+
+    callpath_steps.run_with_upstream(test)
+
+
+@behave.then("the other call got its response on a new link")
+def check_new_link(context: runner.Context) -> None:
+    assert context.result.is_ok(), context.result
+    assert context.n_new_links == 1, context.n_new_links
+
+
+@behave.when("an endpoint daemon answers a {cls} call with the id of another one")
+def answer_with_other_id(context: runner.Context, cls: str) -> None:
+    async def test(site: harness.Site, node: harness.Node, entry: harness.Node) -> None:
+        encode = _frames.encode_response
+
+        def encode_other(
+            _request_id: str,
+            head: _call.HttpResponseHead,
+            report: _call.CallReport,
+            is_complete: bool,
+        ) -> bytes:
+            return encode("another", head, report, is_complete)
+
+        with mock.patch.object(_frames, "encode_response", encode_other):
+            context.result = await _call_peer(node, entry, cls, "next")
+        assert context.result.is_error(), context.result
+        context.n_runs = node.upstream.begun.count("next")
 
     callpath_steps.run_with_upstream(test)
 
--- a/umberdrum/logs/tests/logs.feature
+++ b/umberdrum/logs/tests/logs.feature
@@ -29,3 +29,7 @@
       | reader                            | seconds | n |
       | the reader of the log takes them  | 0       | 0 |
       | the reader of the log never reads | 0.125   | 1 |
+
+  Scenario: The last write mixes no lines with an earlier one that has not ended
+    When the last lines are written while an earlier write waits for the reader
+    Then they are still in the buffer
--- a/umberdrum/logs/tests/logs_steps.py
+++ b/umberdrum/logs/tests/logs_steps.py
@@ -1,9 +1,11 @@
 """Steps on structured logging."""
 
+import fcntl
 import logging
 import os
 import tempfile
 import threading
+import time
 
 import behave
 import trio
@@ -143,3 +145,27 @@
     assert context.seconds == seconds, context.seconds
     assert context.n_unfinished == n_unfinished, context.n_unfinished
     assert context.writer.n_begun == 1, context.writer.n_begun
+
+
+@behave.when("the last lines are written while an earlier write waits for the reader")
+def write_beside_earlier(context: runner.Context) -> None:
+    read_end, write_end = os.pipe()
+    os.write(write_end, bytes(fcntl.fcntl(write_end, fcntl.F_GETPIPE_SZ)))
+    writer = logs.LineWriter(write_end)
+    writer.emit(logging.LogRecord("d", logging.INFO, "", 0, "first", (), None))
+    earlier = threading.Thread(target=writer.flush)
+    earlier.start()
+    while writer._lines:
+        time.sleep(0.001)
+    writer.emit(logging.LogRecord("d", logging.INFO, "", 0, "last", (), None))
+    writer.flush_within(MAX_WAIT_SECONDS)
+    context.lines = list(writer._lines)
+    # The write in progress fails.
+    os.close(read_end)
+    earlier.join()
+    os.close(write_end)
+
+
+@behave.then("they are still in the buffer")
+def check_buffered(context: runner.Context) -> None:
+    assert len(context.lines) == 1 and b"last" in context.lines[0], context.lines
