--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -127,6 +127,7 @@
     def __init__(
         self,
         target_store: store.Store,
+        counter: store.StoreCallCounter,
         keys: ContactKeys,
         state: gossip.SharedState,
         exchange: gossip.GossipExchange,
@@ -136,6 +137,7 @@
         log: logs.EventLog,
     ) -> None:
         self._store = target_store
+        self._counter = counter
         self._keys = keys
         self._state = state
         self._exchange = exchange
@@ -161,7 +163,6 @@
         # Held while a lease is granted, bound to a key or revoked.
         self._lease_lock = trio.Lock()
         self._started_at = 0.0
-        self._renewed_at = -math.inf
         self._retry_at = -math.inf
         exchange.get_store_age = self._get_store_age
         self._claim_delay = _claim_delay.ClaimDelay(rng)
@@ -289,8 +290,12 @@
         """Return the seconds since the store has answered this contact."""
         if not self._watcher.is_running:
             return None
-        answered_at = max(self._renewed_at, self._watcher.last_answer_at or -math.inf)
-        return trio.current_time() - answered_at
+        return trio.current_time() - self._get_answered_at()
+
+    def _get_answered_at(self) -> float:
+        """Return when the store has last answered any call, minus infinity if never."""
+        answered_at = self._counter.last_answer_at
+        return -math.inf if answered_at is None else answered_at
 
     async def _wait_for_peer_documents(self) -> None:
         """Wait shortly for newer documents of peers.
@@ -529,7 +534,6 @@
             )
             if swapped.is_ok() and swapped.ok.is_applied:
                 self._lease_id = lease_id
-                self._renewed_at = trio.current_time()
                 self._key_index = index
                 self._log.write("contact_claimed", key=key)
                 return True
@@ -561,15 +565,15 @@
         began_at = trio.current_time()
         while True:
             if not self._is_reclaim_due:
-                await self._sleep_until_new_era(
-                    self._draw_renewal_pause(began_at, is_answered)
-                )
+                await self._wait_for_renewal(began_at, is_answered)
             began_at = trio.current_time()
             if self._leaving.is_set():
                 await trio.sleep_forever()
             if self._is_reclaim_due:
                 if not await self._reclaim_key():
                     return
+                # The new lease shows as much as a renewal.
+                began_at = trio.current_time()
                 continue
             if not self._lease_id:
                 return
@@ -584,7 +588,6 @@
             if renewed.is_error():
                 await self._withdraw_role()
                 continue
-            self._renewed_at = trio.current_time()
             if renewed.ok.found_silence:
                 self._watcher.reopen("silent connections")
             elif not was_answered:
@@ -613,14 +616,26 @@
             self._publish_contact_flag(False)
             await self._push_to_zone()
 
-    def _draw_renewal_pause(self, began_at: float, is_answered: bool) -> float:
-        """Return the seconds until the renewal after the one that began then."""
+    async def _wait_for_renewal(self, began_at: float, is_answered: bool) -> None:
+        """Wait until a renewal is due after that of ``began_at``, or until a new era.
+
+        Other answers show as well that the store can be reached. The lease itself needs
+        a renewal every ``MAX_RETRY_INTERVAL_SECONDS`` only.
+        """
         longest = MAX_RETRY_INTERVAL_SECONDS
         if is_answered:
             longest = MAX_KEEP_ALIVE_INTERVAL_SECONDS
         interval = longest * self._rng.uniform(MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0)
-        seconds = trio.current_time() - began_at
-        return max(interval - seconds, MIN_RENEWAL_PAUSE_SECONDS)
+        earliest = trio.current_time() + MIN_RENEWAL_PAUSE_SECONDS
+        latest = max(earliest, began_at + MAX_RETRY_INTERVAL_SECONDS)
+        due_at = max(earliest, began_at + interval)
+        with trio.move_on_at(latest):
+            while True:
+                await self._sleep_until_new_era(due_at)
+                next_due_at = self._get_answered_at() + interval
+                if self._is_reclaim_due or next_due_at <= due_at:
+                    return
+                due_at = next_due_at
 
     async def _reclaim_key(self) -> bool:
         """Claim a key again after a restore; return False if there is none to claim.
@@ -640,9 +655,9 @@
             is_claimed = await self._claim_key()
         return is_claimed
 
-    async def _sleep_until_new_era(self, seconds: float) -> None:
-        """Sleep for ``seconds``, or until the store begins a new era."""
-        with trio.move_on_after(seconds):
+    async def _sleep_until_new_era(self, until: float) -> None:
+        """Sleep until that time, or until the store begins a new era."""
+        with trio.move_on_at(until):
             await self._new_era.wait()
 
     def _is_replaced(self) -> bool:
@@ -671,7 +686,9 @@
         interval = MIN_LIST_INTERVAL_SECONDS
         await self._introduce_to_contacts()
         while True:
-            await self._sleep_until_new_era(interval * self._rng.uniform(0.5, 1.5))
+            await self._sleep_until_new_era(
+                trio.current_time() + interval * self._rng.uniform(0.5, 1.5)
+            )
             if self._is_listing_due:
                 self._is_listing_due = False
                 interval = MIN_LIST_INTERVAL_SECONDS
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -215,6 +215,7 @@
         )
         self.contact_manager = configuration.ContactManager(
             self._store,
+            counter,
             configuration.ContactKeys(
                 prefix,
                 own_settings.availability_zone,
