--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -37,6 +37,9 @@
 CLAIM_RECHECK_DELAY_SECONDS = 0.8
 # A daemon that started more recently may not know all zones yet.
 ZONE_DISCOVERY_SECONDS = 5.0
+# A daemon that started more recently reads the documents anyway, and may not know the
+# contacts yet.
+CONTACT_WATCH_START_SECONDS = 1.5
 # Spreads the claims of all contacts after a restore of the store.
 RECLAIM_JITTER_SECONDS = 0.3
 # Peers answer an introduction within a round trip; this allows for another region.
@@ -231,7 +234,9 @@
         view = self._build_zone_view()
         while True:
             await trio.sleep(_contact_watch.CHECK_INTERVAL_SECONDS)
-            if self._watcher.is_running or not self._is_discovery_over():
+            if self._watcher.is_running:
+                continue
+            if trio.current_time() - self._started_at < CONTACT_WATCH_START_SECONDS:
                 continue
             if view.generation != self._state.table.generation:
                 view = self._build_zone_view()
