--- a/umberdrum/accounts/tests/accounts.feature
+++ b/umberdrum/accounts/tests/accounts.feature
@@ -8,6 +8,8 @@
     And "Bearer third-key" gives "farm"
     And "Bearer fourth-key" gives "401"
     And "Basic first-key" gives "401"
+    And "Bearer first-key", sent twice, gives "dairy"
+    And "Bearer first-key" and "Bearer third-key" together give "401"
     And no part of the table holds a key
 
   Scenario: A key of two accounts is refused
--- a/umberdrum/accounts/tests/accounts_steps.py
+++ b/umberdrum/accounts/tests/accounts_steps.py
@@ -20,15 +20,35 @@
 
 @behave.then('"{authorization}" gives "{result}"')
 def check_identified(context: runner.Context, authorization: str, result: str) -> None:
+    _check_identified(context, [authorization], result)
+
+
+@behave.then('"{authorization}", sent twice, gives "{result}"')
+def check_repeated(context: runner.Context, authorization: str, result: str) -> None:
+    _check_identified(context, [authorization] * 2, result)
+
+
+@behave.then('"{first}" and "{second}" together give "{result}"')
+def check_different(
+    context: runner.Context, first: str, second: str, result: str
+) -> None:
+    _check_identified(context, [first, second], result)
+
+
+def _check_identified(
+    context: runner.Context, authorizations: list[str], result: str
+) -> None:
     table = accounts.build_account_table(context.rows).ok
-    fields = [(b"authorization", authorization.encode())]
+    fields = [(b"authorization", value.encode()) for value in authorizations]
     identified = callpath.identify_account(table, fields, is_public=False)
     if result in ("401", "none"):
         public = callpath.identify_account(table, fields, is_public=True)
         assert identified.is_error(), identified
-        assert authorization.split()[-1] not in identified.error.detail
+        for value in authorizations:
+            assert value.split()[-1] not in identified.error.detail
         assert public.is_ok() and public.ok is None
         return
+    assert identified.is_ok(), identified
     assert identified.ok is not None
     assert identified.ok.name == result, identified
 
--- a/umberdrum/callpath/_account_check.py
+++ b/umberdrum/callpath/_account_check.py
@@ -16,13 +16,14 @@
 ) -> IdentifyResult:
     """Return the account of a request, None for a public one without a known key.
 
-    The key is expected as ``Authorization: Bearer KEY``. A request on a route that is
-    not public fails without the key of an account. The failure doesn't repeat the key.
+    The key is expected as ``Authorization: Bearer KEY``, which may be repeated. A
+    request on a route that is not public fails without the key of an account. The
+    failure doesn't repeat the key.
     """
-    values = [value for name, value in headers if name == AUTHORIZATION]
+    values = {value for name, value in headers if name == AUTHORIZATION}
     account: accounts.Account | None = None
     if len(values) == 1:
-        scheme, _, key = values[0].partition(b" ")
+        scheme, _, key = next(iter(values)).partition(b" ")
         if scheme.lower() == KEY_SCHEME:
             account = table.find_by_key(key.strip())
     if account is not None or is_public:
