--- a/review/standins.py
+++ b/review/standins.py
@@ -143,6 +143,10 @@
         self._revision = 1
         self._changed = asyncio.Event()
         self.address = ""
+        # Whether the answer to this call, with its path, is lost.
+        self.loses_answer: Callable[[str], bool] = lambda path: False
+        self.n_answered = 0
+        self.n_lost = 0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -206,6 +210,12 @@
                 status, body = await self._apply(
                     method, path, fields, json.loads(raw or b"{}")
                 )
+                if self.loses_answer(path):
+                    # The connection returns nothing further.
+                    self.n_lost += 1
+                    await reader.read()
+                    break
+                self.n_answered += 1
                 answer = json.dumps(body).encode()
                 content_type = ("Content-Type", "application/json")
                 writer.write(render(f"HTTP/1.1 {status} X", [content_type], answer))
