--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,11 +1,7 @@
-"""Pipelined requests that are lost behind an answer that its endpoint breaks off."""
+"""A configuration that stays out of force after one answer of the store was lost."""
 
 import asyncio
 import pathlib
-import random
-import secrets
-import socket
-import struct
 import sys
 
 FOLDER = pathlib.Path(__file__).resolve().parent
@@ -13,141 +9,60 @@
 
 import standins  # noqa: E402
 
-BOUNDS = {"contact-s": 3}
-SEED = 39
-# One of the two endpoints spoils that share of its answers.
-GARBLED_SHARE = 0.05
-GARBLED_AFTER_SECONDS = 0.03
-# It does so for some seconds at a time.
-GARBLED_FOR_SECONDS = 5.0
-PAUSE_SECONDS = 1.0
-BODY_BYTES = 400
-RESET = struct.pack("ii", 1, 0)
-N_CONNECTIONS = 4
-N_PIPELINED = 6
-PLAY_SECONDS = 60.0
-MAX_LOST = 3
-BUDGET_SECONDS = 1.0
-
-
-class Loss:
-    """Ids of requests that got no answer on a connection that the daemon closed."""
-
-    def __init__(self) -> None:
-        self.request_ids: list[str] = []
-        self.n_answered = 0
-
-
-def build_garbler(
-    site: standins.Site, rng: random.Random, garbled: set[str]
-) -> standins.Answer:
-    """Return an answer without a length that is reset on the way, now and then."""
-    began_at = site.record.now()
-
-    async def answer(
-        endpoint: standins.Endpoint,
-        head: standins.Head,
-        body: bytes,
-        writer: asyncio.StreamWriter,
-    ) -> bool | None:
-        seconds = (site.record.now() - began_at) % (GARBLED_FOR_SECONDS + PAUSE_SECONDS)
-        if seconds > GARBLED_FOR_SECONDS or rng.random() >= GARBLED_SHARE:
-            return None
-        request_id = head.get("x-request-id")
-        garbled.add(request_id)
-        lines = [
-            "HTTP/1.1 200 OK",
-            f"X-Request-Id: {request_id}",
-            f"{standins.STAMP}: stamp.{endpoint.instance_id}",
-            "Connection: close",
-        ]
-        writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        writer.write(bytes(BODY_BYTES // 2))
-        await writer.drain()
-        await asyncio.sleep(GARBLED_AFTER_SECONDS)
-        sock = writer.get_extra_info("socket")
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        return False
-
-    return answer
-
-
-async def pipeline(site: standins.Site, loss: Loss, until: float) -> None:
-    """Send some idempotent requests at a time over a kept connection."""
-    entry = site.machines[0]
-    while site.record.now() < until:
-        reader, writer = await standins.connect(entry.outbound)
-        is_open = True
-        while is_open and site.record.now() < until:
-            is_open = await send_batch(site, loss, reader, writer)
-        writer.close()
-
-
-async def send_batch(
-    site: standins.Site,
-    loss: Loss,
-    reader: asyncio.StreamReader,
-    writer: asyncio.StreamWriter,
-) -> bool:
-    """Send a few requests and read their answers; False once the connection ended."""
-    ids = [secrets.token_hex(8) for _ in range(N_PIPELINED)]
-    for request_id in ids:
-        fields = [("Host", standins.HOST_NAME), ("X-Request-Id", request_id)]
-        fields.append(("X-Deadline-Ms", "1000"))
-        writer.write(standins.render("GET /look/card HTTP/1.1", fields))
-        site.record.write(f"client sends GET /look/card {request_id}")
-    answered = 0
-    try:
-        async with asyncio.timeout(BUDGET_SECONDS + 0.5):
-            await writer.drain()
-            while answered < N_PIPELINED:
-                head = await standins.read_head(reader)
-                if head is None:
-                    break
-                await standins.read_body(reader, head)
-                site.record.write(f"client has {head.start} for {ids[answered]}")
-                answered += 1
-                loss.n_answered += 1
-                if head.get("connection") == "close":
-                    break
-    except (ConnectionError, asyncio.IncompleteReadError):
-        pass
-    except TimeoutError:
-        site.record.write("client gives up: time budget passed")
-        return False
-    for request_id in ids[answered:]:
-        site.record.write(f"connection was closed without an answer for {request_id}")
-        loss.request_ids.append(request_id)
-    return answered == N_PIPELINED
+BOUNDS = {"contact-s": 3, "config-s": 2}
+ZONES = sys.argv[1:] or ["zone-a", "zone-b"]
+CONTACT_SECONDS = 3.0
+CONFIG_SECONDS = 2.0
+LOST_FOR_SECONDS = 4.5
+WATCHED_SECONDS = 20.0
 
 
 async def run(site: standins.Site) -> bool:
-    """Return whether few requests that a sound endpoint ran were left unanswered."""
-    await site.start([("zone-a", "ledger"), ("zone-a", "ledger")])
-    rule = standins.build_rule("look", "idempotent", "ledger", 0.4, 1.0)
-    site.publish([rule], ["ledger"])
-    await site.wait_until_serving("/look/warm-up")
-    await asyncio.sleep(4.0)
-    rng = random.Random(SEED)
-    garbled: set[str] = set()
-    for machine in site.machines:
-        machine.endpoint.work_seconds = lambda head: rng.uniform(0.02, 0.08)
+    """Return whether a moved route is in force in time at machines in touch."""
+    rows = []
+    for zone in ZONES:
+        rows += [(zone, "ledger"), (zone, "switchdesk")]
+    await site.start(rows)
+    services = ["ledger", "switchdesk"]
+    old = standins.build_rule("order", "non_idempotent", "switchdesk", 0.5, 1.2)
+    site.publish([old], services)
+    await site.wait_until_serving("/order/warm-up")
+    await asyncio.sleep(8.0)
     if standins.has_disruption():
-        site.machines[0].endpoint.answer = build_garbler(site, rng, garbled)
-    loss = Loss()
-    until = site.record.now() + PLAY_SECONDS
-    tasks = [pipeline(site, loss, until) for _ in range(N_CONNECTIONS)]
-    await asyncio.gather(*tasks)
-    sound = {run.request_id for run in site.machines[1].endpoint.runs}
-    n_lost = sum(1 for request_id in loss.request_ids if request_id in sound)
+        site.store.loses_answer = lambda path: path == "/v1/kv-watch"
+    await asyncio.sleep(0.3)
+    new = standins.build_rule("order", "non_idempotent", "ledger", 0.5, 1.2)
+    n_answered = site.store.n_answered
+    site.publish([new], services)
+    acknowledged_at = site.record.now()
+    await asyncio.sleep(LOST_FOR_SECONDS - 0.3)
+    site.store.loses_answer = lambda path: False
+    ended_at = site.record.now()
+    site.record.write(
+        f"the store loses no more answers; it lost {site.store.n_lost} and gave "
+        f"{site.store.n_answered - n_answered} since the change"
+    )
+    due_at = max(acknowledged_at + CONFIG_SECONDS, ended_at + CONTACT_SECONDS)
+    calls = []
+    while site.record.now() < acknowledged_at + WATCHED_SECONDS:
+        for machine in site.machines:
+            call = standins.send_request(
+                site, machine, "POST", "/order/transfer", "", 1200, b"order"
+            )
+            calls.append(standins.start_task(call))
+        await asyncio.sleep(0.25)
+    await asyncio.gather(*calls)
+    stale = [
+        row.began_at
+        for machine in site.machines
+        for row in machine.endpoint.runs
+        if machine.endpoint.service == "switchdesk" and row.began_at > due_at + 0.5
+    ]
     site.record.write(
-        f"{loss.n_answered} answers; {len(garbled)} spoilt; "
-        f"{len(loss.request_ids)} requests without an answer on a closed connection, "
-        f"{n_lost} of them had been passed on to the sound endpoint"
+        f"{len(stale)} requests were run by the old service more than "
+        f"{CONFIG_SECONDS:g} s after the acknowledged change, by machines in touch"
     )
-    if loss.n_answered < 100:
-        raise standins.CaseNotRunError("too few requests were answered")
-    return n_lost <= MAX_LOST
+    return not stale
 
 
 if __name__ == "__main__":
