--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -122,6 +122,13 @@
             self._serve, self.host, self.port, limit=1 << 22
         )
 
+    def detach_listener(self):
+        """Return the present listener with its connections, as a server of its own."""
+        detached = Server(self.host, self.port)
+        detached._server, detached._writers = self._server, self._writers
+        self._writers = set()
+        return detached
+
     async def stop(self):
         """End like a process: no listener, and all connections closed."""
         self._server.close()
@@ -129,7 +136,8 @@
             writer.close()
 
     async def _serve(self, reader, writer):
-        self._writers.add(writer)
+        writers = self._writers
+        writers.add(writer)
         try:
             while True:
                 message = await read_message(reader)
@@ -138,7 +146,7 @@
         except (ClosedError, ConnectionError, OSError):
             return
         finally:
-            self._writers.discard(writer)
+            writers.discard(writer)
             writer.close()
 
 
@@ -460,10 +468,14 @@
             "platform": {"address": self.store_address, "form": "kv"},
         }
 
-    def start(self):
-        """Start the daemon with the command of the deploy file."""
+    def write_settings(self):
+        """Fill in the template at the place of the settings file."""
         template = (ROOT / "deploy" / "settings.ini").read_text()
         self.settings_path.write_text(fill_template(template, self.build_fields()))
+
+    def start(self):
+        """Start the daemon with the command of the deploy file."""
+        self.write_settings()
         keep = ("PATH", "HOME", "LANG")
         environment = {name: os.environ[name] for name in keep if name in os.environ}
         environment["UMBERDRUM_NODE_FILE"] = str(self.settings_path)
