--- a/review/6/case.py
+++ b/review/6/case.py
@@ -12,6 +12,8 @@
 
 ROUTES = [("pay", "non_idempotent", "/pay/", "pay")]
 FAILED_SHARE = 0.4
+# One endpoint of seven fails, a share within .15.
+ZONES = tuple(f"zone-{name}" for name in "abcabca")
 N_ROUNDS = 200
 N_AT_ONCE = 3
 RETRY_SECONDS = 0.05
@@ -56,7 +58,7 @@
 
 async def run(site, has_trouble):
     """Return one line for each payment that ran and was answered as not run."""
-    for zone in ("zone-a", "zone-b", "zone-c", "zone-a"):
+    for zone in ZONES:
         site.add_machine(zone, "pay")
     site.publish(deployment_2.build_config(1, ROUTES, ["pay"]))
     await site.start()
--- a/review/deployment_2.py
+++ b/review/deployment_2.py
@@ -118,8 +118,14 @@
 
     async def start(self):
         """Listen at the address."""
+        # Connections belong to the listener that took them, also once it is detached.
+        writers = self._writers = set()
+
+        async def serve(reader, writer):
+            await self._serve(reader, writer, writers)
+
         self._server = await asyncio.start_server(
-            self._serve, self.host, self.port, limit=1 << 22
+            serve, self.host, self.port, limit=1 << 22
         )
 
     def detach_listener(self):
@@ -135,8 +141,7 @@
         for writer in list(self._writers):
             writer.close()
 
-    async def _serve(self, reader, writer):
-        writers = self._writers
+    async def _serve(self, reader, writer, writers):
         writers.add(writer)
         try:
             while True:
