--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -29,6 +29,8 @@
     )
 )
 
+_REFUSAL_FIELDS = frozenset((errors.KIND_HEADER, errors.EXECUTION_HEADER))
+
 
 class CallFields(NamedTuple):
     """Fields in the head of a caller's request that the daemons use.
@@ -126,11 +128,15 @@
 
 
 def filter_response_headers(headers: HeaderFields) -> HeaderFields:
-    """Return the fields of a response that are forwarded to the caller."""
+    """Return the fields of a response that are forwarded to the caller.
+
+    An upstream may return the refusal of a call that it has made. The fields in which a
+    daemon says whether a request has run would be read as said of the caller's own.
+    """
     nominated = _list_connection_options(headers)
     kept: HeaderFields = []
     for name, value in headers:
-        if name in _HOP_BY_HOP or name in nominated:
+        if name in _HOP_BY_HOP or name in _REFUSAL_FIELDS or name in nominated:
             continue
         kept.append((name, value))
     return kept
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -135,14 +135,18 @@
             exchange = _sending.StreamedExchange(body, upstream, call.request_id)
             head = await exchange.run()
         refusal = self._find_upstream_refusal(call, head)
+        invalid = None
+        if refusal is None:
+            invalid = self._find_invalid_response(head)
         if head.status != MISDIRECTED_STATUS:
-            self._notices.read_response(head, has_run=refusal is None)
+            has_run = refusal is None and invalid is None
+            self._notices.read_response(head, has_run)
         if refusal is not None:
             upstream.record_refusal(call.request_id)
             await upstream.relay_body(_sinks.DiscardingSink())
             return expression.Error(refusal)
-        if self._lacks_signature(head):
-            return expression.Error(_build_signature_failure(head))
+        if invalid is not None:
+            return expression.Error(invalid)
         now = trio.current_time()
         load = self._record_upstream_load(head)
         self._log.write(
@@ -181,15 +185,23 @@
         await sink.finish()
         return expression.Ok(report)
 
-    def _lacks_signature(self, head: _call.HttpResponseHead) -> bool:
-        """Return whether a response may not be the application's.
+    def _find_invalid_response(
+        self, head: _call.HttpResponseHead
+    ) -> errors.Failure | None:
+        """Return the failure for a response that must not be passed on, or None.
 
-        A server error tells the caller nothing that such a response could falsify.
+        Below 500 that is a response that may not be the application's. A status by
+        which the caller would learn that its request has not run needs the upstream's
+        statement: the software in front of an application sends 503 also after it has
+        passed the request on.
         """
         name = self._dialect.signature
-        if not name or head.status >= MIN_SERVER_ERROR:
-            return False
-        return _headers.get_header(head.headers, name) is None
+        is_signed = not name or _headers.get_header(head.headers, name) is not None
+        if head.status < MIN_SERVER_ERROR and not is_signed:
+            return _build_invalid_failure(head, "the application's signature")
+        if self._dialect.not_run and errors.is_not_run_status(head.status):
+            return _build_invalid_failure(head, "a statement that it has not run")
+        return None
 
     def _record_upstream_load(
         self, head: _call.HttpResponseHead
@@ -220,7 +232,7 @@
             if call.is_idempotent and head.status == SHED_STATUS:
                 return _build_shed_failure(call, head, errors.Execution.MAY_HAVE_RUN)
             return None
-        if head.status == MISDIRECTED_STATUS:
+        if self._is_misdirected(head):
             if self.on_misdirected is not None:
                 self.on_misdirected()
             detail = f"the address belongs to another upstream than {self.instance_id}"
@@ -229,6 +241,18 @@
             return _build_shed_failure(call, head, errors.Execution.NOT_RUN)
         return None
 
+    def _is_misdirected(self, head: _call.HttpResponseHead) -> bool:
+        """Return whether another upstream than the expected one has refused a request.
+
+        It states its own instance id, or that the request has not run.
+        """
+        if head.status != MISDIRECTED_STATUS:
+            return False
+        if _headers.get_header(head.headers, self._dialect.not_run) is not None:
+            return True
+        found = _headers.get_header(head.headers, self._dialect.instance_id)
+        return found not in (None, self.instance_id.encode())
+
 
 def get_response_deadline(call: _call.Call, now: float) -> float:
     """Return until when to wait for the rest of a response whose head has arrived."""
@@ -244,10 +268,12 @@
     )
 
 
-def _build_signature_failure(head: _call.HttpResponseHead) -> errors.Failure:
+def _build_invalid_failure(
+    head: _call.HttpResponseHead, missing: str
+) -> errors.Failure:
     return errors.fail(
         errors.ErrorKind.UPSTREAM_INVALID_ANSWER,
-        f"upstream: status {head.status} without the application's signature",
+        f"upstream: status {head.status} without {missing}",
         errors.Execution.MAY_HAVE_RUN,
     )
 
--- a/umberdrum/errors/__init__.py
+++ b/umberdrum/errors/__init__.py
@@ -7,6 +7,7 @@
     ErrorResponse,
     Execution,
     get_error_response,
+    is_not_run_status,
     is_proven_not_run,
 )
 from umberdrum.errors._problem import (
@@ -27,6 +28,7 @@
     "ProblemResponse",
     "fail",
     "get_error_response",
+    "is_not_run_status",
     "is_proven_not_run",
     "render_problem",
 ]
--- a/umberdrum/errors/_kinds.py
+++ b/umberdrum/errors/_kinds.py
@@ -247,6 +247,11 @@
     return response
 
 
+def is_not_run_status(status: int) -> bool:
+    """Return whether callers read a status as a guarantee that nothing was run."""
+    return status in _NOT_RUN_STATUSES
+
+
 def is_proven_not_run(execution: Execution) -> bool:
     """Return whether a request can be sent again without being run twice."""
     return execution is Execution.NOT_RUN
