--- a/umberdrum/callpath/_stop_period.py
+++ b/umberdrum/callpath/_stop_period.py
@@ -7,6 +7,9 @@
 # A call that begins in this first share of the grace period is likely to end within the
 # rest of it, whatever its deadline.
 EARLY_SHARE = 0.5
+# Callers have gone elsewhere by then, and allow the calls that they sent before to be
+# cut at the end of the grace period.
+MAX_EARLY_SECONDS = 3.0
 
 
 class StopPeriod(NamedTuple):
@@ -41,4 +44,5 @@
 
 def build_stop_period(now: float, grace_seconds: float) -> StopPeriod:
     """Return the times of a stop that begins now."""
-    return StopPeriod(now + EARLY_SHARE * grace_seconds, now + grace_seconds)
+    early_seconds = min(EARLY_SHARE * grace_seconds, MAX_EARLY_SECONDS)
+    return StopPeriod(now + early_seconds, now + grace_seconds)
--- a/umberdrum/daemon/_shutdown.py
+++ b/umberdrum/daemon/_shutdown.py
@@ -46,9 +46,7 @@
         self._error_log = error_log
         self._n_ready_failures = own_settings.n_ready_failures
         now = trio.current_time()
-        self._stop_period = callpath.build_stop_period(
-            now, own_settings.grace_ms / MS_PER_SECOND
-        )
+        self._stop_period = callpath.build_stop_period(now, own_settings.grace_seconds)
         self._grace_until = self._stop_period.ends_at
         self._accept_until = min(
             now + own_settings.leave_accept_ms / MS_PER_SECOND, self._grace_until
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -4,6 +4,11 @@
 
 from umberdrum.settings import _address
 
+MS_PER_SECOND = 1000.0
+# Time in which a daemon closes its connections and ends.
+MAX_EXIT_SECONDS = 0.5
+MAX_EXIT_SHARE = 0.25
+
 
 class Settings(NamedTuple):
     """Validated content of a daemon's settings file.
@@ -52,6 +57,7 @@
     body_idle_timeout_ms: int
     idle_timeout_ms: int
     grace_ms: int
+    termination_grace_seconds: float
     announcement_timeout_ms: int
     log_level: str
     routing_policy: str
@@ -67,6 +73,18 @@
     cold_factor: float
     n_cold_extra: float
 
+    @property
+    def grace_seconds(self) -> float:
+        """Time for calls in progress at a stop.
+
+        Whoever stops the daemon may kill it ``termination_grace_seconds`` after the
+        signal, if that is not 0. The daemon ends a little earlier.
+        """
+        allowed_seconds = self.termination_grace_seconds
+        if not allowed_seconds:
+            return self.grace_ms / MS_PER_SECOND
+        return allowed_seconds - min(MAX_EXIT_SECONDS, MAX_EXIT_SHARE * allowed_seconds)
+
 
 class SettingsFault(NamedTuple):
     """One fault in a settings file: its place, the expected and the found value.
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -178,6 +178,13 @@
     ),
     _Setting("idle_timeout_ms", "limits", "idle_timeout_ms", _TIMEOUT_MS, "120000"),
     _Setting("grace_ms", "limits", "grace_ms", _TIMEOUT_MS, "60000"),
+    _Setting(
+        "termination_grace_seconds",
+        "limits",
+        "termination_grace_seconds",
+        _build_optional_number_parser(0.1, 3600, 0.0),
+        "",
+    ),
     _Setting(
         "announcement_timeout_ms",
         "limits",
