--- a/umberdrum/configuration/__init__.py
+++ b/umberdrum/configuration/__init__.py
@@ -22,6 +22,7 @@
     decode_snapshot,
     encode_snapshot,
 )
+from umberdrum.configuration._watch_guard import choose_guard
 from umberdrum.configuration._watcher import ConfigurationWatcher
 from umberdrum.configuration._zone_repository import ZoneOrder, ZoneRepository
 
@@ -44,6 +45,7 @@
     "ZoneOrder",
     "ZoneRepository",
     "build_documents_prefix",
+    "choose_guard",
     "decode_snapshot",
     "encode_snapshot",
 ]
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -14,6 +14,7 @@
     _member_list,
     _overdue_reads,
     _retry_pause,
+    _watch_guard,
     _watcher,
 )
 
@@ -549,6 +550,7 @@
     async def _act_as_contact(self) -> None:
         """Renew the lease and follow the configuration until the lease has ended."""
         await self._announce_role()
+        self._update_guard()
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._watcher.run)
             nursery.start_soon(self._list_periodically)
@@ -601,6 +603,17 @@
                 self._lease_id = 0
                 return
             await self._announce_role()
+            self._update_guard()
+
+    def _update_guard(self) -> None:
+        """Let the watch of this contact be answered often if it is the guard."""
+        contacts = [
+            record
+            for record in self._state.table.records
+            if record.is_contact and record.is_live
+        ]
+        guard = _watch_guard.choose_guard(contacts)
+        self._watcher.set_guard(self._state.table.own.endpoint_id == guard)
 
     async def _announce_role(self) -> None:
         """Push the contact flag to most of the zone at once if it was not set.
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -11,6 +11,9 @@
 # Users require a change to be in force within 2 s, or 3 s after the store recovers.
 # Neither the longest pause nor a call's timeout of 2 s uses that up.
 MAX_RETRY_PERIOD_SECONDS = 1.25
+DEFAULT_RECOVERY_SECONDS = 3.0
+# What is left of the time is for a listing, and for its spread to the peers.
+GUARD_SILENCE_SHARE = 0.72
 
 
 class ListedDocuments(NamedTuple):
@@ -37,7 +40,10 @@
     rejects states older than its own, so re-ordered or repeated changes are harmless.
 
     A waiting watch does not show whether its connection is still alive. ``reopen``
-    continues it on a new connection, from the revision that it had reached.
+    continues it on a new connection, from the revision that it had reached. While
+    ``set_guard`` is in effect, the store has to answer the watch often enough for a
+    lost answer to be found within ``recovery_seconds``, the time after an outage of the
+    store within which daemons have to follow it again.
 
     ``is_running`` is set on contacts only, ``is_following`` while a watch is open.
     """
@@ -49,7 +55,10 @@
         state: gossip.SharedState,
         rng: random.Random,
         log: logs.EventLog,
+        recovery_seconds: float = DEFAULT_RECOVERY_SECONDS,
     ) -> None:
+        self._guard_silence_seconds = GUARD_SILENCE_SHARE * recovery_seconds
+        self._max_silence_seconds = store.DEFAULT_MAX_SILENCE_SECONDS
         self._store = target_store
         self._prefix = documents_prefix
         self._state = state
@@ -128,6 +137,16 @@
         self._log.write("store_watch_reopened", reason=reason, age_seconds=age)
         self._watch_scope.cancel()
 
+    def set_guard(self, is_guard: bool) -> None:
+        """Let the store answer the watch often, or as seldom as it allows."""
+        seconds = store.DEFAULT_MAX_SILENCE_SECONDS
+        if is_guard:
+            seconds = self._guard_silence_seconds
+        if seconds == self._max_silence_seconds:
+            return
+        self._max_silence_seconds = seconds
+        self.reopen("guard" if is_guard else "no guard")
+
     async def read_documents(self) -> ListedDocuments | None:
         """Return all documents of the store, or None if it does not answer.
 
@@ -161,7 +180,10 @@
         """Merge changes until the watch ends or its revisions were compacted."""
         while True:
             async with self._store.watch(
-                self._prefix, position.next_revision, position.era
+                self._prefix,
+                position.next_revision,
+                position.era,
+                self._max_silence_seconds,
             ) as watch:
                 self._answered_at = self.last_answer_at
                 self._watch = watch
--- a/umberdrum/configuration/tests/configuration.feature
+++ b/umberdrum/configuration/tests/configuration.feature
@@ -50,6 +50,16 @@
       | 4   | 150   | 300  |
       | 100 | 150   | 300  |
 
+  Scenario Outline: The contact with the lowest id is the guard
+    Given the contacts "<contacts>"
+    Then the guard is "<guard>"
+
+    Examples:
+      | contacts | guard |
+      | none     | none  |
+      | 2        | 2     |
+      | 3, 1, 2  | 1     |
+
   Scenario Outline: The catalog follows the store and no revision decreases
     Given a watcher that follows a store with classes "a" and "b"
     When "<event>" happens
--- a/umberdrum/configuration/tests/configuration_steps.py
+++ b/umberdrum/configuration/tests/configuration_steps.py
@@ -419,3 +419,18 @@
     for check in range(began_at * CHECKS_PER_SECOND, ends_at * CHECKS_PER_SECOND):
         for reader in readers:
             reader.check(check / CHECKS_PER_SECOND)
+
+
+@behave.given('the contacts "{contacts}"')
+def set_contacts(context: runner.Context, contacts: str) -> None:
+    context.contacts = [
+        membership_steps.OWN_RECORD._replace(endpoint_id=name)
+        for name in contacts.split(", ")
+        if name != "none"
+    ]
+
+
+@behave.then('the guard is "{guard}"')
+def check_guard(context: runner.Context, guard: str) -> None:
+    found = configuration.choose_guard(context.contacts)
+    assert found == guard.replace("none", ""), found
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -211,7 +211,12 @@
         if integration.routes is not None:
             documents_prefix = integration.routes.keys_prefix
         watcher = configuration.ConfigurationWatcher(
-            self._store, documents_prefix, self.state, rng, log
+            self._store,
+            documents_prefix,
+            self.state,
+            rng,
+            log,
+            own_settings.store_recovery_seconds,
         )
         self.contact_manager = configuration.ContactManager(
             self._store,
--- a/umberdrum/jsonclient/_client.py
+++ b/umberdrum/jsonclient/_client.py
@@ -14,7 +14,6 @@
 CONNECT_TIMEOUT_SECONDS = 1.0
 # Longer than several round trips between regions.
 REPEAT_AFTER_SECONDS = 0.4
-STREAM_IDLE_TIMEOUT_SECONDS = 900.0
 MAX_RESPONSE_BYTES = 16 << 20
 
 JsonObject = dict[str, Any]
@@ -242,11 +241,12 @@
 
     @contextlib.asynccontextmanager
     async def open_stream(
-        self, path: str, body: JsonObject
+        self, path: str, body: JsonObject, max_idle_seconds: float
     ) -> AsyncIterator["JsonStream"]:
         """Open a request whose response is a stream of JSON objects, one per line.
 
-        A failure to open the stream is returned by ``JsonStream.receive``.
+        A failure to open the stream is returned by ``JsonStream.receive``. The stream
+        ends when nothing arrives for ``max_idle_seconds``.
         """
         connection: _HttpConnection | None = None
         open_error = ""
@@ -264,7 +264,7 @@
         ) as fault:
             open_error = f"{path}: {str(fault) or 'no response in time'}"
         try:
-            yield JsonStream(connection, open_error, self._kinds)
+            yield JsonStream(connection, open_error, self._kinds, max_idle_seconds)
         finally:
             if connection is not None:
                 connection.close()
@@ -355,12 +355,19 @@
 class JsonStream:
     """Stream of JSON objects in the response to one request.
 
-    The stream fails when nothing arrives for ``STREAM_IDLE_TIMEOUT_SECONDS``.
+    The stream fails when nothing arrives for ``max_idle_seconds``; ``is_idle`` tells
+    that this was the cause.
     """
 
     def __init__(
-        self, connection: _HttpConnection | None, open_error: str, kinds: FailureKinds
+        self,
+        connection: _HttpConnection | None,
+        open_error: str,
+        kinds: FailureKinds,
+        max_idle_seconds: float,
     ) -> None:
+        self._max_idle_seconds = max_idle_seconds
+        self.is_idle = False
         self._connection = connection
         self._kinds = kinds
         self._open_error = open_error
@@ -373,8 +380,9 @@
         while b"\n" not in self._buffer:
             data = b""
             try:
-                with trio.move_on_after(STREAM_IDLE_TIMEOUT_SECONDS):
+                with trio.move_on_after(self._max_idle_seconds) as scope:
                     data = await self._connection.receive_data()
+                self.is_idle = scope.cancelled_caught
             except _ExchangeError as fault:
                 return self._fail(f"stream: {fault}")
             if not data:
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -33,7 +33,8 @@
 
     A contact is a daemon that watches the store for its availability zone. A zone has
     ``n_contacts_per_zone`` contacts, or more if the cluster would otherwise have fewer
-    than ``min_contacts`` in total. ``measuring_bytes_per_second`` limits the traffic
+    than ``min_contacts`` in total. Within ``store_recovery_seconds`` of an outage of
+    the store they follow it again. ``measuring_bytes_per_second`` limits the traffic
     of load reports, polls and probes.
     """
 
@@ -50,6 +51,7 @@
     min_contacts: int
     store_addresses: tuple[_address.Address, ...]
     store_prefix: str
+    store_recovery_seconds: float
     measuring_bytes_per_second: int
     max_connections: int
     max_head_bytes: int
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -151,6 +151,13 @@
     ),
     _Setting("store_addresses", "store", "addresses", _ADDRESSES, None),
     _Setting("store_prefix", "store", "prefix", _PREFIX, "umberdrum"),
+    _Setting(
+        "store_recovery_seconds",
+        "store",
+        "recovery_seconds",
+        _build_optional_number_parser(0.5, 60, 3.0),
+        "",
+    ),
     _Setting(
         "measuring_bytes_per_second",
         "measuring",
--- a/umberdrum/store/__init__.py
+++ b/umberdrum/store/__init__.py
@@ -4,6 +4,7 @@
 from umberdrum.store._eras import EraTracker
 from umberdrum.store._etcd import EtcdStore
 from umberdrum.store._store import (
+    DEFAULT_MAX_SILENCE_SECONDS,
     KeyValue,
     Lease,
     Listing,
@@ -15,6 +16,7 @@
 )
 
 __all__ = [
+    "DEFAULT_MAX_SILENCE_SECONDS",
     "EraTracker",
     "EtcdStore",
     "KeyValue",
--- a/umberdrum/store/_etcd.py
+++ b/umberdrum/store/_etcd.py
@@ -19,6 +19,9 @@
     Calls reuse a persistent connection if there is one; each watch opens its own. Reads
     and renewals of a lease are sent once more on a new one if that gives no answer.
 
+    A watch that has been silent for its longest time is opened again. The first answer
+    of each stream shows that its connection works.
+
     The protocol has no eras. A member that is restored from a snapshot must continue
     with higher revisions and without the history before them, as ``etcdutl snapshot
     restore --bump-revision --mark-compacted`` makes it do.
@@ -133,20 +136,20 @@
 
     @contextlib.asynccontextmanager
     async def watch(
-        self, prefix: str, from_revision: int, era: int = 0
+        self,
+        prefix: str,
+        from_revision: int,
+        era: int = 0,
+        max_silence_seconds: float = _store.DEFAULT_MAX_SILENCE_SECONDS,
     ) -> AsyncIterator["_EtcdWatch"]:
         """Open a watch of all changes below a prefix, from a revision on."""
-        self.counter.count("watch")
-        body = {
-            "create_request": {
-                "key": _encode_key(prefix),
-                "range_end": _encode_base64(_compute_range_end(prefix)),
-                "start_revision": str(from_revision),
-                "progress_notify": True,
-            }
-        }
-        async with self._client.open_stream("/v3/watch", body) as stream:
-            yield _EtcdWatch(stream, from_revision)
+        watch = _EtcdWatch(
+            self._client, self.counter, max_silence_seconds, prefix, from_revision
+        )
+        try:
+            yield watch
+        finally:
+            await watch.close()
 
     async def _run_transaction(
         self, key: str, expected_revision: int, operation: JsonObject
@@ -210,21 +213,61 @@
 
 
 class _EtcdWatch:
-    """Watch that reads one streamed answer of the gateway."""
+    """Watch that reads streamed answers of the gateway, one after the other."""
 
-    def __init__(self, stream: jsonclient.JsonStream, from_revision: int) -> None:
-        self._stream = stream
+    def __init__(
+        self,
+        client: jsonclient.JsonClient,
+        counter: _calls.StoreCallCounter,
+        max_idle_seconds: float,
+        prefix: str,
+        from_revision: int,
+    ) -> None:
+        self._client = client
+        self._counter = counter
+        self._max_idle_seconds = max_idle_seconds
+        self._prefix = prefix
+        self._stack = contextlib.AsyncExitStack()
+        self._stream: jsonclient.JsonStream | None = None
         self.next_revision = from_revision
         self.last_answer_at: float | None = None
+        self._has_answered = False
+
+    async def _open(self) -> jsonclient.JsonStream:
+        """Open a stream of the changes from ``next_revision`` on."""
+        self._counter.count("watch")
+        body = {
+            "create_request": {
+                "key": _encode_key(self._prefix),
+                "range_end": _encode_base64(_compute_range_end(self._prefix)),
+                "start_revision": str(self.next_revision),
+                "progress_notify": True,
+            }
+        }
+        self._has_answered = False
+        self._stream = await self._stack.enter_async_context(
+            self._client.open_stream("/v3/watch", body, self._max_idle_seconds)
+        )
+        return self._stream
+
+    async def close(self) -> None:
+        """Close the stream, if there is one."""
+        self._stream = None
+        await self._stack.aclose()
 
     async def receive(
         self,
     ) -> expression.Result[_store.WatchBatch, errors.Failure]:
         """Return the next batch, or the failure that ended the watch."""
         while True:
-            received = await self._stream.receive()
+            stream = self._stream or await self._open()
+            received = await stream.receive()
+            if received.is_error() and stream.is_idle and self._has_answered:
+                await self.close()
+                continue
             if received.is_error():
                 return expression.Error(received.error)
+            self._has_answered = True
             self.last_answer_at = trio.current_time()
             result = received.ok.get("result", {})
             compacted_revision = int(result.get("compact_revision", 0))
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -8,6 +8,8 @@
 from umberdrum import errors
 from umberdrum.store import _eras
 
+DEFAULT_MAX_SILENCE_SECONDS = 30.0
+
 
 class KeyValue(NamedTuple):
     """One key with its value, last changed at the store revision ``mod_revision``.
@@ -159,6 +161,15 @@
         """Revoke a lease, which deletes its keys."""
 
     def watch(
-        self, prefix: str, from_revision: int, era: int = 0
+        self,
+        prefix: str,
+        from_revision: int,
+        era: int = 0,
+        max_silence_seconds: float = DEFAULT_MAX_SILENCE_SECONDS,
     ) -> AbstractAsyncContextManager[Watch]:
-        """Open a watch of all changes below a prefix, from a revision of an era on."""
+        """Open a watch of all changes below a prefix, from a revision of an era on.
+
+        A lost answer looks like a time without changes. The watch therefore makes the
+        store answer within ``max_silence_seconds``; without an answer it fails, or goes
+        on over a new connection.
+        """
--- a/umberdrum/store/tests/store.feature
+++ b/umberdrum/store/tests/store.feature
@@ -91,6 +91,12 @@
     When the watch goes silent before a write of "k" and is opened again
     Then it saw "put, put" with rising revisions
 
+  # Nothing else shows that a change was lost.
+  Scenario: A watch waits on a silent connection for longer than its longest silence
+    Given a store in which "k" is absent
+    When the watch goes silent before a write of "k"
+    Then it brings the change or fails within 1.5 s
+
   Scenario: The kernel ends a connection to a silent store in time
     Given a store in which "k" is absent
     When a call and a waiting watch have opened a connection each
--- a/umberdrum/store/tests/store_steps.py
+++ b/umberdrum/store/tests/store_steps.py
@@ -23,7 +23,9 @@
 )
 LEASE_TTL_SECONDS = 10
 SLOW_ANSWER_SECONDS = 0.5
-
+ROUND_TRIP_SECONDS = 0.05
+MAX_WATCH_SECONDS = 60.0
+MAX_SILENCE_SECONDS = 1.5
 REPEAT_SECONDS = 0.05
 StoreTest = Callable[[harness.Site, store.Store], Awaitable[None]]
 AdapterBuilder = Callable[
@@ -313,6 +315,43 @@
     _run(context, test)
 
 
+async def _write_silently(
+    site: harness.Site, store_link: link.LinkProxy, at: float
+) -> None:
+    """Write a key right after all connections that are open have gone silent."""
+    await trio.sleep_until(at)
+    store_link.silence()
+    site.state.put("k", b"2", 0)
+
+
+@behave.when('the watch goes silent before a write of "k"')
+def silence_watch(context: runner.Context) -> None:
+    async def test(site: harness.Site, _: store.Store) -> None:
+        context.waited_seconds = math.inf
+        async with _open_link(context, site) as (store_link, adapter):
+            first = (await adapter.compare_and_swap("k", 0, b"1")).ok
+            async with adapter.watch(
+                "k", first.revision, max_silence_seconds=MAX_SILENCE_SECONDS
+            ) as watch:
+                await watch.receive()
+                silent_since = trio.current_time() + SLOW_ANSWER_SECONDS
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(_write_silently, site, store_link, silent_since)
+                    with trio.move_on_after(MAX_WATCH_SECONDS):
+                        received = await watch.receive()
+                        context.waited_seconds = trio.current_time() - silent_since
+                        assert received.is_error() or received.ok.events
+
+    _run(context, test)
+
+
+@behave.then("it brings the change or fails within {seconds:f} s")
+def check_silent_watch(context: runner.Context, seconds: float) -> None:
+    assert context.waited_seconds <= seconds + ROUND_TRIP_SECONDS, (
+        context.waited_seconds
+    )
+
+
 @behave.when("the store is compacted and watched from revision 1")
 def watch_compacted(context: runner.Context) -> None:
     async def test(site: harness.Site, adapter: store.Store) -> None:
--- a/umberdrum_bench/store_server.py
+++ b/umberdrum_bench/store_server.py
@@ -26,8 +26,9 @@
     ``n_lost_answers`` counts the next writes that are applied but not answered.
     ``copy`` is the last copy that was taken, to which the store can be restored.
     Listings of a prefix that begins with ``slow_prefix`` take ``slow_prefix_seconds``.
-    ``lost_share`` of all answers are lost, drawn from ``rng``; a connection on which an
-    answer was lost stays open and returns nothing more.
+    ``lost_share`` of the answers to paths that begin with ``lossy_path`` are lost, as
+    ``rng`` draws; a connection on which an answer was lost stays open and returns
+    nothing more.
     """
 
     def __init__(self) -> None:
@@ -38,6 +39,7 @@
         self.slow_prefix = ""
         self.slow_prefix_seconds = 0.0
         self.lost_share = 0.0
+        self.lossy_path = ""
         self.rng = random.Random(1)
 
 
