--- a/umberdrum/callpath/_upstream.py
+++ b/umberdrum/callpath/_upstream.py
@@ -7,7 +7,7 @@
 import trio
 
 from umberdrum import errors, settings, sockets
-from umberdrum.callpath import _call, _dialect, _headers, _idle_limit, _sinks
+from umberdrum.callpath import _call, _dialect, _headers, _idle_limit
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 MAX_IDLE_SECONDS = 30.0
@@ -16,6 +16,7 @@
 MAX_INTERIM_RESPONSES = 16
 MAX_REFUSED_IDS = 256
 MAX_EVENTS_PER_TURN = 64
+MAX_DISCARDED_BYTES = 65_536
 IDLE_MARGIN_SECONDS = 0.5
 _TIMEOUT_PARAMETER = re.compile(rb"timeout=(\d{1,6})")
 
@@ -201,7 +202,7 @@
         head = await self._receive_any_head()
         if self._belongs_to_earlier_request(head):
             raise _build_response_error(f"expected the response to {path}")
-        await self.relay_body(_sinks.DiscardingSink())
+        await self.discard_body()
         return head
 
     def _belongs_to_earlier_request(self, head: _call.HttpResponseHead) -> bool:
@@ -213,8 +214,7 @@
 
     async def _skip_stray_response(self) -> None:
         """Discard a response to another request and prepare to parse the next one."""
-        while not isinstance(await self._receive_event(), h11.EndOfMessage):
-            continue
+        await self.discard_body()
         rest, _ = self._http.trailing_data
         if self._request is None or self._http.their_state is not h11.DONE:
             raise _build_disconnect_error("closed after a response to another request")
@@ -284,6 +284,25 @@
                 return
             raise _build_disconnect_error("closed before its response was complete")
 
+    async def discard_body(self) -> None:
+        """Read the body of a response that is not needed, unless it is too long.
+
+        The connection can then be used again.
+        """
+        n_bytes = 0
+        while True:
+            event = await self._receive_event()
+            if isinstance(event, h11.EndOfMessage):
+                return
+            if not isinstance(event, h11.Data):
+                raise _build_disconnect_error("closed before its response was complete")
+            n_bytes += len(event.data)
+            if n_bytes > MAX_DISCARDED_BYTES:
+                raise _build_response_error(
+                    f"expected at most {MAX_DISCARDED_BYTES} bytes of a body that is "
+                    "not needed"
+                )
+
     async def _receive_event(self) -> object:
         while True:
             await self._turn_limit.count_step()
--- a/umberdrum/callpath/_upstream_relay.py
+++ b/umberdrum/callpath/_upstream_relay.py
@@ -12,7 +12,6 @@
     _headers,
     _notices,
     _sending,
-    _sinks,
     _upstream,
     _upstream_load,
 )
@@ -28,6 +27,7 @@
 # short pause before a retry can succeed.
 SHED_RETRY_SHARE = 0.25
 MIN_SHED_RETRY_SECONDS = 0.05
+MAX_SHED_RETRY_SECONDS = 3600.0
 
 CallResult = expression.Result[_call.CallReport, errors.Failure]
 LoadBuilder = Callable[[float], routing.LoadReport | None]
@@ -143,7 +143,7 @@
             self._notices.read_response(head, has_run)
         if refusal is not None:
             upstream.record_refusal(call.request_id)
-            await upstream.relay_body(_sinks.DiscardingSink())
+            await upstream.discard_body()
             return expression.Error(refusal)
         if invalid is not None:
             return expression.Error(invalid)
@@ -296,7 +296,7 @@
     seconds = max(MIN_SHED_RETRY_SECONDS, SHED_RETRY_SHARE * left_seconds)
     for name, value in head.headers:
         if name == b"retry-after" and value.isdigit():
-            seconds = float(value)
+            seconds = min(float(value), MAX_SHED_RETRY_SECONDS)
     return errors.Failure(
         errors.ErrorKind.UPSTREAM_SHED,
         execution,
