--- a/umberdrum/announcements/_tracker.py
+++ b/umberdrum/announcements/_tracker.py
@@ -63,6 +63,8 @@
         self._hold: trio.Event | None = None
         self.on_run_ended: Callable[[int], None] | None = None
         self.is_drain_ordered = False
+        # Whether upstreams of a service may be announced; all by default.
+        self.knows_service: Callable[[str], bool] = bool
 
     @property
     def announcement(self) -> callpath.UpstreamAnnouncement | None:
--- a/umberdrum/callpath/__init__.py
+++ b/umberdrum/callpath/__init__.py
@@ -31,6 +31,7 @@
     filter_request_headers,
     filter_response_headers,
     get_header,
+    is_visible_text,
     read_call_fields,
 )
 from umberdrum.callpath._liveness import LivenessWatch
@@ -104,6 +105,7 @@
     "filter_response_headers",
     "get_header",
     "identify_account",
+    "is_visible_text",
     "normalize_path",
     "parse_cold_ms",
     "parse_upstream_load",
--- a/umberdrum/callpath/_headers.py
+++ b/umberdrum/callpath/_headers.py
@@ -166,6 +166,11 @@
     return fields
 
 
+def is_visible_text(value: bytes) -> bool:
+    """Return whether a value can stand for an id: visible ASCII characters only."""
+    return _REQUEST_ID_PATTERN.fullmatch(value) is not None
+
+
 def replace_host(headers: HeaderFields, authority: bytes) -> HeaderFields:
     """Return the fields with the authority of an absolute-form target as the host.
 
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -480,6 +480,10 @@
         index = 0
         while index < n_wanted + n_inactive:
             key = self._keys.get_key(index)
+            if key in listed.ok.unreadable_keys:
+                n_inactive += 1
+                index += 1
+                continue
             item = items_by_key.get(key)
             if item is not None and item.value != own_address:
                 # A holder that has lost the store is replaced by an additional contact.
--- a/umberdrum/configuration/_introduction.py
+++ b/umberdrum/configuration/_introduction.py
@@ -10,8 +10,8 @@
 ) -> None:
     """Introduce this daemon to each of ``addresses`` without a live membership record.
 
-    Texts that cannot be parsed as addresses are skipped: another program may have
-    written them.
+    Texts that are no addresses of daemons are skipped: another program may have written
+    them.
     """
     table = state.table
     for text in addresses:
@@ -19,6 +19,8 @@
             address = settings.parse_address(text)
         except ValueError:
             continue
+        if not address.is_reachable:
+            continue
         record = table.get(str(address))
         if record is None or not record.is_live:
             await exchange.introduce(address)
--- a/umberdrum/configuration/_member_list.py
+++ b/umberdrum/configuration/_member_list.py
@@ -2,7 +2,7 @@
 
 import random
 
-from umberdrum import gossip, logs, store
+from umberdrum import gossip, logs, settings, store
 from umberdrum.configuration import _introduction
 
 # Keeps the datagrams of one refresh within a few KB.
@@ -108,4 +108,13 @@
 
 
 def _parse_addresses(item: store.KeyValue) -> list[str]:
-    return item.value.decode("utf-8", "replace").split()
+    """Return the addresses in a list; other texts, and repeated ones, are left out."""
+    addresses: dict[str, None] = {}
+    for text in item.value.decode("utf-8", "replace").split():
+        try:
+            address = settings.parse_address(text)
+        except ValueError:
+            continue
+        if address.is_reachable:
+            addresses[str(address)] = None
+    return list(addresses)
--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -159,7 +159,7 @@
             return None
         listing = listed.ok
         entries: list[classes.CatalogEntry] = []
-        present: set[str] = set()
+        present = {key.removeprefix(self._prefix) for key in listing.unreadable_keys}
         for item in listing.items:
             name = item.key.removeprefix(self._prefix)
             present.add(name)
@@ -167,6 +167,8 @@
         for known in self._state.catalog.entries:
             if known.is_deleted or known.name in present:
                 continue
+            if not listing.names_all_keys:
+                continue
             is_of_era = known.era == self._store.eras.get_write_era(known.revision)
             if is_of_era and known.revision <= listing.revision:
                 entries.append(
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -185,6 +185,7 @@
             log,
         )
         self.announcement_tracker.on_run_ended = self.state_updater.mark_ended_run
+        self.announcement_tracker.knows_service = self._knows_service
         self.announcement_tracker.start_hold()
         self.state.on_predecessor = self._recall_ended_run
         counter = store.StoreCallCounter()
@@ -346,6 +347,17 @@
     def _recall_ended_run(self, predecessor: membership.EndpointRecord) -> None:
         self.announcement_tracker.recall_end(predecessor.ended_run)
 
+    def _knows_service(self, service: str) -> bool:
+        """Return whether the settings or the routes in force name a service.
+
+        Without a service in the settings, upstreams of any service may be announced.
+        """
+        own_service = self._settings.own_service
+        if not own_service or service == own_service:
+            return True
+        table = self.routes.table if self.routes is not None else None
+        return table is not None and service in table.health_paths
+
     def _mark_misdirected_absent(self) -> None:
         self.announcement_tracker.mark_absent("misdirected")
 
--- a/umberdrum/daemon/_startup_probe.py
+++ b/umberdrum/daemon/_startup_probe.py
@@ -107,6 +107,7 @@
         load = callpath.parse_upstream_load(value) if value else None
         if (
             instance_id is None
+            or not callpath.is_visible_text(instance_id)
             or load is None
             or self._tracker.announcement is not None
         ):
@@ -123,6 +124,6 @@
                 n_slots=max(1, load.n_slots),
                 state=callpath.EndpointState.SERVING,
                 load_path="",
-                instance_id=instance_id.decode("latin-1"),
+                instance_id=instance_id.decode("ascii"),
             )
         )
--- a/umberdrum/jsonclient/_client.py
+++ b/umberdrum/jsonclient/_client.py
@@ -415,7 +415,11 @@
 
 
 def _decode_object(raw: bytes) -> JsonObject:
-    value = json.loads(raw) if raw.strip() else {}
+    """Return the object; raises ``ValueError``, also if it is nested too deeply."""
+    try:
+        value = json.loads(raw) if raw.strip() else {}
+    except RecursionError as fault:
+        raise ValueError(str(fault)) from None
     if not isinstance(value, dict):
         raise ValueError(f"expected a JSON object, found {type(value).__name__}")
     return value
--- a/umberdrum/membership/_codec.py
+++ b/umberdrum/membership/_codec.py
@@ -32,9 +32,11 @@
 ) -> expression.Result[_record.EndpointRecord, errors.Failure]:
     """Parse ``message``, or return a failure that describes the invalid field."""
     try:
-        settings.parse_address(message.endpoint_id)
+        address = settings.parse_address(message.endpoint_id)
     except ValueError as fault:
         return _reject(f"endpoint_id: expected {fault}")
+    if not address.is_reachable:
+        return _reject(f"endpoint_id: expected a host and a port, found {address}")
     try:
         state = _record.RecordState(message.state)
     except ValueError:
--- a/umberdrum/routetable/_table.py
+++ b/umberdrum/routetable/_table.py
@@ -112,6 +112,9 @@
     if not route.shares:
         return "expected a service, found none"
     for share in route.shares:
+        # Messages can't carry surrogates, which JSON may hold.
+        if not share.service.isprintable():
+            return "service: expected printable characters"
         if not share.service or not 0 <= share.weight < math.inf:
             return f"expected a service with a weight of 0 or more, found {share}"
     if sum(share.weight for share in route.shares) <= 0:
--- a/umberdrum/settings/_address.py
+++ b/umberdrum/settings/_address.py
@@ -20,6 +20,16 @@
             return f"[{self.host}]:{self.port}"
         return f"{self.host}:{self.port}"
 
+    @property
+    def is_reachable(self) -> bool:
+        """Whether another process can be called at the address.
+
+        Port 0, and the hosts that stand for several or for none, are only for listeners
+        and groups.
+        """
+        host = ipaddress.ip_address(self.host)
+        return self.port > 0 and not (host.is_unspecified or host.is_multicast)
+
     @property
     def is_loopback(self) -> bool:
         """Whether only processes of the same instance can reach the address."""
--- a/umberdrum/store/_store.py
+++ b/umberdrum/store/_store.py
@@ -26,11 +26,18 @@
 
 
 class Listing(NamedTuple):
-    """Keys under a prefix at the revision ``revision`` of the store's era ``era``."""
+    """Keys under a prefix at the revision ``revision`` of the store's era ``era``.
+
+    ``unreadable_keys`` exist as well, with contents that can't be read; another program
+    may have written them. Without ``names_all_keys`` there are others, whose names
+    can't be read either.
+    """
 
     revision: int
     items: tuple[KeyValue, ...]
     era: int = 0
+    unreadable_keys: frozenset[str] = frozenset()
+    names_all_keys: bool = True
 
 
 class SwapResult(NamedTuple):
--- a/umberdrum_bench/http_server.py
+++ b/umberdrum_bench/http_server.py
@@ -35,7 +35,18 @@
     extra_headers: Sequence[tuple[str, str]] = (),
 ) -> None:
     """Send a complete answer with a JSON body."""
-    body = json.dumps(value).encode()
+    await send_json_text(connection, http, json.dumps(value), status, extra_headers)
+
+
+async def send_json_text(
+    connection: sockets.Connection,
+    http: h11.Connection,
+    text: str,
+    status: int = 200,
+    extra_headers: Sequence[tuple[str, str]] = (),
+) -> None:
+    """Send a complete answer with a body of JSON text, which need not be valid."""
+    body = text.encode()
     headers = [
         ("content-type", "application/json"),
         ("content-length", str(len(body))),
