--- a/umberdrum/configuration/_watcher.py
+++ b/umberdrum/configuration/_watcher.py
@@ -130,13 +130,16 @@
         if self._is_pausing:
             self._follow_scope.cancel()
             return
-        if not self.is_following or self._watch_scope.cancel_called:
+        if not self._can_replace_watch():
             return
         answered_at = self.last_answer_at
         age = None if answered_at is None else trio.current_time() - answered_at
         self._log.write("store_watch_reopened", reason=reason, age_seconds=age)
         self._watch_scope.cancel()
 
+    def _can_replace_watch(self) -> bool:
+        return self.is_following and not self._watch_scope.cancel_called
+
     def set_guard(self, is_guard: bool) -> None:
         """Let the store answer the watch often, or as seldom as it allows."""
         seconds = store.DEFAULT_MAX_SILENCE_SECONDS
@@ -145,7 +148,9 @@
         if seconds == self._max_silence_seconds:
             return
         self._max_silence_seconds = seconds
-        self.reopen("guard" if is_guard else "no guard")
+        self._log.write("store_watch_guard", is_guard=is_guard)
+        if self._can_replace_watch():
+            self._watch_scope.cancel()
 
     async def read_documents(self) -> ListedDocuments | None:
         """Return all documents of the store, or None if it does not answer.
