--- a/umberdrum/configuration/_contact_watch.py
+++ b/umberdrum/configuration/_contact_watch.py
@@ -7,10 +7,12 @@
 from umberdrum import gossip
 
 CHECK_INTERVAL_SECONDS = 0.2
-# A contact renews its lease every 0.5 s.
-MAX_STORE_AGE_SECONDS = 0.9
-PROBE_AFTER_SECONDS = 0.6
-ANSWER_SECONDS = 0.4
+DEFAULT_SPREAD_SECONDS = 2.0
+# Shares of the time within which a change has to be in force. A contact renews its
+# lease every quarter of it.
+MAX_STORE_AGE_SHARE = 0.45
+PROBE_AFTER_SHARE = 0.3
+ANSWER_SHARE = 0.2
 # Of all daemons of a zone together.
 MEAN_STARTS_PER_CHECK = 1.0
 MIN_BACKOFF_SECONDS = 0.6
@@ -25,13 +27,13 @@
     lost the store while they still answer their peers. Gossip suspects ended ones after
     more than a second, a call to the store times out after 2 s, and a daemon that
     replaces a contact has to claim a key first. Users require a change to be in force
-    within 2 s.
+    within ``spread_seconds``, of which the following times are shares.
 
     Contacts tell in their messages when the store last answered them. A daemon that
-    knows of no answer within ``PROBE_AFTER_SECONDS`` probes them. It reads the
-    documents itself if each leaves the probe unanswered for ``ANSWER_SECONDS`` or tells
-    of no answer within ``MAX_STORE_AGE_SECONDS``, or if the zone has no contact for
-    ``ANSWER_SECONDS``. A large zone probes and reads no more often than a small one.
+    knows of no answer within ``PROBE_AFTER_SHARE`` probes them. It reads the
+    documents itself if each leaves the probe unanswered for ``ANSWER_SHARE`` or tells
+    of no answer within ``MAX_STORE_AGE_SHARE``, or if the zone has no contact for
+    ``ANSWER_SHARE``. A large zone probes and reads no more often than a small one.
 
     ``signs`` gives the last sign of each contact of the zone, ``n_readers`` the number
     of its other daemons, and ``now`` is in seconds of this daemon's monotonic clock.
@@ -40,8 +42,13 @@
     the store did so 0.3 s ago. Nothing is read.
     """
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(
+        self, rng: random.Random, spread_seconds: float = DEFAULT_SPREAD_SECONDS
+    ) -> None:
         self._rng = rng
+        self._max_store_age_seconds = MAX_STORE_AGE_SHARE * spread_seconds
+        self._probe_after_seconds = PROBE_AFTER_SHARE * spread_seconds
+        self._answer_seconds = ANSWER_SHARE * spread_seconds
         self._probed_at: dict[str, float] = {}
         self._without_contact_since = math.inf
         self._backoff_seconds = 0.0
@@ -55,10 +62,11 @@
             contact: probed_at
             for contact, probed_at in self._probed_at.items()
             if contact in signs
-            and signs[contact].store_answered_at < probed_at - MAX_STORE_AGE_SECONDS
+            and signs[contact].store_answered_at
+            < probed_at - self._max_store_age_seconds
         }
         for sign in signs.values():
-            if now - sign.store_answered_at < PROBE_AFTER_SECONDS:
+            if now - sign.store_answered_at < self._probe_after_seconds:
                 return []
         chosen = [contact for contact in signs if contact not in self._probed_at]
         if not chosen or not self._draw_start(n_readers):
@@ -99,13 +107,13 @@
     def _are_silent(self, signs: Mapping[str, gossip.ContactSign], now: float) -> bool:
         """Return whether no contact has shown that it follows the store."""
         if not signs:
-            return now - self._without_contact_since >= ANSWER_SECONDS
+            return now - self._without_contact_since >= self._answer_seconds
         for contact, sign in signs.items():
             probed_at = self._probed_at.get(contact, math.inf)
             has_answered = sign.heard_at >= probed_at
-            is_outdated = now - sign.store_answered_at >= MAX_STORE_AGE_SECONDS
+            is_outdated = now - sign.store_answered_at >= self._max_store_age_seconds
             if has_answered and is_outdated:
                 continue
-            if now - probed_at < ANSWER_SECONDS:
+            if now - probed_at < self._answer_seconds:
                 return False
         return True
--- a/umberdrum/configuration/_contacts.py
+++ b/umberdrum/configuration/_contacts.py
@@ -21,9 +21,10 @@
 LEASE_TTL_SECONDS = 10
 # A contact detects the loss of the store within this interval plus one call timeout of
 # 2 s, so that another daemon can take over within the 7 s that users require. A renewal
-# also shows that connections are silent. Users require a change to be in force within
-# 2 s, and other daemons read it if no contact has been answered for about half of that.
-MAX_KEEP_ALIVE_INTERVAL_SECONDS = 0.5
+# also shows that connections are silent. A change has to be in force within some time,
+# of which this is a share, and other daemons read it if no contact has been answered
+# for about half of that.
+KEEP_ALIVE_INTERVAL_SHARE = 0.25
 # While the store does not answer.
 MAX_RETRY_INTERVAL_SECONDS = 2.0
 MIN_KEEP_ALIVE_INTERVAL_SHARE = 0.8
@@ -139,7 +140,9 @@
         seeds: tuple[settings.Address, ...],
         rng: random.Random,
         log: logs.EventLog,
+        spread_seconds: float = _contact_watch.DEFAULT_SPREAD_SECONDS,
     ) -> None:
+        self._spread_seconds = spread_seconds
         self._store = target_store
         self._counter = counter
         self._keys = keys
@@ -231,7 +234,7 @@
 
     async def _read_while_contacts_are_silent(self) -> None:
         """Read the documents in place of contacts that do not follow the store."""
-        watch = _contact_watch.ContactWatch(self._rng)
+        watch = _contact_watch.ContactWatch(self._rng, self._spread_seconds)
         view = self._build_zone_view()
         while True:
             await trio.sleep(_contact_watch.CHECK_INTERVAL_SECONDS)
@@ -646,7 +649,7 @@
         """
         longest = MAX_RETRY_INTERVAL_SECONDS
         if is_answered:
-            longest = MAX_KEEP_ALIVE_INTERVAL_SECONDS
+            longest = KEEP_ALIVE_INTERVAL_SHARE * self._spread_seconds
         interval = longest * self._rng.uniform(MIN_KEEP_ALIVE_INTERVAL_SHARE, 1.0)
         earliest = trio.current_time() + MIN_RENEWAL_PAUSE_SECONDS
         latest = max(earliest, began_at + MAX_RETRY_INTERVAL_SECONDS)
--- a/umberdrum/daemon/_parts.py
+++ b/umberdrum/daemon/_parts.py
@@ -181,7 +181,7 @@
         )
         self.announcement_tracker = announcements.AnnouncementTracker(
             self.state_updater,
-            own_settings.announcement_timeout_ms / MS_PER_SECOND,
+            own_settings.announcement_timeout_seconds,
             log,
         )
         self.announcement_tracker.on_run_ended = self.state_updater.mark_ended_run
@@ -234,6 +234,7 @@
             own_settings.seeds,
             rng,
             log,
+            own_settings.store_spread_seconds,
         )
         self.reporter = _reporter.DaemonReporter(
             own_settings,
--- a/umberdrum/settings/_fields.py
+++ b/umberdrum/settings/_fields.py
@@ -8,6 +8,8 @@
 # Time in which a daemon closes its connections and ends.
 MAX_EXIT_SECONDS = 0.5
 MAX_EXIT_SHARE = 0.25
+# Two announcements of an upstream may be lost.
+ANNOUNCEMENTS_PER_TIMEOUT = 10 / 3
 
 
 class Settings(NamedTuple):
@@ -34,7 +36,8 @@
     A contact is a daemon that watches the store for its availability zone. A zone has
     ``n_contacts_per_zone`` contacts, or more if the cluster would otherwise have fewer
     than ``min_contacts`` in total. Within ``store_recovery_seconds`` of an outage of
-    the store they follow it again. ``measuring_bytes_per_second`` limits the traffic
+    the store they follow it again. A change has to be in force everywhere within
+    ``store_spread_seconds``. ``measuring_bytes_per_second`` limits the traffic
     of load reports, polls and probes.
     """
 
@@ -52,6 +55,7 @@
     store_addresses: tuple[_address.Address, ...]
     store_prefix: str
     store_recovery_seconds: float
+    store_spread_seconds: float
     measuring_bytes_per_second: int
     max_connections: int
     max_head_bytes: int
@@ -61,6 +65,7 @@
     grace_ms: int
     termination_grace_seconds: float
     announcement_timeout_ms: int
+    announcement_interval_seconds: float
     log_level: str
     routing_policy: str
     admission_policy: str
@@ -75,6 +80,16 @@
     cold_factor: float
     n_cold_extra: float
 
+    @property
+    def announcement_timeout_seconds(self) -> float:
+        """Silence after which the upstream counts as absent.
+
+        It follows from ``announcement_interval_seconds``, if that is not 0.
+        """
+        if not self.announcement_interval_seconds:
+            return self.announcement_timeout_ms / MS_PER_SECOND
+        return ANNOUNCEMENTS_PER_TIMEOUT * self.announcement_interval_seconds
+
     @property
     def grace_seconds(self) -> float:
         """Time for calls in progress at a stop.
--- a/umberdrum/settings/_reader.py
+++ b/umberdrum/settings/_reader.py
@@ -158,6 +158,13 @@
         _build_optional_number_parser(0.5, 60, 3.0),
         "",
     ),
+    _Setting(
+        "store_spread_seconds",
+        "store",
+        "spread_seconds",
+        _build_optional_number_parser(0.5, 60, 2.0),
+        "",
+    ),
     _Setting(
         "measuring_bytes_per_second",
         "measuring",
@@ -199,6 +206,13 @@
         _TIMEOUT_MS,
         "5000",
     ),
+    _Setting(
+        "announcement_interval_seconds",
+        "limits",
+        "announcement_interval_seconds",
+        _build_optional_number_parser(0.01, 3600, 0.0),
+        "",
+    ),
     _Setting("log_level", "log", "level", _build_choice_parser(LOG_LEVELS), "info"),
     _Setting(
         "routing_policy",
@@ -231,9 +245,19 @@
         _build_integer_parser(0, 100),
         "0",
     ),
-    _Setting("shared_retries", "retries", "shared", _build_number_parser(0, 1e6), "0"),
     _Setting(
-        "shared_retry_share", "retries", "shared_share", _build_number_parser(0, 1), "0"
+        "shared_retries",
+        "retries",
+        "shared",
+        _build_optional_number_parser(0, 1e6, 0.0),
+        "",
+    ),
+    _Setting(
+        "shared_retry_share",
+        "retries",
+        "shared_share",
+        _build_optional_number_parser(0, 1, 0.0),
+        "",
     ),
     _Setting(
         "n_allotment_slack",
