--- a/umberdrum/callpath/_sinks.py
+++ b/umberdrum/callpath/_sinks.py
@@ -1,4 +1,4 @@
-"""Response sinks that wrap another sink or discard the response."""
+"""Response sinks that wrap another sink."""
 
 import trio
 
@@ -53,21 +53,3 @@
         self.started_at = trio.current_time()
         self.report = report
         await self._sink.start(head, report)
-
-
-class DiscardingSink:
-    """Discards a response that is not needed, so that its connection can be reused."""
-
-    async def start(
-        self, head: _call.HttpResponseHead, report: _call.CallReport
-    ) -> None:
-        """Drop the head."""
-
-    async def write(self, data: bytes) -> None:
-        """Drop body bytes."""
-
-    async def flush(self) -> None:
-        """Do nothing."""
-
-    async def finish(self) -> None:
-        """Do nothing."""
--- a/umberdrum/callpath/tests/hostile_steps.py
+++ b/umberdrum/callpath/tests/hostile_steps.py
@@ -12,8 +12,8 @@
 from behave import runner
 
 from umberdrum import callpath, sockets
-from umberdrum.callpath import _call, _caller_exchange, _dialect, _sinks, _upstream
-from umberdrum.callpath.tests import callpath_steps
+from umberdrum.callpath import _call, _caller_exchange, _dialect, _upstream
+from umberdrum.callpath.tests import callpath_steps, discarding_sink
 from umberdrum.tests import harness
 from umberdrum_bench import http_server
 
@@ -380,7 +380,7 @@
     assert context.seconds <= limit, context.seconds
 
 
-class _CountingSink(_sinks.DiscardingSink):
+class _CountingSink(discarding_sink.DiscardingSink):
     """Counts the body bytes that it discards."""
 
     def __init__(self) -> None:
--- a/umberdrum/callpath/tests/peer_stop_steps.py
+++ b/umberdrum/callpath/tests/peer_stop_steps.py
@@ -11,7 +11,7 @@
 
 from umberdrum import errors, peerlink, sockets, wire
 from umberdrum.callpath import _call, _endpoint, _frames, _sinks
-from umberdrum.callpath.tests import callpath_steps
+from umberdrum.callpath.tests import callpath_steps, discarding_sink
 from umberdrum.daemon import _parts
 from umberdrum.tests import harness, payment_site
 
@@ -51,7 +51,7 @@
     async def call(self, number: int) -> None:
         """Send one call and store its result."""
         call = build_call(self._cls, f"{self._cls}-{number}")
-        sink = _sinks.TrackingSink(_sinks.DiscardingSink())
+        sink = _sinks.TrackingSink(discarding_sink.DiscardingSink())
         result = await self._client.run(call, self._peer, _call.WholeBody(b""), sink)
         self.results.append(result)
 
--- a/umberdrum/callpath/tests/repeated_refusal_steps.py
+++ b/umberdrum/callpath/tests/repeated_refusal_steps.py
@@ -20,7 +20,7 @@
     _sinks,
     _upstream,
 )
-from umberdrum.callpath.tests import callpath_steps, peer_stop_steps
+from umberdrum.callpath.tests import callpath_steps, discarding_sink, peer_stop_steps
 from umberdrum.tests import harness
 from umberdrum_bench import http_server
 
@@ -304,7 +304,7 @@
     peer = peerlink.PeerAddress(own.address, own.process_id)
     client = peer_stop_steps.get_parts(entry).peer_client
     call = peer_stop_steps.build_call(cls, request_id)
-    sink = _sinks.TrackingSink(_sinks.DiscardingSink())
+    sink = _sinks.TrackingSink(discarding_sink.DiscardingSink())
     return await client.run(call, peer, _call.WholeBody(b""), sink)
 
 
