--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -619,7 +619,8 @@
 class Site:
     """A small deployment: store, machines with daemons, and endpoints."""
 
-    def __init__(self, folder, net):
+    def __init__(self, folder, net, endpoint_type=Endpoint):
+        self.endpoint_type = endpoint_type
         self.record = Record(pathlib.Path(folder) / "record.txt")
         self.net = net
         self._temporary = tempfile.TemporaryDirectory(prefix="review-3-")
@@ -646,7 +647,7 @@
         for index, (service, zone) in enumerate(layout):
             machine = Machine(self, index, service, zone)
             self.machines.append(machine)
-            endpoint = Endpoint(machine, f"i-{index + 1:02d}")
+            endpoint = self.endpoint_type(machine, f"i-{index + 1:02d}")
             self.endpoints.append(endpoint)
         for machine in self.machines:
             await machine.start()
